--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,45 @@
+//! One type for each kind of id.
+
+use std::fmt;
+
+/// The 36 characters a front hands over for an op, given back unchanged.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OpId([u8; 36]);
+
+impl OpId {
+    pub fn parse(text: &str) -> Option<Self> {
+        text.as_bytes().try_into().ok().map(Self)
+    }
+}
+
+impl fmt::Display for OpId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(std::str::from_utf8(&self.0).unwrap_or("?"))
+    }
+}
+
+impl fmt::Debug for OpId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// Who or what an op is about, as a 64-bit FNV-1a hash of its text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UserKey(u64);
+
+impl UserKey {
+    pub fn of(text: &str) -> Self {
+        let mix = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
+        Self(text.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, mix))
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OpTypeId(pub usize);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TenantId(pub usize);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallerId(pub u64);
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,897 @@
+//! All decisions of one server. How to call it: build a `Logic` from the start-up facts, report what happens
+//! through the inputs (`op_read`, `op_gone`, `run_ended`, `call_wanted`, `call_ended`, `timer`,
+//! `leave_notice`), which only update what is known, then pull `next_decision(now)` until it is `None`.
+//! The interface is this type's `pub fn`s and `Decision` in decision.rs; docs/design.md says why.
+
+use crate::pcg::Pcg;
+use crate::{CallerId, Decision, Fact, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, VecDeque};
+
+/// The design's own figures (the paper's values but for the cycle, which ends by successes or by time).
+const RATIO_THRESHOLD: f64 = 0.9;
+const D_FACTOR: f64 = 1.1;
+const I_FACTOR: f64 = 2.0;
+const CYCLE_ACKS: usize = 24;
+const CYCLE_MIN: Span = Span::from_ms(500);
+const CYCLE_MAX: Span = Span::from_ms(3000);
+const CYCLES_KEPT: usize = 16;
+const USERS_KEPT: usize = 4096;
+const USER_IDLE: Span = Span::from_ms(20_000);
+
+/// Ours, where the design is silent.
+const BEAT: Span = Span::from_ms(40);
+const RUNS_PER_CORE: f64 = 1.0;
+const CROWD_MARGIN: f64 = 0.75;
+const MEMORY_MARGIN: f64 = 0.92;
+const CALLS_MARGIN: f64 = 0.9;
+const CALL_TRIES: u32 = 3;
+const EARLY_SHARE: f64 = 0.09;
+const LISTED_BOOST: f64 = 1.5;
+const LONG_WORK: f64 = 2.0;
+const SAMPLES: usize = 24;
+const TENANT_SAMPLES: usize = 32;
+const DRAIN_MARGIN: Span = Span::from_ms(250);
+
+/// The last few samples of something; figures are worked out when asked for.
+#[derive(Clone, Debug)]
+struct Recent<T> {
+    samples: VecDeque<T>,
+    most: usize,
+}
+
+impl<T: Copy> Recent<T> {
+    fn new(most: usize) -> Self {
+        Self { samples: VecDeque::with_capacity(most), most }
+    }
+
+    fn push(&mut self, sample: T) {
+        if self.samples.len() == self.most {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(sample);
+    }
+}
+
+impl Recent<f64> {
+    /// The mean without the top eighth, so that a few very costly ops don't pass for a slow server.
+    fn usual(&self) -> Option<f64> {
+        let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        sorted.truncate(sorted.len() - sorted.len() / 8);
+        (!sorted.is_empty()).then(|| sorted.iter().sum::<f64>() / sorted.len() as f64)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Repeats {
+    Retryable,
+    Keyed,
+    NonRetryable,
+}
+
+#[derive(Clone, Debug)]
+struct OpType {
+    target_latency: Span,
+    target_stretch: f64,
+    op_timeout: Span,
+    importance: f64,
+    late_worth: f64,
+    skip_worth: f64,
+    repeats: Repeats,
+    window: Span,
+    /// Seconds on the cores for each unit of cost, and seconds at calls for each op.
+    runs: Recent<f64>,
+    calls: Recent<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Held,
+    AwaitsResult,
+    Running,
+    WantsCall,
+    Calling,
+}
+
+#[derive(Clone, Debug)]
+struct Op {
+    seq: u64,
+    op_type: usize,
+    user: Option<UserKey>,
+    caller: CallerId,
+    arrived: Moment,
+    due: Moment,
+    target_at: Moment,
+    kb: f64,
+    cost: f64,
+    /// Seconds of running expected when it was read.
+    expected: f64,
+    rank: f64,
+    repeat_of: Option<OpId>,
+    write: bool,
+    state: State,
+    listed: bool,
+    admitted: bool,
+    key_kept: bool,
+    ran: bool,
+    paused: bool,
+    owed: bool,
+    began: Moment,
+    at_calls: Span,
+    call_began: Moment,
+    call_tries: u32,
+    call_after: Moment,
+    stop_sent: Option<Moment>,
+}
+
+/// One control cycle: power is throughput over response time, both per unit of cost.
+#[derive(Clone, Copy, Debug)]
+struct Cycle {
+    power: f64,
+    response: f64,
+}
+
+/// How a run or a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    Full,
+    TimedOut,
+    Unreached,
+    Broken,
+    Stopped,
+    Moot,
+}
+
+pub struct Logic {
+    facts: Facts,
+    chance: Pcg,
+    cores: f64,
+    op_types: Vec<OpType>,
+    ops: BTreeMap<OpId, Op>,
+    /// Short and long work, best first.
+    lines: [Vec<OpId>; 2],
+    users: BTreeMap<UserKey, Moment>,
+    tenants: Vec<Recent<Moment>>,
+    keys: VecDeque<(Moment, OpId)>,
+    seq: u64,
+    started: Moment,
+    cold: bool,
+    leaving: Option<(Moment, Moment)>,
+    /// Rate R with its tokens, while it binds.
+    rate: Option<f64>,
+    tokens: f64,
+    refilled: Moment,
+    admissions: Recent<Moment>,
+    cycles: Recent<Cycle>,
+    cycle_began: Moment,
+    acks: Vec<(f64, f64)>,
+    beats: u32,
+    beats_held: u32,
+    beats_busy: u32,
+    /// Ops said to run while the gauge saw them wait for disk.
+    off_cores: Recent<f64>,
+    refused: Recent<f64>,
+    said: Option<f64>,
+    wake: Option<Moment>,
+    out: VecDeque<Decision>,
+}
+
+impl Logic {
+    pub fn new(facts: Facts, seed: u64, now: Moment) -> Result<Self, String> {
+        for (name, fact) in &facts.0 {
+            if let Fact::Num(n) = fact
+                && (!n.is_finite() || (*n < 0.0 && name.ends_with("_us")))
+            {
+                return Err(format!("setting {name} is absurd: {n}"));
+            }
+        }
+        for name in ["server.cores", "server.memory_kb", "server.run_factor"] {
+            let n = facts.num(name, 1.0);
+            if n <= 0.0 {
+                return Err(format!("setting {name} is absurd: {n}"));
+            }
+        }
+        let mut op_types = Vec::new();
+        while op_types.len() < 4096 && facts.has(&format!("op_types.{}.target_latency_us", op_types.len())) {
+            let i = op_types.len();
+            let num = |name: &str, default| facts.num(&format!("op_types.{i}.{name}"), default);
+            let target = num("target_latency_us", 1e6);
+            op_types.push(OpType {
+                target_latency: Span::from_us(target as u64),
+                target_stretch: num("target_stretch", 0.0),
+                op_timeout: Span::from_us(num("op_timeout_us", target * 2.0) as u64),
+                importance: num("importance", 1.0),
+                late_worth: num("late_worth", 0.0),
+                skip_worth: facts.num(&format!("server.skip_worth.{i}"), 0.0),
+                repeats: match facts.text(&format!("op_types.{i}.repeats")) {
+                    "retryable" => Repeats::Retryable,
+                    "keyed" => Repeats::Keyed,
+                    _ => Repeats::NonRetryable,
+                },
+                window: Span::from_us(num("window_us", 5e6) as u64),
+                runs: Recent::new(SAMPLES),
+                calls: Recent::new(SAMPLES),
+            });
+        }
+        let tenants = (0..4096).take_while(|i| facts.has(&format!("tenants.{i}.quota_per_s"))).count();
+        let cold = facts.num("server.cold", 0.0) > 0.0;
+        let mut out = VecDeque::from([Decision::Health { good: true, from_store: true }]);
+        if cold {
+            out.push_back(Decision::Log("mode cold".into()));
+        }
+        Ok(Self {
+            chance: Pcg::new(seed),
+            cores: facts.num("server.cores", 1.0),
+            op_types,
+            ops: BTreeMap::new(),
+            lines: [Vec::new(), Vec::new()],
+            users: BTreeMap::new(),
+            tenants: vec![Recent::new(TENANT_SAMPLES); tenants],
+            keys: VecDeque::new(),
+            seq: 0,
+            started: now,
+            cold,
+            leaving: None,
+            rate: None,
+            tokens: 0.0,
+            refilled: now,
+            admissions: Recent::new(64),
+            cycles: Recent::new(CYCLES_KEPT),
+            cycle_began: now,
+            acks: Vec::new(),
+            beats: 0,
+            beats_held: 0,
+            beats_busy: 0,
+            off_cores: Recent::new(SAMPLES),
+            refused: Recent::new(64),
+            said: None,
+            wake: None,
+            out,
+            facts,
+        })
+    }
+
+    // ---- inputs: they only update what is known ----
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn op_read(
+        &mut self,
+        now: Moment,
+        id: OpId,
+        op_type: OpTypeId,
+        tenant: TenantId,
+        user: Option<UserKey>,
+        caller: CallerId,
+        due: Option<Moment>,
+        cost: Option<Span>,
+        kb: f64,
+        age: Span,
+        standing: f64,
+        write: bool,
+        repeat_of: Option<OpId>,
+    ) {
+        let Some(kind) = self.op_types.get(op_type.0) else { return };
+        let arrived = now.back(age);
+        let _ = (standing, self.chance.unit());
+        let cost = cost.map_or(1.0, |c| c.secs().max(1e-4));
+        let target = kind.target_latency + Span::from_secs(kind.target_stretch * cost);
+        let timeout = kind.op_timeout;
+        let due = due.unwrap_or(arrived + timeout);
+        let listed = user.and_then(|u| self.users.get(&u)).is_some_and(|seen| now - *seen < USER_IDLE);
+        let importance = kind.importance * if listed { LISTED_BOOST } else { 1.0 };
+        let share = self.share_factor(now, tenant);
+        let expected = self.run_secs(op_type.0, cost).max(1e-4);
+        let work = if self.facts.text("counted_by") == "work" { 1.0 } else { expected };
+        self.seq += 1;
+        let op = Op {
+            seq: self.seq,
+            op_type: op_type.0,
+            user,
+            caller,
+            arrived,
+            due,
+            target_at: (arrived + target.min(timeout)).min(due),
+            kb,
+            cost,
+            expected,
+            rank: importance * share / work,
+            repeat_of,
+            write,
+            state: State::Held,
+            listed,
+            admitted: false,
+            key_kept: false,
+            ran: false,
+            paused: false,
+            owed: true,
+            began: now,
+            at_calls: Span::ZERO,
+            call_began: now,
+            call_tries: 0,
+            call_after: now,
+            stop_sent: None,
+        };
+        self.ops.insert(id, op);
+        self.line_up(id);
+    }
+
+    fn line_up(&mut self, id: OpId) {
+        let line = usize::from(self.is_long(&self.ops[&id]));
+        let at = self.lines[line].partition_point(|other| self.goes_before(other, &id));
+        self.lines[line].insert(at, id);
+    }
+
+    pub fn op_gone(&mut self, id: OpId) {
+        if let Some(op) = self.ops.get_mut(&id) {
+            op.owed = false;
+            if matches!(op.state, State::Held | State::AwaitsResult) {
+                self.forget(id);
+            }
+        }
+    }
+
+    pub fn run_ended(&mut self, now: Moment, id: OpId, outcome: Outcome) {
+        let Some(op) = self.ops.get_mut(&id) else { return };
+        if outcome == Outcome::Stopped && op.owed && op.state != State::AwaitsResult {
+            // Back in the hold; what has run is failed there, unless it is only paused.
+            op.state = State::Held;
+            op.paused = self.facts.text("server.stop") == "pause";
+            op.stop_sent = None;
+            self.line_up(id);
+            return;
+        }
+        if op.state == State::Running || op.state == State::WantsCall || op.state == State::Calling {
+            let run = (now - op.began - op.at_calls).secs();
+            let response = (now - op.arrived).secs();
+            if outcome == Outcome::Ok {
+                let kind = &mut self.op_types[op.op_type];
+                kind.runs.push(run / op.cost);
+                kind.calls.push(op.at_calls.secs());
+                if op.owed && now <= op.target_at {
+                    self.acks.push((op.cost, response));
+                }
+            }
+        }
+        self.forget(id);
+    }
+
+    pub fn call_wanted(&mut self, now: Moment, id: OpId) {
+        if let Some(op) = self.ops.get_mut(&id) {
+            op.state = State::WantsCall;
+            op.call_began = now;
+            op.call_after = now;
+            op.call_tries = 0;
+        }
+    }
+
+    pub fn call_ended(&mut self, now: Moment, id: OpId, outcome: Outcome) {
+        let Some(op) = self.ops.get_mut(&id) else { return };
+        if op.state != State::Calling {
+            return;
+        }
+        if outcome == Outcome::Ok {
+            op.at_calls = op.at_calls + (now - op.call_began);
+            op.state = State::Running;
+            return;
+        }
+        op.state = State::WantsCall;
+        op.call_after = now + Span::from_ms(50).scaled(f64::from(op.call_tries));
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::Unreached | Outcome::Moot);
+        if !never_ran && self.op_types[op.op_type].repeats != Repeats::Retryable {
+            op.call_tries = CALL_TRIES;
+        }
+    }
+
+    pub fn timer(&mut self, now: Moment, gauges: &[(&str, f64)]) {
+        if self.wake.is_some_and(|at| at <= now) {
+            self.wake = None;
+        }
+        let on_cores = gauges.iter().find(|g| g.0 == "on_cores").map(|g| g.1);
+        let running = self.count(|op| op.state == State::Running) as f64;
+        if let Some(on_cores) = on_cores {
+            self.off_cores.push((running - on_cores).max(0.0));
+        }
+        self.beats += 1;
+        self.beats_held += u32::from(self.lines.iter().any(|line| !line.is_empty()));
+        self.beats_busy += u32::from(on_cores.unwrap_or(running) >= self.cores);
+        if self.cold && now - self.started >= self.span("rules.cold_us") {
+            self.cold = false;
+            self.log(format!("mode warm after_s={:.1}", (now - self.started).secs()));
+        }
+    }
+
+    pub fn leave_notice(&mut self, now: Moment, stop: Moment) {
+        self.leaving = Some((now, stop));
+        self.log(format!("mode leaving in_hand={}", self.ops.len()));
+        self.out.push_back(Decision::Health { good: false, from_store: true });
+    }
+
+    // ---- decisions, one by one ----
+
+    pub fn next_decision(&mut self, now: Moment) -> Option<Decision> {
+        self.end_cycle(now);
+        self.refill(now);
+        while self.keys.front().is_some_and(|(until, _)| *until <= now) {
+            self.keys.pop_front();
+        }
+        if let Some(decision) = self.out.pop_front() {
+            return Some(decision);
+        }
+        self.answer_due(now)
+            .or_else(|| self.stop_worthless(now))
+            .or_else(|| self.guard_memory(now))
+            .or_else(|| self.answer_repeats(now))
+            .or_else(|| self.make_calls(now))
+            .or_else(|| self.admit(now))
+            .or_else(|| self.turn_away_late(now))
+            .or_else(|| self.run_next(now))
+            .or_else(|| self.say(now))
+            .or_else(|| {
+                self.wake.is_none().then(|| {
+                    self.wake = Some(now + BEAT);
+                    Decision::Wake(now + BEAT)
+                })
+            })
+    }
+
+    /// Rule 1: whatever has happened to an op, its answer leaves a beat before it is due.
+    fn answer_due(&mut self, now: Moment) -> Option<Decision> {
+        let stop = self.leaving.map(|(_, stop)| stop.back(DRAIN_MARGIN));
+        let late = |op: &Op| op.owed && (now + BEAT >= op.due || stop.is_some_and(|stop| now >= stop));
+        let id = self.first_by_seq(late)?;
+        Some(self.give_up(now, id))
+    }
+
+    /// Work nobody waits for, or that can't earn any more, leaves the cores where it can be stopped.
+    fn stop_worthless(&mut self, now: Moment) -> Option<Decision> {
+        if self.facts.text("server.stop") == "none" {
+            return None;
+        }
+        let worthless = |op: &Op| {
+            op.owed && now + BEAT >= op.target_at && self.op_types[op.op_type].late_worth <= 0.0 && op.ran
+        };
+        if let Some(id) = self.first_by_seq(worthless) {
+            return Some(self.give_up(now, id));
+        }
+        let again = Span::from_ms(200);
+        let id = self.first_by_seq(|op| {
+            !op.owed && op.state == State::Running && op.stop_sent.is_none_or(|sent| now - sent > again)
+        })?;
+        self.ops.get_mut(&id)?.stop_sent = Some(now);
+        Some(Decision::Stop(id))
+    }
+
+    /// Rule 4: held, running and kept must fit; what ranks last goes first.
+    fn guard_memory(&mut self, now: Moment) -> Option<Decision> {
+        if self.memory() <= self.memory_limit() {
+            return None;
+        }
+        let id = self.held().filter(|(_, op)| !op.paused).max_by(|a, b| self.order(a.1, b.1))?.0;
+        Some(self.give_up(now, id))
+    }
+
+    /// Rule 2: keyed ops are marked when read, and a repeat is served from the first try, never run.
+    fn answer_repeats(&mut self, now: Moment) -> Option<Decision> {
+        let shares_reads = self.facts.num("server.share_reads_us", 0.0) > 0.0;
+        let keyed = |op: &Op| self.op_types[op.op_type].repeats == Repeats::Keyed;
+        let marked = |op: &Op| keyed(op) || (shares_reads && !op.write && op.user.is_some());
+        let id = self.first_by_seq(|op| {
+            let repeat = op.repeat_of.is_some() && (keyed(op) || shares_reads);
+            op.state == State::Held && !op.ran && (repeat || marked(op) && !op.key_kept)
+        })?;
+        let op = &self.ops[&id];
+        if let Some(first) = op.repeat_of {
+            // Two tries read together name each other: the one read first is the one that may run.
+            let mutual =
+                self.ops.get(&first).is_some_and(|f| f.repeat_of == Some(id) && op.seq < f.seq && !f.ran);
+            if !mutual {
+                self.unline(id);
+                let op = self.ops.get_mut(&id)?;
+                op.state = State::AwaitsResult;
+                return Some(Decision::AnswerFrom(id));
+            }
+            self.ops.get_mut(&id)?.repeat_of = None;
+            return self.answer_repeats(now);
+        }
+        let span = if keyed(op) {
+            self.op_types[op.op_type].window
+        } else {
+            self.span("server.share_reads_us") + (op.due - now)
+        };
+        if self.memory() + self.facts.num("server.key_kb", 0.0) > self.memory_limit() && keyed(op) {
+            return Some(self.give_up(now, id));
+        }
+        self.ops.get_mut(&id)?.key_kept = true;
+        self.keys.push_back((now + span, id));
+        Some(Decision::KeepKey { op: id, span })
+    }
+
+    /// Calls in hand stay under this server's share of what the dependency survives.
+    fn make_calls(&mut self, now: Moment) -> Option<Decision> {
+        let ready = |op: &Op| op.state == State::WantsCall && op.owed && op.call_after <= now;
+        let tired = |op: &Op| op.call_tries >= CALL_TRIES;
+        if let Some(id) = self.first_by_seq(|op| ready(op) && tired(op)) {
+            if self.op_types[self.ops[&id].op_type].skip_worth > 0.0 {
+                let op = self.ops.get_mut(&id)?;
+                op.at_calls = op.at_calls + (now - op.call_began);
+                op.state = State::Running;
+                return Some(Decision::SkipCall(id));
+            }
+            return Some(self.give_up(now, id));
+        }
+        if self.count(|op| op.state == State::Calling) as f64 + 1.0 > self.calls_bound() {
+            return None;
+        }
+        let best = |a: &(&OpId, &Op), b: &(&OpId, &Op)| a.1.seq.cmp(&b.1.seq);
+        let id = *self.ops.iter().filter(|(_, op)| ready(op)).min_by(best)?.0;
+        let op = self.ops.get_mut(&id)?;
+        op.state = State::Calling;
+        op.call_tries += 1;
+        Some(Decision::Call { op: id, patience: (op.due - now).max(BEAT) })
+    }
+
+    /// The design: listed users pass, openings of unlisted users meet R, and all admitted ops count to it.
+    fn admit(&mut self, now: Moment) -> Option<Decision> {
+        loop {
+            let open = self.rate.is_none();
+            let passes = |op: &Op| !op.admitted && (open || op.listed || self.tokens >= 1.0);
+            let id = self
+                .held()
+                .filter(|(_, op)| passes(op))
+                .min_by(|a, b| b.1.listed.cmp(&a.1.listed).then(self.order(a.1, b.1)))
+                .map(|(id, _)| id);
+            let Some(id) = id else { break };
+            self.tokens -= 1.0;
+            self.admissions.push(now);
+            self.ops.get_mut(&id)?.admitted = true;
+        }
+        let (_, id) = self
+            .held()
+            .filter(|(_, op)| !op.admitted)
+            .filter(|(_, op)| {
+                now + BEAT - op.arrived >= self.op_types[op.op_type].op_timeout.scaled(EARLY_SHARE)
+            })
+            .map(|(id, op)| (op.seq, id))
+            .min()?;
+        Some(self.give_up(now, id))
+    }
+
+    /// An op that can't be acked within its target latency at the present pace is turned away at once.
+    fn turn_away_late(&mut self, now: Moment) -> Option<Decision> {
+        let drag = self.drag(now);
+        let mut ahead: f64 = self.running_left(now, drag);
+        let slots = self.run_bound(now).max(1.0);
+        let cores = self.cores.min(slots);
+        let mut ids: Vec<OpId> = self.lines.concat();
+        ids.sort_by(|a, b| self.order(&self.ops[a], &self.ops[b]));
+        for id in ids {
+            let op = &self.ops[&id];
+            let run = op.expected * drag;
+            let calls = self.op_types[op.op_type].calls.usual().unwrap_or(0.0);
+            let refused =
+                self.leaving.is_some_and(|(at, _)| op.arrived > at + self.span("rules.drain_grace_us"));
+            let finish = now + Span::from_secs(ahead / cores + run + calls);
+            let last = if self.op_types[op.op_type].late_worth > 0.0 { op.due } else { op.target_at };
+            if refused || finish > last || (op.ran && !op.paused) {
+                return Some(self.give_up(now, id));
+            }
+            ahead += run;
+        }
+        None
+    }
+
+    fn run_next(&mut self, now: Moment) -> Option<Decision> {
+        let on_cores = self.count(|op| op.state == State::Running) as f64;
+        let live = self.count(|op| !matches!(op.state, State::Held | State::AwaitsResult)) as f64;
+        let waiting = self.count(|op| op.state == State::WantsCall) as f64;
+        if on_cores + 1.0 > self.run_bound(now)
+            || live + 1.0 > self.crowd_ceiling(now)
+            || waiting > self.cores
+        {
+            return None;
+        }
+        let (short, long) = (self.head(0, now), self.head(1, now));
+        let long_runs = self.count(|op| op.state == State::Running && self.is_long(op)) as f64;
+        let id = match (short, long) {
+            (Some(s), Some(l)) => {
+                let long_first = self.order(&self.ops[&l], &self.ops[&s]) == Ordering::Less;
+                if long_first && long_runs < self.cores / 2.0 { l } else { s }
+            }
+            (s, l) => s.or(l)?,
+        };
+        self.unline(id);
+        let op = self.ops.get_mut(&id)?;
+        if !op.paused {
+            op.began = now;
+        }
+        (op.state, op.ran, op.paused) = (State::Running, true, false);
+        if let Some(user) = op.user {
+            self.users.insert(user, now);
+            self.bound_users(now);
+        }
+        self.refused.push(0.0);
+        Some(Decision::Run(id))
+    }
+
+    fn head(&self, line: usize, now: Moment) -> Option<OpId> {
+        let room = self.memory_limit() - self.memory();
+        let factor = self.facts.num("server.run_factor", 8.0) - 1.0;
+        self.lines[line].iter().copied().find(|id| {
+            let op = &self.ops[id];
+            op.admitted && (op.paused || op.kb * factor <= room) && now < op.due
+        })
+    }
+
+    /// What callers are told, so that ops are turned away before they cost a read.
+    fn say(&mut self, now: Moment) -> Option<Decision> {
+        let refused = self.refused.samples.iter().sum::<f64>() / self.refused.samples.len().max(1) as f64;
+        let pressed = self.rate.is_some() && refused > 0.02;
+        let value = match self.facts.text("server.value") {
+            "credit" => {
+                let room = self.room(now);
+                if pressed { (room / self.active_callers()).max(1.0).round() } else { 1000.0 }
+            }
+            "weight" => {
+                if pressed {
+                    (1.0 - refused).max(0.1)
+                } else {
+                    1.0
+                }
+            }
+            _ => return None,
+        };
+        let value = (value * 20.0).round() / 20.0;
+        if self.said == Some(value) || (self.said.is_none() && !pressed) {
+            return None;
+        }
+        self.said = Some(value);
+        Some(Decision::Say(value))
+    }
+
+    // ---- the power test ----
+
+    /// A cycle ends by successes or by time; then R is cut, raised, bound or let go.
+    fn end_cycle(&mut self, now: Moment) {
+        let span = now - self.cycle_began;
+        if span < CYCLE_MIN || (self.acks.len() < CYCLE_ACKS && span < CYCLE_MAX) {
+            return;
+        }
+        let pressed = self.beats_held * 2 >= self.beats.max(1);
+        let busy = self.beats_busy * 2 >= self.beats.max(1);
+        let (cost, response) = self.acks.iter().fold((0.0, 0.0), |(c, r), (cost, resp)| (c + cost, r + resp));
+        let response = response / cost.max(1e-9);
+        let power = cost / span.secs() / response.max(1e-9);
+        self.cycle_began = now;
+        (self.beats, self.beats_held, self.beats_busy) = (0, 0, 0);
+        let acked = std::mem::take(&mut self.acks).len();
+        if acked == 0 {
+            return;
+        }
+        self.cycles.push(Cycle { power, response });
+        let best = self.cycles.samples.iter().copied().max_by(|a, b| a.power.total_cmp(&b.power));
+        let best = best.unwrap_or(Cycle { power, response });
+        let over = power / best.power < RATIO_THRESHOLD && response > best.response;
+        let recent = self.admissions.samples.iter().filter(|at| now - **at <= span).count();
+        let admitted = recent as f64 / span.secs();
+        let figures = format!("ratio={:.2} resp={response:.2} best={:.2}", power / best.power, best.response);
+        match self.rate {
+            None if over && pressed => {
+                self.rate = Some(admitted.max(1.0));
+                self.tokens = 0.0;
+                self.refilled = now;
+                self.log(format!("mode bound R={admitted:.1}/s {figures}"));
+            }
+            Some(rate) if !pressed && !busy => self.unbind(rate, admitted, &figures),
+            Some(rate) if over && pressed => self.rate = Some((rate / D_FACTOR).max(1.0)),
+            Some(rate) if !over => {
+                let raised = rate + I_FACTOR;
+                self.rate = Some(raised);
+                if raised > admitted * D_FACTOR + I_FACTOR {
+                    self.unbind(raised, admitted, &figures);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn unbind(&mut self, rate: f64, admitted: f64, figures: &str) {
+        self.rate = None;
+        self.log(format!("mode open R={rate:.1}/s admitted={admitted:.1}/s {figures}"));
+    }
+
+    fn refill(&mut self, now: Moment) {
+        let rate = self.rate.unwrap_or(0.0);
+        let gain = rate * (now - self.refilled).secs();
+        self.tokens = (self.tokens + gain).clamp(-rate, (rate * 0.25).max(1.0));
+        self.refilled = now;
+    }
+
+    // ---- figures, worked out when needed ----
+
+    fn span(&self, name: &str) -> Span {
+        Span::from_us(self.facts.num(name, 0.0) as u64)
+    }
+
+    fn log(&mut self, line: String) {
+        self.out.push_back(Decision::Log(line));
+    }
+
+    fn count(&self, which: impl Fn(&Op) -> bool) -> usize {
+        self.ops.values().filter(|op| which(op)).count()
+    }
+
+    fn first_by_seq(&self, which: impl Fn(&Op) -> bool) -> Option<OpId> {
+        self.ops.iter().filter(|(_, op)| which(op)).min_by_key(|(_, op)| op.seq).map(|(id, _)| *id)
+    }
+
+    fn held(&self) -> impl Iterator<Item = (OpId, &Op)> {
+        self.lines.iter().flatten().map(|id| (*id, &self.ops[id]))
+    }
+
+    fn order(&self, a: &Op, b: &Op) -> Ordering {
+        let rank = b.rank.total_cmp(&a.rank);
+        (b.paused.cmp(&a.paused)).then(rank).then(a.target_at.cmp(&b.target_at)).then(a.seq.cmp(&b.seq))
+    }
+
+    fn goes_before(&self, a: &OpId, b: &OpId) -> bool {
+        self.order(&self.ops[a], &self.ops[b]) == Ordering::Less
+    }
+
+    fn run_secs(&self, op_type: usize, cost: f64) -> f64 {
+        let kind = &self.op_types[op_type];
+        let hinted = cost != 1.0;
+        let unknown = if hinted { 1.0 } else { kind.target_latency.secs() * 0.2 };
+        kind.runs.usual().unwrap_or(unknown) * cost
+    }
+
+    fn usual_run_secs(&self) -> f64 {
+        let all: Vec<f64> = self.ops.values().map(|op| op.expected).collect();
+        if all.is_empty() { f64::INFINITY } else { all.iter().sum::<f64>() / all.len() as f64 }
+    }
+
+    fn is_long(&self, op: &Op) -> bool {
+        op.expected > LONG_WORK * self.usual_run_secs()
+    }
+
+    /// How much longer than expected the runs on the cores take now; a slow or hung server shows here first.
+    fn drag(&self, now: Moment) -> f64 {
+        let mut ratios: Vec<f64> = (self.ops.values())
+            .filter(|op| op.state == State::Running)
+            .map(|op| (now - op.began - op.at_calls).secs() / op.expected)
+            .collect();
+        ratios.sort_by(f64::total_cmp);
+        ratios.get(ratios.len() / 2).copied().unwrap_or(1.0).max(1.0)
+    }
+
+    fn running_left(&self, now: Moment, drag: f64) -> f64 {
+        (self.ops.values())
+            .filter(|op| op.state == State::Running)
+            .map(|op| {
+                let run = op.expected * drag;
+                (run - (now - op.began - op.at_calls).secs()).max(run * 0.2)
+            })
+            .sum()
+    }
+
+    /// What an op of this tenant is worth by the tenant's share here: traffic past it earns little.
+    fn share_factor(&mut self, now: Moment, tenant: TenantId) -> f64 {
+        let quota = self.facts.num(&format!("tenants.{}.quota_per_s", tenant.0), 0.0);
+        let Some(seen) = self.tenants.get_mut(tenant.0) else { return 1.0 };
+        seen.push(now);
+        let over = self.facts.num("over_share_worth", 1.0);
+        if seen.samples.len() < TENANT_SAMPLES / 2 {
+            return 1.0;
+        }
+        let rate = seen.samples.len() as f64 / (now - seen.samples[0]).secs().max(0.01);
+        let within = (quota / self.facts.num("servers", 1.0).max(1.0) / rate).min(1.0);
+        within + (1.0 - within) * over
+    }
+
+    fn memory(&self) -> f64 {
+        let factor = self.facts.num("server.run_factor", 8.0);
+        let weigh = |op: &Op| {
+            let still = op.state == State::Held || op.state == State::AwaitsResult;
+            op.kb * if still && !op.paused { 1.0 } else { factor }
+        };
+        let keys = self.keys.len() as f64 * self.facts.num("server.key_kb", 0.0);
+        keys + self.ops.values().map(weigh).sum::<f64>()
+    }
+
+    fn memory_limit(&self) -> f64 {
+        self.facts.num("server.memory_kb", f64::MAX) * MEMORY_MARGIN
+    }
+
+    fn calls_bound(&self) -> f64 {
+        (self.facts.num("server.calls_bound", f64::MAX) * CALLS_MARGIN).max(1.0)
+    }
+
+    /// The crowd on the cores that is survived, with a margin: less while cold. A ceiling, not a target.
+    fn crowd_ceiling(&self, now: Moment) -> f64 {
+        let multiple = self.facts.num("rules.crowd_multiple", 3.0);
+        let cold_for = self.span("rules.cold_us").secs();
+        let from = self.facts.num("rules.cold_share", 0.2);
+        let warm = if self.cold && cold_for > 0.0 {
+            (from + (1.0 - from) * (now - self.started).secs() / cold_for).min(1.0)
+        } else {
+            1.0
+        };
+        ((1.0 + (multiple - 1.0) * warm) * self.cores * CROWD_MARGIN).max(1.0)
+    }
+
+    /// How many may run: the cores' worth, and as many again as were seen to wait for disk.
+    fn run_bound(&self, now: Moment) -> f64 {
+        let off = self.off_cores.samples.iter().sum::<f64>() / self.off_cores.samples.len().max(1) as f64;
+        (self.cores * RUNS_PER_CORE + off).min(self.crowd_ceiling(now))
+    }
+
+    /// How many ops in hand could still be acked within their targets.
+    fn room(&self, now: Moment) -> f64 {
+        let held = self.ops.len().max(1) as f64;
+        let target =
+            self.ops.values().map(|op| self.op_types[op.op_type].target_latency.secs()).sum::<f64>() / held;
+        self.run_bound(now) * (target / self.usual_run_secs().max(1e-3) * 0.7).clamp(1.0, 20.0)
+    }
+
+    fn active_callers(&self) -> f64 {
+        let mut callers: Vec<CallerId> = self.ops.values().map(|op| op.caller).collect();
+        callers.sort();
+        callers.dedup();
+        callers.len().max(1) as f64
+    }
+
+    fn bound_users(&mut self, now: Moment) {
+        if self.users.len() > USERS_KEPT {
+            self.users.retain(|_, seen| now - *seen < USER_IDLE);
+            if let Some(oldest) = self.users.iter().min_by_key(|(_, seen)| **seen).map(|(u, _)| *u)
+                && self.users.len() > USERS_KEPT
+            {
+                self.users.remove(&oldest);
+            }
+        }
+    }
+
+    /// The final answer for an op that won't be acked: a nack while it never ran, else an error.
+    fn give_up(&mut self, now: Moment, id: OpId) -> Decision {
+        let op = &self.ops[&id];
+        let (ran, state, repeat, kept) = (op.ran, op.state, op.repeat_of.is_some(), op.key_kept);
+        self.refused.push(1.0);
+        let come_back = self.come_back(now);
+        if matches!(state, State::Held | State::AwaitsResult) {
+            self.forget(id);
+        } else if let Some(op) = self.ops.get_mut(&id) {
+            op.owed = false;
+        }
+        if ran || repeat || state != State::Held {
+            return Decision::Fail(id);
+        }
+        if kept {
+            self.keys.retain(|(_, kept)| *kept != id);
+            self.out.push_back(Decision::DropKey(id));
+        }
+        Decision::Nack { op: id, come_back, nowhere_else: false }
+    }
+
+    /// When a refused caller may find room: once a tenth of what is in hand here has been worked off.
+    fn come_back(&self, now: Moment) -> Span {
+        if self.facts.num("limits.retry_after", 0.0) <= 0.0 {
+            return Span::ZERO;
+        }
+        let most = self.span("limits.max_retry_after_us");
+        let left: f64 = self.held().map(|(_, op)| op.expected).sum();
+        Span::from_secs((self.running_left(now, 1.0) + left) / self.cores / 10.0).max(BEAT).min(most)
+    }
+
+    fn unline(&mut self, id: OpId) {
+        for line in &mut self.lines {
+            line.retain(|held| *held != id);
+        }
+    }
+
+    fn forget(&mut self, id: OpId) {
+        self.unline(id);
+        self.ops.remove(&id);
+    }
+}
--- /dev/null
+++ b/src/time.rs
@@ -0,0 +1,72 @@
+//! Points in time and spans, both in whole microseconds; only sums that make sense compile.
+
+use std::ops::{Add, Sub};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Moment(u64);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(u64);
+
+impl Moment {
+    pub const fn from_us(us: u64) -> Self {
+        Self(us)
+    }
+    pub const fn us(self) -> u64 {
+        self.0
+    }
+    pub const fn back(self, by: Span) -> Self {
+        Self(self.0.saturating_sub(by.0))
+    }
+}
+
+impl Span {
+    pub const ZERO: Self = Self(0);
+    pub const fn from_us(us: u64) -> Self {
+        Self(us)
+    }
+    pub const fn from_ms(ms: u64) -> Self {
+        Self(ms * 1000)
+    }
+    pub fn from_secs(secs: f64) -> Self {
+        Self((secs * 1e6) as u64)
+    }
+    pub const fn us(self) -> u64 {
+        self.0
+    }
+    pub const fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+    pub fn scaled(self, by: f64) -> Self {
+        Self((self.0 as f64 * by) as u64)
+    }
+}
+
+impl Add<Span> for Moment {
+    type Output = Moment;
+    fn add(self, by: Span) -> Moment {
+        Moment(self.0.saturating_add(by.0))
+    }
+}
+
+/// The span from `rhs` to `self`; zero when `rhs` is the later one.
+impl Sub for Moment {
+    type Output = Span;
+    fn sub(self, rhs: Moment) -> Span {
+        Span(self.0.saturating_sub(rhs.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, by: Span) -> Span {
+        Span(self.0.saturating_add(by.0))
+    }
+}
+
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, by: Span) -> Span {
+        Span(self.0.saturating_sub(by.0))
+    }
+}
