Only admitted ops make a cycle pressed, so R lets go

Cause: openings kept waiting by R itself counted as held work, so R, once bound, was cut again and again.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -395,7 +395,8 @@
             self.off_cores.push((running - on_cores).max(0.0));
         }
         self.beats += 1;
-        self.beats_held += u32::from(self.lines.iter().any(|line| !line.is_empty()));
+        let held = self.held().any(|(_, op)| op.admitted);
+        self.beats_held += u32::from(held);
         self.beats_busy += u32::from(on_cores.unwrap_or(running) >= self.cores);
         if self.cold && now - self.started >= self.span("rules.cold_us") {
             self.cold = false;
