Expect a run by a line through cost and time; judge waits by the run bound

Cause: a run's time was taken as proportional to its cost hint, though disk waits are not and rough hints overstate; waits were divided by cores though more ops run while some wait for disk. Large ops were nacked as too late.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -63,6 +63,23 @@
     }
 }
 
+impl Recent<(f64, f64)> {
+    /// The second figure expected at `x`: a line through the samples, level or rising, and level where
+    /// `x` says nothing. Waits for disk don't grow with cost, and rough hints say less than they claim.
+    fn expect(&self, x: f64) -> Option<f64> {
+        let n = self.samples.len().max(1) as f64;
+        let of = |f: &dyn Fn(&(f64, f64)) -> f64| self.samples.iter().map(f).sum::<f64>() / n;
+        let (mx, my) = (of(&|s| s.0), of(&|s| s.1));
+        let spread = of(&|s| (s.0 - mx).powi(2));
+        if spread < 1e-12 {
+            let ys = Recent { samples: self.samples.iter().map(|s| s.1).collect(), most: self.most };
+            return ys.usual();
+        }
+        let slope = (of(&|s| (s.0 - mx) * (s.1 - my)) / spread).clamp(0.0, my / mx);
+        Some(my + slope * (x - mx))
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Repeats {
     Retryable,
@@ -80,8 +97,8 @@
     skip_worth: f64,
     repeats: Repeats,
     window: Span,
-    /// Seconds on the cores for each unit of cost, and seconds at calls for each op.
-    runs: Recent<f64>,
+    /// Cost told and seconds run (disk waits too), and seconds at calls, of the last acked ops.
+    runs: Recent<(f64, f64)>,
     calls: Recent<f64>,
 }
 
@@ -348,7 +365,7 @@
             let response = (now - op.arrived).secs();
             if outcome == Outcome::Ok {
                 let kind = &mut self.op_types[op.op_type];
-                kind.runs.push(run / op.cost);
+                kind.runs.push((op.cost, run));
                 kind.calls.push(op.at_calls.secs());
                 if op.owed && now <= op.target_at {
                     self.acks.push((op.cost, response));
@@ -563,9 +580,8 @@
     /// An op that can't be acked within its target latency at the present pace is turned away at once.
     fn turn_away_late(&mut self, now: Moment) -> Option<Decision> {
         let drag = self.drag(now);
-        let mut ahead: f64 = self.running_left(now, drag);
+        let mut ahead = self.running_left(now, drag);
         let slots = self.run_bound(now).max(1.0);
-        let cores = self.cores.min(slots);
         let mut ids: Vec<OpId> = self.lines.concat();
         ids.sort_by(|a, b| self.order(&self.ops[a], &self.ops[b]));
         for id in ids {
@@ -574,7 +590,7 @@
             let calls = self.op_types[op.op_type].calls.usual().unwrap_or(0.0);
             let refused =
                 self.leaving.is_some_and(|(at, _)| op.arrived > at + self.span("rules.drain_grace_us"));
-            let finish = now + Span::from_secs(ahead / cores + run + calls);
+            let finish = now + Span::from_secs(ahead / slots + run + calls);
             let last = if self.op_types[op.op_type].late_worth > 0.0 { op.due } else { op.target_at };
             if refused || finish > last || (op.ran && !op.paused) {
                 return Some(self.give_up(now, id));
@@ -743,9 +759,8 @@
 
     fn run_secs(&self, op_type: usize, cost: f64) -> f64 {
         let kind = &self.op_types[op_type];
-        let hinted = cost != 1.0;
-        let unknown = if hinted { 1.0 } else { kind.target_latency.secs() * 0.2 };
-        kind.runs.usual().unwrap_or(unknown) * cost
+        let unknown = if cost == 1.0 { kind.target_latency.secs() * 0.2 } else { cost };
+        kind.runs.expect(cost).unwrap_or(unknown)
     }
 
     fn usual_run_secs(&self) -> f64 {
