--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,6 +27,7 @@
 const CALLS_MARGIN: f64 = 0.9;
 const CALL_TRIES: u32 = 3;
 const EARLY_SHARE: f64 = 0.09;
+const FIT: f64 = 0.75;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
 const SAMPLES: usize = 24;
@@ -590,8 +591,11 @@
             let calls = self.op_types[op.op_type].calls.usual().unwrap_or(0.0);
             let refused =
                 self.leaving.is_some_and(|(at, _)| op.arrived > at + self.span("rules.drain_grace_us"));
-            let finish = now + Span::from_secs(ahead / slots + run + calls);
-            let last = if self.op_types[op.op_type].late_worth > 0.0 { op.due } else { op.target_at };
+            let kind = &self.op_types[op.op_type];
+            let last = if kind.late_worth > 0.0 { op.due } else { op.target_at };
+            let early = now - op.arrived < kind.op_timeout.scaled(EARLY_SHARE);
+            let wait = Span::from_secs(ahead / slots);
+            let finish = now + wait.scaled(if early { 1.0 / FIT } else { 1.0 }) + Span::from_secs(run + calls);
             if refused || finish > last || (op.ran && !op.paused) {
                 return Some(self.give_up(now, id));
             }
