--- a/src/logic.rs
+++ b/src/logic.rs
@@ -315,7 +315,7 @@
             kb,
             cost,
             expected,
-            rank: importance * share / work,
+            rank: (2.0 * (importance * share / work).log2()).round(),
             repeat_of,
             write,
             state: State::Held,
