Keep what is written down apart from the decisions

The types of ops, op types, cycles and samples move to book.rs; no decision or tuned value goes with them.

--- a/crates/hazelspur-adapter/src/wire.rs
+++ b/crates/hazelspur-adapter/src/wire.rs
@@ -1,7 +1,6 @@
 //! The wire's lines, read in place, and its start-up object flattened to the project's words.
 
-use hazelspur::logic::Outcome;
-use hazelspur::{Decision, Fact, Facts, OpId};
+use hazelspur::{Decision, Fact, Facts, OpId, Outcome};
 use serde_json::Value;
 use std::fmt::Write;
 
--- /dev/null
+++ b/src/book.rs
@@ -0,0 +1,134 @@
+//! What is written down about ops and op types, and samples with the figures worked out from them.
+
+use crate::{CallerId, Moment, OpId, Span, UserKey};
+use std::collections::VecDeque;
+
+/// The last few samples of something; figures are worked out when asked for.
+#[derive(Clone, Debug)]
+pub struct Recent<T> {
+    pub samples: VecDeque<T>,
+    pub most: usize,
+}
+
+impl<T: Copy> Recent<T> {
+    pub fn new(most: usize) -> Self {
+        Self { samples: VecDeque::with_capacity(most), most }
+    }
+
+    pub fn push(&mut self, sample: T) {
+        if self.samples.len() == self.most {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(sample);
+    }
+}
+
+impl Recent<f64> {
+    /// The mean without the top `share`, so that a few very costly ops don't pass for a slow server.
+    pub fn mean_without_top(&self, share: f64) -> Option<f64> {
+        let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        sorted.truncate(sorted.len() - (sorted.len() as f64 * share) as usize);
+        (!sorted.is_empty()).then(|| sorted.iter().sum::<f64>() / sorted.len() as f64)
+    }
+}
+
+impl Recent<(f64, f64)> {
+    /// The second figure expected at `x`: a line through the samples, level or rising, and level where
+    /// `x` says nothing. Waits for disk don't grow with cost, and rough hints say less than they claim.
+    pub fn expect(&self, x: f64, costly: f64) -> Option<f64> {
+        let n = self.samples.len().max(1) as f64;
+        let of = |f: &dyn Fn(&(f64, f64)) -> f64| self.samples.iter().map(f).sum::<f64>() / n;
+        let (mx, my) = (of(&|s| s.0), of(&|s| s.1));
+        let spread = of(&|s| (s.0 - mx).powi(2));
+        if spread < 1e-12 {
+            let ys = Recent { samples: self.samples.iter().map(|s| s.1).collect(), most: self.most };
+            return ys.mean_without_top(costly);
+        }
+        let slope = (of(&|s| (s.0 - mx) * (s.1 - my)) / spread).clamp(0.0, my / mx);
+        Some(my + slope * (x - mx))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Retryable,
+    Keyed,
+    NonRetryable,
+}
+
+#[derive(Clone, Debug)]
+pub struct OpType {
+    pub target_latency: Span,
+    pub target_stretch: f64,
+    pub op_timeout: Span,
+    pub importance: f64,
+    pub late_worth: f64,
+    pub skip_worth: f64,
+    pub repeats: Repeats,
+    pub window: Span,
+    /// Cost told and seconds run (disk waits too), and seconds at calls, of the last acked ops.
+    pub runs: Recent<(f64, f64)>,
+    pub calls: Recent<f64>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum State {
+    #[default]
+    Held,
+    AwaitsResult,
+    Running,
+    WantsCall,
+    Calling,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Op {
+    pub seq: u64,
+    pub op_type: usize,
+    pub user: Option<UserKey>,
+    pub caller: CallerId,
+    pub arrived: Moment,
+    pub due: Moment,
+    pub target_at: Moment,
+    pub kb: f64,
+    pub cost: f64,
+    /// Seconds of running expected when it was read.
+    pub expected: f64,
+    pub rank: f64,
+    pub repeat_of: Option<OpId>,
+    pub write: bool,
+    pub state: State,
+    pub listed: bool,
+    pub admitted: bool,
+    pub key_kept: bool,
+    pub ran: bool,
+    pub paused: bool,
+    pub owed: bool,
+    pub began: Moment,
+    pub at_calls: Span,
+    pub call_began: Moment,
+    pub call_tries: u32,
+    pub call_after: Moment,
+    pub stop_sent: Option<Moment>,
+}
+
+/// One control cycle: power is throughput over response time, both per unit of cost.
+#[derive(Clone, Copy, Debug)]
+pub struct Cycle {
+    pub power: f64,
+    pub response: f64,
+}
+
+/// How a run or a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    Full,
+    TimedOut,
+    Unreached,
+    Broken,
+    Stopped,
+    Moot,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Admission and scheduling for a server that sees only what reaches it. See `logic` for the calls.
 
+pub mod book;
 pub mod decision;
 pub mod facts;
 pub mod ids;
@@ -7,6 +8,7 @@
 pub mod pcg;
 pub mod time;
 
+pub use book::Outcome;
 pub use decision::Decision;
 pub use facts::{Fact, Facts};
 pub use ids::{CallerId, OpId, OpTypeId, TenantId, UserKey};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,6 +3,7 @@
 //! `leave_notice`), which only update what is known, then pull `next_decision(now)` until it is `None`.
 //! The interface is this type's `pub fn`s and `Decision` in decision.rs; docs/design.md says why.
 
+use crate::book::{Cycle, Op, OpType, Outcome, Recent, Repeats, State};
 use crate::pcg::Pcg;
 use crate::{CallerId, Decision, Fact, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
 use std::cmp::Ordering;
@@ -22,6 +23,7 @@
 /// Ours, where the design is silent.
 const BEAT: Span = Span::from_ms(40);
 const RUNS_PER_CORE: f64 = 1.0;
+const COSTLY: f64 = 0.125;
 const CROWD_MARGIN: f64 = 0.75;
 const MEMORY_MARGIN: f64 = 0.92;
 const CALLS_MARGIN: f64 = 0.9;
@@ -34,135 +36,6 @@
 const TENANT_SAMPLES: usize = 32;
 const DRAIN_MARGIN: Span = Span::from_ms(250);
 
-/// The last few samples of something; figures are worked out when asked for.
-#[derive(Clone, Debug)]
-struct Recent<T> {
-    samples: VecDeque<T>,
-    most: usize,
-}
-
-impl<T: Copy> Recent<T> {
-    fn new(most: usize) -> Self {
-        Self { samples: VecDeque::with_capacity(most), most }
-    }
-
-    fn push(&mut self, sample: T) {
-        if self.samples.len() == self.most {
-            self.samples.pop_front();
-        }
-        self.samples.push_back(sample);
-    }
-}
-
-impl Recent<f64> {
-    /// The mean without the top eighth, so that a few very costly ops don't pass for a slow server.
-    fn usual(&self) -> Option<f64> {
-        let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
-        sorted.sort_by(f64::total_cmp);
-        sorted.truncate(sorted.len() - sorted.len() / 8);
-        (!sorted.is_empty()).then(|| sorted.iter().sum::<f64>() / sorted.len() as f64)
-    }
-}
-
-impl Recent<(f64, f64)> {
-    /// The second figure expected at `x`: a line through the samples, level or rising, and level where
-    /// `x` says nothing. Waits for disk don't grow with cost, and rough hints say less than they claim.
-    fn expect(&self, x: f64) -> Option<f64> {
-        let n = self.samples.len().max(1) as f64;
-        let of = |f: &dyn Fn(&(f64, f64)) -> f64| self.samples.iter().map(f).sum::<f64>() / n;
-        let (mx, my) = (of(&|s| s.0), of(&|s| s.1));
-        let spread = of(&|s| (s.0 - mx).powi(2));
-        if spread < 1e-12 {
-            let ys = Recent { samples: self.samples.iter().map(|s| s.1).collect(), most: self.most };
-            return ys.usual();
-        }
-        let slope = (of(&|s| (s.0 - mx) * (s.1 - my)) / spread).clamp(0.0, my / mx);
-        Some(my + slope * (x - mx))
-    }
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Repeats {
-    Retryable,
-    Keyed,
-    NonRetryable,
-}
-
-#[derive(Clone, Debug)]
-struct OpType {
-    target_latency: Span,
-    target_stretch: f64,
-    op_timeout: Span,
-    importance: f64,
-    late_worth: f64,
-    skip_worth: f64,
-    repeats: Repeats,
-    window: Span,
-    /// Cost told and seconds run (disk waits too), and seconds at calls, of the last acked ops.
-    runs: Recent<(f64, f64)>,
-    calls: Recent<f64>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Held,
-    AwaitsResult,
-    Running,
-    WantsCall,
-    Calling,
-}
-
-#[derive(Clone, Debug)]
-struct Op {
-    seq: u64,
-    op_type: usize,
-    user: Option<UserKey>,
-    caller: CallerId,
-    arrived: Moment,
-    due: Moment,
-    target_at: Moment,
-    kb: f64,
-    cost: f64,
-    /// Seconds of running expected when it was read.
-    expected: f64,
-    rank: f64,
-    repeat_of: Option<OpId>,
-    write: bool,
-    state: State,
-    listed: bool,
-    admitted: bool,
-    key_kept: bool,
-    ran: bool,
-    paused: bool,
-    owed: bool,
-    began: Moment,
-    at_calls: Span,
-    call_began: Moment,
-    call_tries: u32,
-    call_after: Moment,
-    stop_sent: Option<Moment>,
-}
-
-/// One control cycle: power is throughput over response time, both per unit of cost.
-#[derive(Clone, Copy, Debug)]
-struct Cycle {
-    power: f64,
-    response: f64,
-}
-
-/// How a run or a call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    Ok,
-    Error,
-    Full,
-    TimedOut,
-    Unreached,
-    Broken,
-    Stopped,
-    Moot,
-}
-
 pub struct Logic {
     facts: Facts,
     chance: Pcg,
@@ -318,19 +191,9 @@
             rank: (2.0 * (importance * share / work).log2()).round(),
             repeat_of,
             write,
-            state: State::Held,
-            listed,
-            admitted: false,
-            key_kept: false,
-            ran: false,
-            paused: false,
             owed: true,
             began: now,
-            at_calls: Span::ZERO,
-            call_began: now,
-            call_tries: 0,
-            call_after: now,
-            stop_sent: None,
+            ..Op::default()
         };
         self.ops.insert(id, op);
         self.line_up(id);
@@ -588,14 +451,15 @@
         for id in ids {
             let op = &self.ops[&id];
             let run = op.expected * drag;
-            let calls = self.op_types[op.op_type].calls.usual().unwrap_or(0.0);
+            let calls = self.op_types[op.op_type].calls.mean_without_top(COSTLY).unwrap_or(0.0);
             let refused =
                 self.leaving.is_some_and(|(at, _)| op.arrived > at + self.span("rules.drain_grace_us"));
             let kind = &self.op_types[op.op_type];
             let last = if kind.late_worth > 0.0 { op.due } else { op.target_at };
             let early = now - op.arrived < kind.op_timeout.scaled(EARLY_SHARE);
             let wait = Span::from_secs(ahead / slots);
-            let finish = now + wait.scaled(if early { 1.0 / FIT } else { 1.0 }) + Span::from_secs(run + calls);
+            let finish =
+                now + wait.scaled(if early { 1.0 / FIT } else { 1.0 }) + Span::from_secs(run + calls);
             if refused || finish > last || (op.ran && !op.paused) {
                 return Some(self.give_up(now, id));
             }
@@ -764,7 +628,7 @@
     fn run_secs(&self, op_type: usize, cost: f64) -> f64 {
         let kind = &self.op_types[op_type];
         let unknown = if cost == 1.0 { kind.target_latency.secs() * 0.2 } else { cost };
-        kind.runs.expect(cost).unwrap_or(unknown)
+        kind.runs.expect(cost, COSTLY).unwrap_or(unknown)
     }
 
     fn usual_run_secs(&self) -> f64 {
