Ask callers not to go elsewhere while refusals come from demand

Now a nack asks for no other server while over half of the last ops were refused, this server is warm and yields near its best. Also guards against: any retry storm. Harm: where only this server is sought out, ops that had room elsewhere are lost.

--- a/src/book.rs
+++ b/src/book.rs
@@ -118,6 +118,7 @@
 pub struct Cycle {
     pub power: f64,
     pub response: f64,
+    pub throughput: f64,
 }
 
 /// How a run or a call ended.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,8 @@
 const CALLS_MARGIN: f64 = 0.9;
 const CALL_TRIES: u32 = 3;
 const EARLY_SHARE: f64 = 0.09;
+const CROWDED: f64 = 0.5;
+const AS_STRONG: f64 = 0.6;
 const FIT: f64 = 0.75;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
@@ -512,7 +514,7 @@
 
     /// What callers are told, so that ops are turned away before they cost a read.
     fn say(&mut self, now: Moment) -> Option<Decision> {
-        let refused = self.refused.samples.iter().sum::<f64>() / self.refused.samples.len().max(1) as f64;
+        let refused = self.refused_share();
         let pressed = self.rate.is_some() && refused > 0.02;
         let value = match self.facts.text("server.value") {
             "credit" => {
@@ -548,16 +550,17 @@
         let busy = self.beats_busy * 2 >= self.beats.max(1);
         let (cost, response) = self.acks.iter().fold((0.0, 0.0), |(c, r), (cost, resp)| (c + cost, r + resp));
         let response = response / cost.max(1e-9);
-        let power = cost / span.secs() / response.max(1e-9);
+        let throughput = cost / span.secs();
+        let power = throughput / response.max(1e-9);
         self.cycle_began = now;
         (self.beats, self.beats_held, self.beats_busy) = (0, 0, 0);
         let acked = std::mem::take(&mut self.acks).len();
         if acked == 0 {
             return;
         }
-        self.cycles.push(Cycle { power, response });
+        self.cycles.push(Cycle { power, response, throughput });
         let best = self.cycles.samples.iter().copied().max_by(|a, b| a.power.total_cmp(&b.power));
-        let best = best.unwrap_or(Cycle { power, response });
+        let best = best.unwrap_or(Cycle { power, response, throughput });
         let over = power / best.power < RATIO_THRESHOLD && response > best.response;
         let recent = self.admissions.samples.iter().filter(|at| now - **at <= span).count();
         let admitted = recent as f64 / span.secs();
@@ -650,6 +653,19 @@
         ratios.get(ratios.len() / 2).copied().unwrap_or(1.0).max(1.0)
     }
 
+    /// Refusals come from demand, not from this server's own weakness: it is warm and yields what it lately
+    /// could. Guards against storms of tries elsewhere; does harm where only this server is sought out.
+    fn crowded_everywhere(&self) -> bool {
+        let yields = |cycle: &Cycle| cycle.throughput;
+        let most = self.cycles.samples.iter().map(yields).fold(0.0, f64::max);
+        let last = self.cycles.samples.back().map_or(0.0, yields);
+        !self.cold && self.leaving.is_none() && last >= AS_STRONG * most && self.refused_share() > CROWDED
+    }
+
+    fn refused_share(&self) -> f64 {
+        self.refused.samples.iter().sum::<f64>() / self.refused.samples.len().max(1) as f64
+    }
+
     fn running_left(&self, now: Moment, drag: f64) -> f64 {
         (self.ops.values())
             .filter(|op| op.state == State::Running)
@@ -755,7 +771,7 @@
             self.keys.retain(|(_, kept)| *kept != id);
             self.out.push_back(Decision::DropKey(id));
         }
-        Decision::Nack { op: id, come_back, nowhere_else: false }
+        Decision::Nack { op: id, come_back, nowhere_else: self.crowded_everywhere() }
     }
 
     /// When a refused caller may find room: once a tenth of what is in hand here has been worked off.
