--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,7 +22,7 @@
 
 /// Ours, where the design is silent.
 const BEAT: Span = Span::from_ms(40);
-const RUNS_PER_CORE: f64 = 1.0;
+const RUNS_PER_CORE: f64 = 1.5;
 const COSTLY: f64 = 0.125;
 const CROWD_MARGIN: f64 = 0.75;
 const MEMORY_MARGIN: f64 = 0.92;
