Let the run bound follow the gauge: 1.3 ops a core on the cores, reads counted

Also answers: any load on the cores that isn't runs (checks, handshakes). Harm: a gauge that lies; the bound stays between 0.75 a core and the crowd's ceiling.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,7 +22,7 @@
 
 /// Ours, where the design is silent.
 const BEAT: Span = Span::from_ms(40);
-const RUNS_PER_CORE: f64 = 1.5;
+const RUNS_PER_CORE: f64 = 1.3;
 const COSTLY: f64 = 0.125;
 const CROWD_MARGIN: f64 = 0.75;
 const MEMORY_MARGIN: f64 = 0.92;
@@ -275,7 +275,7 @@
         let on_cores = gauges.iter().find(|g| g.0 == "on_cores").map(|g| g.1);
         let running = self.count(|op| op.state == State::Running) as f64;
         if let Some(on_cores) = on_cores {
-            self.off_cores.push((running - on_cores).max(0.0));
+            self.off_cores.push(running - on_cores);
         }
         self.beats += 1;
         let held = self.held().any(|(_, op)| op.admitted);
@@ -724,7 +724,7 @@
     /// How many may run: the cores' worth, and as many again as were seen to wait for disk.
     fn run_bound(&self, now: Moment) -> f64 {
         let off = self.off_cores.samples.iter().sum::<f64>() / self.off_cores.samples.len().max(1) as f64;
-        (self.cores * RUNS_PER_CORE + off).min(self.crowd_ceiling(now))
+        (self.cores * RUNS_PER_CORE + off).max(self.cores * 0.75).min(self.crowd_ceiling(now))
     }
 
     /// How many ops in hand could still be acked within their targets.
