--- a/src/logic.rs
+++ b/src/logic.rs
@@ -687,7 +687,7 @@
         }
         let rate = seen.samples.len() as f64 / (now - seen.samples[0]).secs().max(0.01);
         let within = (quota / self.facts.num("servers", 1.0).max(1.0) / rate).min(1.0);
-        (within + (1.0 - within) * over).powf(1.0 - self.facts.num("goal.worst_tenant", 0.0).clamp(0.0, 1.0))
+        within + (1.0 - within) * over
     }
 
     fn memory(&self) -> f64 {
