--- /dev/null
+++ b/crates/hazelspur-adapter/tests/wire.rs
@@ -0,0 +1,125 @@
+//! Odd rounds by hand through the built adapter.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+const START: &str = concat!(
+    "BATCH at-time-us=1000\nSELECT server-id=server_1\n",
+    "ENLIST salt=7 boot-info={\"family-info\":{\"n-cores\":2,\"mem-limit-kb\":9000},\"new\":[null],",
+    "\"lanes\":[{\"aim-us\":1000000,\"deadline-us\":4000000,\"semantics\":\"safe\"}]}\n",
+);
+const OP: &str = "5d3a91c4-c55e-4ea8-a723-2965583e6a4c";
+
+fn play(input: &str) -> String {
+    let mut adapter = Command::new(env!("CARGO_BIN_EXE_hazelspur-adapter"));
+    let pipes = adapter.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let mut child = pipes.spawn().expect("the adapter starts");
+    child.stdin.take().expect("a pipe").write_all(input.as_bytes()).expect("the adapter reads");
+    let out = child.wait_with_output().expect("the adapter ends");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    format!("{}{}exit {:?}\n", text(&out.stdout), text(&out.stderr), out.status.code())
+}
+
+#[test]
+fn unknown_words_pass_and_the_end_is_clean() {
+    let rest = format!("NOVELTY x=1\nCALL odd=3 kb=5 class=0 request-id={OP} neighbour=3\nCOMMIT\n");
+    let done = format!(
+        "BATCH at-time-us=9000\nSELECT server-id=server_1\nCOMPLETED request-id={OP} disposition=0\nCOMPLETED request-id={OP} disposition=0\nCOMMIT\nBATCH at-time-us=9900\nCOMMIT\n"
+    );
+    expect_test::expect![[r#"
+        CONTEXT server-id=server_1
+        SET_HEALTH active=1 cached=1
+        ADMIT request-id=5d3a91c4-c55e-4ea8-a723-2965583e6a4c
+        REMIND fire-at-us=41000 nonce=beat
+        READY
+        READY
+        READY
+        exit Some(0)
+    "#]]
+    .assert_eq(&play(&format!("{START}{rest}{done}")));
+}
+
+#[test]
+fn bad_fields_give_in_for_their_instance() {
+    let calls = [
+        "CALL class=0 kb=5",
+        "CALL request-id=short class=0",
+        &format!("CALL request-id={OP} class=-1"),
+        &format!("CALL request-id={OP} class=0 kb=inf"),
+        &format!("DEP_REPLY request-id={OP} disposition=7"),
+        "TIMER nonce=beat telemetry=on_cores:many",
+        "ENLIST salt=1 boot-info={\"family-info\":{\"n-cores\":0}}",
+        "ENLIST salt=1 boot-info={",
+    ];
+    let seen: String = calls.iter().map(|call| play(&format!("{START}{call}\nCOMMIT\n"))).collect();
+    expect_test::expect![[r#"
+        CONTEXT server-id=server_1
+        GIVE_IN message=field request-id is missing
+        READY
+        line 4: field request-id is missing: CALL class=0 kb=5
+        exit Some(0)
+        CONTEXT server-id=server_1
+        GIVE_IN message=field request-id is unreadable: short
+        READY
+        line 4: field request-id is unreadable: short: CALL request-id=short class=0
+        exit Some(0)
+        CONTEXT server-id=server_1
+        GIVE_IN message=field class is unreadable: -1
+        READY
+        line 4: field class is unreadable: -1: CALL request-id=5d3a91c4-c55e-4ea8-a723-2965583e6a4c class=-1
+        exit Some(0)
+        CONTEXT server-id=server_1
+        GIVE_IN message=field kb is unreadable: inf
+        READY
+        line 4: field kb is unreadable: inf: CALL request-id=5d3a91c4-c55e-4ea8-a723-2965583e6a4c class=0 kb=inf
+        exit Some(0)
+        CONTEXT server-id=server_1
+        GIVE_IN message=field disposition is unreadable: 7
+        READY
+        line 4: field disposition is unreadable: 7: DEP_REPLY request-id=5d3a91c4-c55e-4ea8-a723-2965583e6a4c disposition=7
+        exit Some(0)
+        CONTEXT server-id=server_1
+        GIVE_IN message=field telemetry is unreadable
+        READY
+        line 4: field telemetry is unreadable: TIMER nonce=beat telemetry=on_cores:many
+        exit Some(0)
+        CONTEXT server-id=server_1
+        GIVE_IN message=setting server.cores is absurd: 0
+        READY
+        line 4: setting server.cores is absurd: 0: ENLIST salt=1 boot-info={"family-info":{"n-cores":0}}
+        exit Some(0)
+        CONTEXT server-id=server_1
+        GIVE_IN message=field boot-info is unreadable: EOF while parsing an object at line 1 column 1
+        READY
+        line 4: field boot-info is unreadable: EOF while parsing an object at line 1 column 1: ENLIST salt=1 boot-info={
+        exit Some(0)
+    "#]].assert_eq(&seen);
+}
+
+#[test]
+fn what_no_instance_can_tell_ends_the_adapter() {
+    let inputs = [
+        "COMMIT\n".to_string(),
+        START.to_string(),
+        "BATCH at-time-us=later\n".to_string(),
+        format!("{START}BATCH at-time-us=2000\n"),
+        format!("{START}SELECT server-id=server_9\nDROPPED request-id={OP}\nCOMMIT\n"),
+        format!("BATCH at-time-us=18446744073709551616\nDROPPED request-id={OP}\nCOMMIT\n"),
+    ];
+    let seen: String = inputs.iter().map(|input| play(input)).collect();
+    expect_test::expect![[r#"
+        line 1: line outside a batch: COMMIT
+        exit Some(2)
+        line 4: input ended within a batch: 
+        exit Some(2)
+        line 1: field at-time-us is unreadable: later: BATCH at-time-us=later
+        exit Some(2)
+        line 4: BATCH within a batch: BATCH at-time-us=2000
+        exit Some(2)
+        line 5: event for unknown instance server_9: DROPPED request-id=5d3a91c4-c55e-4ea8-a723-2965583e6a4c
+        exit Some(2)
+        line 1: field at-time-us is unreadable: 18446744073709551616: BATCH at-time-us=18446744073709551616
+        exit Some(2)
+    "#]]
+    .assert_eq(&seen);
+}
--- a/src/book.rs
+++ b/src/book.rs
@@ -95,6 +95,7 @@
     pub cost: f64,
     /// Seconds of running expected when it was read.
     pub expected: f64,
+    pub long: bool,
     pub rank: f64,
     pub repeat_of: Option<OpId>,
     pub write: bool,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -67,6 +67,8 @@
     /// Ops said to run while the gauge saw them wait for disk.
     off_cores: Recent<f64>,
     refused: Recent<f64>,
+    /// Runs expected of the last ops read.
+    expected: Recent<f64>,
     said: Option<f64>,
     wake: Option<Moment>,
     out: VecDeque<Decision>,
@@ -140,6 +142,7 @@
             beats_busy: 0,
             off_cores: Recent::new(SAMPLES),
             refused: Recent::new(64),
+            expected: Recent::new(64),
             said: None,
             wake: None,
             out,
@@ -190,6 +193,7 @@
             kb,
             cost,
             expected,
+            long: expected > LONG_WORK * self.usual_run_secs(),
             rank: (2.0 * (importance * share / work).log2()).round(),
             repeat_of,
             write,
@@ -197,12 +201,13 @@
             began: now,
             ..Op::default()
         };
+        self.expected.push(expected);
         self.ops.insert(id, op);
         self.line_up(id);
     }
 
     fn line_up(&mut self, id: OpId) {
-        let line = usize::from(self.is_long(&self.ops[&id]));
+        let line = usize::from(self.ops[&id].long);
         let at = self.lines[line].partition_point(|other| self.goes_before(other, &id));
         self.lines[line].insert(at, id);
     }
@@ -447,6 +452,7 @@
     fn turn_away_late(&mut self, now: Moment) -> Option<Decision> {
         let drag = self.drag(now);
         let mut ahead = self.running_left(now, drag);
+        let mut before = self.count(|op| op.state == State::Running) as f64;
         let slots = self.run_bound(now).max(1.0);
         let mut ids: Vec<OpId> = self.lines.concat();
         ids.sort_by(|a, b| self.order(&self.ops[a], &self.ops[b]));
@@ -459,13 +465,14 @@
             let kind = &self.op_types[op.op_type];
             let last = if kind.late_worth > 0.0 { op.due } else { op.target_at };
             let early = now - op.arrived < kind.op_timeout.scaled(EARLY_SHARE);
-            let wait = Span::from_secs(ahead / slots);
+            let wait = if before < slots { Span::ZERO } else { Span::from_secs(ahead / slots) };
             let finish =
                 now + wait.scaled(if early { 1.0 / FIT } else { 1.0 }) + Span::from_secs(run + calls);
             if refused || finish > last || (op.ran && !op.paused) {
                 return Some(self.give_up(now, id));
             }
             ahead += run;
+            before += 1.0;
         }
         None
     }
@@ -481,7 +488,7 @@
             return None;
         }
         let (short, long) = (self.head(0, now), self.head(1, now));
-        let long_runs = self.count(|op| op.state == State::Running && self.is_long(op)) as f64;
+        let long_runs = self.count(|op| op.state == State::Running && op.long) as f64;
         let id = match (short, long) {
             (Some(s), Some(l)) => {
                 let long_first = self.order(&self.ops[&l], &self.ops[&s]) == Ordering::Less;
@@ -635,12 +642,7 @@
     }
 
     fn usual_run_secs(&self) -> f64 {
-        let all: Vec<f64> = self.ops.values().map(|op| op.expected).collect();
-        if all.is_empty() { f64::INFINITY } else { all.iter().sum::<f64>() / all.len() as f64 }
-    }
-
-    fn is_long(&self, op: &Op) -> bool {
-        op.expected > LONG_WORK * self.usual_run_secs()
+        self.expected.mean_without_top(0.0).unwrap_or(f64::INFINITY)
     }
 
     /// How much longer than expected the runs on the cores take now; a slow or hung server shows here first.
@@ -663,7 +665,7 @@
     }
 
     fn refused_share(&self) -> f64 {
-        self.refused.samples.iter().sum::<f64>() / self.refused.samples.len().max(1) as f64
+        self.refused.samples.iter().sum::<f64>() / self.refused.most as f64
     }
 
     fn running_left(&self, now: Moment, drag: f64) -> f64 {
--- /dev/null
+++ b/tests/helpers/mod.rs
@@ -0,0 +1,151 @@
+//! Feeds a `Logic` by hand and prints what it decides, a line each.
+
+use hazelspur::{
+    CallerId, Decision, Fact, Facts, Logic, Moment, OpId, OpTypeId, Outcome, Span, TenantId, UserKey,
+};
+use std::collections::BTreeMap;
+
+pub struct Play {
+    pub logic: Logic,
+    start: Moment,
+    pub now: Moment,
+    trace: String,
+    ends: BTreeMap<(Moment, OpId), ()>,
+    /// How long runs take that `run_for` starts.
+    pub run: Span,
+}
+
+pub struct Read<'a> {
+    pub op_type: usize,
+    pub user: &'a str,
+    pub wait_ms: u64,
+    pub cost_ms: Option<u64>,
+    pub kb: f64,
+    pub repeat_of: Option<&'a str>,
+}
+
+impl Default for Read<'_> {
+    fn default() -> Self {
+        Self { op_type: 0, user: "", wait_ms: 4000, cost_ms: None, kb: 10.0, repeat_of: None }
+    }
+}
+
+pub fn id(name: &str) -> OpId {
+    OpId::parse(&format!("{name:-<36}")).expect("a short name")
+}
+
+/// Two cores, memory for plenty, one retryable op type with a target of 1 s, then what `more` says.
+pub fn facts(more: &str) -> Facts {
+    let plain = "server.cores=2 server.memory_kb=100000 server.run_factor=8 server.stop=drop \
+        rules.crowd_multiple=5 rules.cold_share=0.2 rules.cold_us=10000000 rules.drain_grace_us=2000000 \
+        limits.retry_after=1 limits.max_retry_after_us=1000000 counted_by=op servers=1 \
+        op_types.0.target_latency_us=1000000 op_types.0.op_timeout_us=4000000 op_types.0.repeats=retryable";
+    let pair = |pair: &str| {
+        let (name, value) = pair.split_once('=').expect("name=value");
+        (name.to_string(), value.parse().map_or_else(|_| Fact::Text(value.into()), Fact::Num))
+    };
+    Facts(plain.split_whitespace().chain(more.split_whitespace()).map(pair).collect())
+}
+
+impl Play {
+    pub fn new(more: &str) -> Self {
+        let now = Moment::from_us(50_000_000);
+        let logic = Logic::new(facts(more), 7, now).expect("sound settings");
+        let run = Span::from_ms(200);
+        Self { logic, start: now, now, trace: String::new(), ends: BTreeMap::new(), run }
+    }
+
+    pub fn at(&mut self, ms: u64) -> &mut Self {
+        self.now = self.start + Span::from_ms(ms);
+        self
+    }
+
+    pub fn read(&mut self, name: &str, read: Read) -> &mut Self {
+        let user = (!read.user.is_empty()).then(|| UserKey::of(read.user));
+        let (due, cost) = (self.now + Span::from_ms(read.wait_ms), read.cost_ms.map(Span::from_ms));
+        let (op_type, repeat_of) = (OpTypeId(read.op_type), read.repeat_of.map(id));
+        self.logic.op_read(
+            self.now,
+            id(name),
+            op_type,
+            TenantId(0),
+            user,
+            CallerId(0),
+            Some(due),
+            cost,
+            read.kb,
+            Span::ZERO,
+            0.5,
+            false,
+            repeat_of,
+        );
+        self
+    }
+
+    pub fn ended(&mut self, name: &str, outcome: Outcome) -> &mut Self {
+        self.logic.run_ended(self.now, id(name), outcome);
+        self
+    }
+
+    pub fn beat(&mut self, on_cores: f64) -> &mut Self {
+        self.logic.timer(self.now, &[("on_cores", on_cores)]);
+        self
+    }
+
+    pub fn pull(&mut self) -> Vec<Decision> {
+        let pulled: Vec<Decision> = std::iter::from_fn(|| self.logic.next_decision(self.now)).collect();
+        for decision in
+            pulled.iter().filter(|d| !matches!(d, Decision::Wake(_) | Decision::Health { good: true, .. }))
+        {
+            let text = match decision {
+                Decision::Log(line) => format!("log: {line}"),
+                other => format!("{other:?}").replace("--", "").replace("-)", ")").replace("-,", ","),
+            };
+            let ms = (self.now - self.start).us() / 1000;
+            self.trace += &format!("{ms:<5} {text}\n");
+        }
+        pulled
+    }
+
+    /// Reads `per_s` ops a second of ever new users for so long; each run ends after `self.run`.
+    pub fn load(&mut self, ms: u64, per_s: u64) -> &mut Self {
+        let from = self.now;
+        let mut read = 0;
+        while self.now - from < Span::from_ms(ms) {
+            self.now = self.now + Span::from_ms(10);
+            while let Some(((end, op), ())) = self.ends.first_key_value()
+                && *end <= self.now
+            {
+                let op = *op;
+                self.ends.pop_first();
+                self.logic.run_ended(self.now, op, Outcome::Ok);
+            }
+            while read < (self.now - from).us() * per_s / 1_000_000 {
+                read += 1;
+                let name = format!("n{}x{read}", (from - self.start).us());
+                self.read(&name, Read { user: &name, ..Read::default() });
+            }
+            if (self.now - self.start).us().is_multiple_of(40_000) {
+                self.beat(self.ends.len() as f64);
+            }
+            for decision in self.pull() {
+                match decision {
+                    Decision::Run(op) => drop(self.ends.insert((self.now + self.run, op), ())),
+                    Decision::Stop(op) => {
+                        self.ends.retain(|(_, ends), ()| *ends != op);
+                        self.logic.run_ended(self.now, op, Outcome::Stopped);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        self
+    }
+
+    /// The lines since the last time, or only those with one of `words`.
+    pub fn seen(&mut self, words: &[&str]) -> String {
+        let trace = std::mem::take(&mut self.trace);
+        let wanted = |line: &&str| words.is_empty() || words.iter().any(|word| line.contains(word));
+        trace.lines().filter(wanted).map(|line| format!("{line}\n")).collect()
+    }
+}
