Only ops that run count to R; cycles of 60 successes or 4 s

Cause: an op counted as admitted though it was nacked as too late before it ran, so R was bound at up to three times what the server could run and hardly ever met an opening (seen in a trace test). Its token now goes back.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,9 +13,9 @@
 const RATIO_THRESHOLD: f64 = 0.9;
 const D_FACTOR: f64 = 1.1;
 const I_FACTOR: f64 = 2.0;
-const CYCLE_ACKS: usize = 24;
+const CYCLE_ACKS: usize = 60;
 const CYCLE_MIN: Span = Span::from_ms(500);
-const CYCLE_MAX: Span = Span::from_ms(3000);
+const CYCLE_MAX: Span = Span::from_ms(4000);
 const CYCLES_KEPT: usize = 16;
 const USERS_KEPT: usize = 4096;
 const USER_IDLE: Span = Span::from_ms(20_000);
@@ -434,7 +434,6 @@
                 .map(|(id, _)| id);
             let Some(id) = id else { break };
             self.tokens -= 1.0;
-            self.admissions.push(now);
             self.ops.get_mut(&id)?.admitted = true;
         }
         let (_, id) = self
@@ -500,6 +499,7 @@
         let op = self.ops.get_mut(&id)?;
         if !op.paused {
             op.began = now;
+            self.admissions.push(now);
         }
         (op.state, op.ran, op.paused) = (State::Running, true, false);
         if let Some(user) = op.user {
@@ -758,6 +758,9 @@
     /// The final answer for an op that won't be acked: a nack while it never ran, else an error.
     fn give_up(&mut self, now: Moment, id: OpId) -> Decision {
         let op = &self.ops[&id];
+        if op.admitted && !op.ran {
+            self.tokens += 1.0; // it never came to count
+        }
         let (ran, state, repeat, kept) = (op.ran, op.state, op.repeat_of.is_some(), op.key_kept);
         self.refused.push(1.0);
         let come_back = self.come_back(now);
