Read a try's age from the wait left to its caller

Cause: 5 to 10 in 100 ops were acked after their target, counted from the client's first try, which a later try does not show; the wait left does (seen on the wire: one commonest wait a caller and op type, shorter ones by repeats within it, longer ones by last tries). Also answers: any repeat that comes too late to earn. Harm: callers that draw their waits by chance (then no wait is common and none is judged).

--- a/src/book.rs
+++ b/src/book.rs
@@ -1,6 +1,6 @@
 //! What is written down about ops and op types, and samples with the figures worked out from them.
 
-use crate::{CallerId, Moment, OpId, Span, UserKey};
+use crate::{CallerId, Facts, Moment, OpId, Span, UserKey};
 use std::collections::VecDeque;
 
 /// The last few samples of something; figures are worked out when asked for.
@@ -72,6 +72,30 @@
     pub calls: Recent<f64>,
 }
 
+impl OpType {
+    /// The `i`th op type of the settings, with room for so many samples.
+    pub fn told(facts: &Facts, i: usize, samples: usize) -> Self {
+        let num = |name: &str, default| facts.num(&format!("op_types.{i}.{name}"), default);
+        let target = num("target_latency_us", 1e6);
+        Self {
+            target_latency: Span::from_us(target as u64),
+            target_stretch: num("target_stretch", 0.0),
+            op_timeout: Span::from_us(num("op_timeout_us", target * 2.0) as u64),
+            importance: num("importance", 1.0),
+            late_worth: num("late_worth", 0.0),
+            skip_worth: facts.num(&format!("server.skip_worth.{i}"), 0.0),
+            repeats: match facts.text(&format!("op_types.{i}.repeats")) {
+                "retryable" => Repeats::Retryable,
+                "keyed" => Repeats::Keyed,
+                _ => Repeats::NonRetryable,
+            },
+            window: Span::from_us(num("window_us", 5e6) as u64),
+            runs: Recent::new(samples),
+            calls: Recent::new(samples),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
     #[default]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,9 @@
 const LONG_WORK: f64 = 2.0;
 const SAMPLES: usize = 24;
 const TENANT_SAMPLES: usize = 32;
+const CALLERS_KEPT: usize = 512;
+const WAITS: usize = 32;
+const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
 
 pub struct Logic {
@@ -48,6 +51,7 @@
     lines: [Vec<OpId>; 2],
     users: BTreeMap<UserKey, Moment>,
     tenants: Vec<Recent<Moment>>,
+    waits: BTreeMap<(CallerId, usize), Recent<u64>>,
     keys: VecDeque<(Moment, OpId)>,
     seq: u64,
     started: Moment,
@@ -89,28 +93,9 @@
                 return Err(format!("setting {name} is absurd: {n}"));
             }
         }
-        let mut op_types = Vec::new();
-        while op_types.len() < 4096 && facts.has(&format!("op_types.{}.target_latency_us", op_types.len())) {
-            let i = op_types.len();
-            let num = |name: &str, default| facts.num(&format!("op_types.{i}.{name}"), default);
-            let target = num("target_latency_us", 1e6);
-            op_types.push(OpType {
-                target_latency: Span::from_us(target as u64),
-                target_stretch: num("target_stretch", 0.0),
-                op_timeout: Span::from_us(num("op_timeout_us", target * 2.0) as u64),
-                importance: num("importance", 1.0),
-                late_worth: num("late_worth", 0.0),
-                skip_worth: facts.num(&format!("server.skip_worth.{i}"), 0.0),
-                repeats: match facts.text(&format!("op_types.{i}.repeats")) {
-                    "retryable" => Repeats::Retryable,
-                    "keyed" => Repeats::Keyed,
-                    _ => Repeats::NonRetryable,
-                },
-                window: Span::from_us(num("window_us", 5e6) as u64),
-                runs: Recent::new(SAMPLES),
-                calls: Recent::new(SAMPLES),
-            });
-        }
+        let named = |i: &usize| facts.has(&format!("op_types.{i}.target_latency_us"));
+        let op_types: Vec<OpType> =
+            (0..4096).take_while(named).map(|i| OpType::told(&facts, i, SAMPLES)).collect();
         let tenants = (0..4096).take_while(|i| facts.has(&format!("tenants.{i}.quota_per_s"))).count();
         let cold = facts.num("server.cold", 0.0) > 0.0;
         let mut out = VecDeque::from([Decision::Health { good: true, from_store: true }]);
@@ -125,6 +110,7 @@
             lines: [Vec::new(), Vec::new()],
             users: BTreeMap::new(),
             tenants: vec![Recent::new(TENANT_SAMPLES); tenants],
+            waits: BTreeMap::new(),
             keys: VecDeque::new(),
             seq: 0,
             started: now,
@@ -169,13 +155,17 @@
         write: bool,
         repeat_of: Option<OpId>,
     ) {
-        let Some(kind) = self.op_types.get(op_type.0) else { return };
+        if op_type.0 >= self.op_types.len() {
+            return;
+        }
         let arrived = now.back(age);
         let _ = (standing, self.chance.unit());
         let cost = cost.map_or(1.0, |c| c.secs().max(1e-4));
-        let target = kind.target_latency + Span::from_secs(kind.target_stretch * cost);
-        let timeout = kind.op_timeout;
+        let timeout = self.op_types[op_type.0].op_timeout;
+        let gone_by = due.map_or(Span::ZERO, |due| self.gone_by(caller, op_type.0, due - arrived, timeout));
         let due = due.unwrap_or(arrived + timeout);
+        let kind = &self.op_types[op_type.0];
+        let target = kind.target_latency + Span::from_secs(kind.target_stretch * cost);
         let listed = user.and_then(|u| self.users.get(&u)).is_some_and(|seen| now - *seen < USER_IDLE);
         let importance = kind.importance * if listed { LISTED_BOOST } else { 1.0 };
         let share = self.share_factor(now, tenant);
@@ -189,7 +179,7 @@
             caller,
             arrived,
             due,
-            target_at: (arrived + target.min(timeout)).min(due),
+            target_at: (arrived + (target.min(timeout) - gone_by)).min(due),
             kb,
             cost,
             expected,
@@ -206,6 +196,25 @@
         self.line_up(id);
     }
 
+    /// How long ago the client's first try was, by how long its caller still waits: the commonest wait of a
+    /// caller is a first try's, a shorter one a later try within it, a longer one a last try with all that
+    /// is left. Guards against late acks after repeats; does harm where callers draw their waits by chance.
+    fn gone_by(&mut self, caller: CallerId, op_type: usize, left: Span, timeout: Span) -> Span {
+        if self.waits.len() > CALLERS_KEPT {
+            self.waits.clear();
+        }
+        let step = left.us() / WAIT_STEP.us();
+        let seen = self.waits.entry((caller, op_type)).or_insert_with(|| Recent::new(WAITS));
+        seen.push(step);
+        let often = |s: &u64| seen.samples.iter().filter(|other| *other == s).count();
+        let first = seen.samples.iter().copied().max_by_key(|s| (often(s), *s)).unwrap_or(step);
+        match step.cmp(&first) {
+            _ if step.abs_diff(first) <= 1 || often(&first) * 4 < seen.samples.len() => Span::ZERO,
+            Ordering::Less => Span::from_us((first - step) * WAIT_STEP.us()),
+            _ => timeout - left,
+        }
+    }
+
     fn line_up(&mut self, id: OpId) {
         let line = usize::from(self.ops[&id].long);
         let at = self.lines[line].partition_point(|other| self.goes_before(other, &id));
