Ask for no other server only while reads press the cores; several first waits a caller

A try elsewhere costs a read; where reads take over 0.12 of the cores they cost more than they bring. Advice when to come back is spread by chance; the standing of an op, which nothing used, left the interface.

--- a/crates/hazelspur-adapter/src/main.rs
+++ b/crates/hazelspur-adapter/src/main.rs
@@ -197,7 +197,6 @@
                 cost,
                 fields.number("kb", 0.0)?,
                 Span::from_us(fields.optional("age-us")?.unwrap_or(0)),
-                fields.number("standing", 0.0)?,
                 bits & 4 != 0,
                 repeat_of,
             );
--- a/src/book.rs
+++ b/src/book.rs
@@ -1,29 +1,31 @@
 //! What is written down about ops and op types, and samples with the figures worked out from them.
 
+use crate::logic::SAMPLES;
 use crate::{CallerId, Facts, Moment, OpId, Span, UserKey};
 use std::collections::VecDeque;
 
 /// The last few samples of something; figures are worked out when asked for.
 #[derive(Clone, Debug)]
-pub struct Recent<T> {
+pub struct Recent<T, const MOST: usize> {
     pub samples: VecDeque<T>,
-    pub most: usize,
 }
 
-impl<T: Copy> Recent<T> {
-    pub fn new(most: usize) -> Self {
-        Self { samples: VecDeque::with_capacity(most), most }
+impl<T, const MOST: usize> Default for Recent<T, MOST> {
+    fn default() -> Self {
+        Self { samples: VecDeque::with_capacity(MOST) }
     }
+}
 
+impl<T: Copy, const MOST: usize> Recent<T, MOST> {
     pub fn push(&mut self, sample: T) {
-        if self.samples.len() == self.most {
+        if self.samples.len() == MOST {
             self.samples.pop_front();
         }
         self.samples.push_back(sample);
     }
 }
 
-impl Recent<f64> {
+impl<const MOST: usize> Recent<f64, MOST> {
     /// The mean without the top `share`, so that a few very costly ops don't pass for a slow server.
     pub fn mean_without_top(&self, share: f64) -> Option<f64> {
         let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
@@ -33,7 +35,7 @@
     }
 }
 
-impl Recent<(f64, f64)> {
+impl<const MOST: usize> Recent<(f64, f64), MOST> {
     /// The second figure expected at `x`: a line through the samples, level or rising, and level where
     /// `x` says nothing. Waits for disk don't grow with cost, and rough hints say less than they claim.
     pub fn expect(&self, x: f64, costly: f64) -> Option<f64> {
@@ -42,7 +44,7 @@
         let (mx, my) = (of(&|s| s.0), of(&|s| s.1));
         let spread = of(&|s| (s.0 - mx).powi(2));
         if spread < 1e-12 {
-            let ys = Recent { samples: self.samples.iter().map(|s| s.1).collect(), most: self.most };
+            let ys: Recent<f64, MOST> = Recent { samples: self.samples.iter().map(|s| s.1).collect() };
             return ys.mean_without_top(costly);
         }
         let slope = (of(&|s| (s.0 - mx) * (s.1 - my)) / spread).clamp(0.0, my / mx);
@@ -68,13 +70,13 @@
     pub repeats: Repeats,
     pub window: Span,
     /// Cost told and seconds run (disk waits too), and seconds at calls, of the last acked ops.
-    pub runs: Recent<(f64, f64)>,
-    pub calls: Recent<f64>,
+    pub runs: Recent<(f64, f64), SAMPLES>,
+    pub calls: Recent<f64, SAMPLES>,
 }
 
 impl OpType {
-    /// The `i`th op type of the settings, with room for so many samples.
-    pub fn told(facts: &Facts, i: usize, samples: usize) -> Self {
+    /// The `i`th op type of the settings.
+    pub fn told(facts: &Facts, i: usize) -> Self {
         let num = |name: &str, default| facts.num(&format!("op_types.{i}.{name}"), default);
         let target = num("target_latency_us", 1e6);
         Self {
@@ -90,8 +92,8 @@
                 _ => Repeats::NonRetryable,
             },
             window: Span::from_us(num("window_us", 5e6) as u64),
-            runs: Recent::new(samples),
-            calls: Recent::new(samples),
+            runs: Recent::default(),
+            calls: Recent::default(),
         }
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,18 +29,22 @@
 const CALLS_MARGIN: f64 = 0.9;
 const CALL_TRIES: u32 = 3;
 const EARLY_SHARE: f64 = 0.09;
-const CROWDED: f64 = 0.5;
+const CROWDED: f64 = 0.3;
+const READS_PRESS: f64 = 0.12;
 const AS_STRONG: f64 = 0.6;
+const COME_BACK: f64 = 0.1;
 const FIT: f64 = 0.75;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
-const SAMPLES: usize = 24;
+pub const SAMPLES: usize = 24;
+const LAST_OPS: usize = 64;
 const TENANT_SAMPLES: usize = 32;
 const CALLERS_KEPT: usize = 512;
 const WAITS: usize = 32;
 const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
 
+#[derive(Default)]
 pub struct Logic {
     facts: Facts,
     chance: Pcg,
@@ -50,8 +54,8 @@
     /// Short and long work, best first.
     lines: [Vec<OpId>; 2],
     users: BTreeMap<UserKey, Moment>,
-    tenants: Vec<Recent<Moment>>,
-    waits: BTreeMap<(CallerId, usize), Recent<u64>>,
+    tenants: Vec<Recent<Moment, TENANT_SAMPLES>>,
+    waits: BTreeMap<(CallerId, usize), Recent<u64, WAITS>>,
     keys: VecDeque<(Moment, OpId)>,
     seq: u64,
     started: Moment,
@@ -61,18 +65,18 @@
     rate: Option<f64>,
     tokens: f64,
     refilled: Moment,
-    admissions: Recent<Moment>,
-    cycles: Recent<Cycle>,
+    admissions: Recent<Moment, LAST_OPS>,
+    cycles: Recent<Cycle, CYCLES_KEPT>,
     cycle_began: Moment,
     acks: Vec<(f64, f64)>,
     beats: u32,
     beats_held: u32,
     beats_busy: u32,
     /// Ops said to run while the gauge saw them wait for disk.
-    off_cores: Recent<f64>,
-    refused: Recent<f64>,
+    off_cores: Recent<f64, SAMPLES>,
+    refused: Recent<f64, LAST_OPS>,
     /// Runs expected of the last ops read.
-    expected: Recent<f64>,
+    expected: Recent<f64, LAST_OPS>,
     said: Option<f64>,
     wake: Option<Moment>,
     out: VecDeque<Decision>,
@@ -94,8 +98,7 @@
             }
         }
         let named = |i: &usize| facts.has(&format!("op_types.{i}.target_latency_us"));
-        let op_types: Vec<OpType> =
-            (0..4096).take_while(named).map(|i| OpType::told(&facts, i, SAMPLES)).collect();
+        let op_types: Vec<OpType> = (0..4096).take_while(named).map(|i| OpType::told(&facts, i)).collect();
         let tenants = (0..4096).take_while(|i| facts.has(&format!("tenants.{i}.quota_per_s"))).count();
         let cold = facts.num("server.cold", 0.0) > 0.0;
         let mut out = VecDeque::from([Decision::Health { good: true, from_store: true }]);
@@ -106,33 +109,14 @@
             chance: Pcg::new(seed),
             cores: facts.num("server.cores", 1.0),
             op_types,
-            ops: BTreeMap::new(),
-            lines: [Vec::new(), Vec::new()],
-            users: BTreeMap::new(),
-            tenants: vec![Recent::new(TENANT_SAMPLES); tenants],
-            waits: BTreeMap::new(),
-            keys: VecDeque::new(),
-            seq: 0,
+            tenants: vec![Recent::default(); tenants],
             started: now,
             cold,
-            leaving: None,
-            rate: None,
-            tokens: 0.0,
             refilled: now,
-            admissions: Recent::new(64),
-            cycles: Recent::new(CYCLES_KEPT),
             cycle_began: now,
-            acks: Vec::new(),
-            beats: 0,
-            beats_held: 0,
-            beats_busy: 0,
-            off_cores: Recent::new(SAMPLES),
-            refused: Recent::new(64),
-            expected: Recent::new(64),
-            said: None,
-            wake: None,
             out,
             facts,
+            ..Self::default()
         })
     }
 
@@ -151,7 +135,6 @@
         cost: Option<Span>,
         kb: f64,
         age: Span,
-        standing: f64,
         write: bool,
         repeat_of: Option<OpId>,
     ) {
@@ -159,7 +142,6 @@
             return;
         }
         let arrived = now.back(age);
-        let _ = (standing, self.chance.unit());
         let cost = cost.map_or(1.0, |c| c.secs().max(1e-4));
         let timeout = self.op_types[op_type.0].op_timeout;
         let gone_by = due.map_or(Span::ZERO, |due| self.gone_by(caller, op_type.0, due - arrived, timeout));
@@ -196,22 +178,22 @@
         self.line_up(id);
     }
 
-    /// How long ago the client's first try was, by how long its caller still waits: the commonest wait of a
-    /// caller is a first try's, a shorter one a later try within it, a longer one a last try with all that
-    /// is left. Guards against late acks after repeats; does harm where callers draw their waits by chance.
+    /// How long ago the client's first try was, by how long its caller still waits: a first try's wait is a
+    /// common one; a shorter one is a repeat within it, a longer one a last try with all that is left.
+    /// Guards against late acks after repeats; says nothing where callers draw their waits by chance.
     fn gone_by(&mut self, caller: CallerId, op_type: usize, left: Span, timeout: Span) -> Span {
         if self.waits.len() > CALLERS_KEPT {
             self.waits.clear();
         }
         let step = left.us() / WAIT_STEP.us();
-        let seen = self.waits.entry((caller, op_type)).or_insert_with(|| Recent::new(WAITS));
+        let seen = self.waits.entry((caller, op_type)).or_default();
         seen.push(step);
-        let often = |s: &u64| seen.samples.iter().filter(|other| *other == s).count();
-        let first = seen.samples.iter().copied().max_by_key(|s| (often(s), *s)).unwrap_or(step);
-        match step.cmp(&first) {
-            _ if step.abs_diff(first) <= 1 || often(&first) * 4 < seen.samples.len() => Span::ZERO,
-            Ordering::Less => Span::from_us((first - step) * WAIT_STEP.us()),
-            _ => timeout - left,
+        let often = |s: u64| seen.samples.iter().filter(|other| other.abs_diff(s) <= 1).count();
+        let mut common = seen.samples.iter().copied().filter(|s| often(*s) * 8 >= seen.samples.len());
+        match common.clone().filter(|s| *s + 1 >= step).min() {
+            Some(first) => Span::from_us(first.saturating_sub(step + 1) * WAIT_STEP.us()),
+            None if common.next().is_some() => timeout - left,
+            None => Span::ZERO,
         }
     }
 
@@ -670,11 +652,15 @@
         let yields = |cycle: &Cycle| cycle.throughput;
         let most = self.cycles.samples.iter().map(yields).fold(0.0, f64::max);
         let last = self.cycles.samples.back().map_or(0.0, yields);
-        !self.cold && self.leaving.is_none() && last >= AS_STRONG * most && self.refused_share() > CROWDED
+        !self.cold
+            && self.leaving.is_none()
+            && last >= AS_STRONG * most
+            && self.refused_share() > CROWDED
+            && -self.off_cores_mean() > READS_PRESS * self.cores
     }
 
     fn refused_share(&self) -> f64 {
-        self.refused.samples.iter().sum::<f64>() / self.refused.most as f64
+        self.refused.samples.iter().sum::<f64>() / LAST_OPS as f64
     }
 
     fn running_left(&self, now: Moment, drag: f64) -> f64 {
@@ -732,10 +718,15 @@
         ((1.0 + (multiple - 1.0) * warm) * self.cores * CROWD_MARGIN).max(1.0)
     }
 
+    fn off_cores_mean(&self) -> f64 {
+        self.off_cores.mean_without_top(0.0).unwrap_or(0.0)
+    }
+
     /// How many may run: the cores' worth, and as many again as were seen to wait for disk.
     fn run_bound(&self, now: Moment) -> f64 {
-        let off = self.off_cores.samples.iter().sum::<f64>() / self.off_cores.samples.len().max(1) as f64;
-        (self.cores * RUNS_PER_CORE + off).max(self.cores * 0.75).min(self.crowd_ceiling(now))
+        (self.cores * RUNS_PER_CORE + self.off_cores_mean())
+            .max(self.cores * 0.75)
+            .min(self.crowd_ceiling(now))
     }
 
     /// How many ops in hand could still be acked within their targets.
@@ -788,14 +779,17 @@
         Decision::Nack { op: id, come_back, nowhere_else: self.crowded_everywhere() }
     }
 
-    /// When a refused caller may find room: once a tenth of what is in hand here has been worked off.
-    fn come_back(&self, now: Moment) -> Span {
+    /// When a refused caller may find room: once a part of what is in hand here has been worked off; spread
+    /// by chance, so that those refused together don't come back together.
+    fn come_back(&mut self, now: Moment) -> Span {
         if self.facts.num("limits.retry_after", 0.0) <= 0.0 {
             return Span::ZERO;
         }
         let most = self.span("limits.max_retry_after_us");
         let left: f64 = self.held().map(|(_, op)| op.expected).sum();
-        Span::from_secs((self.running_left(now, 1.0) + left) / self.cores / 10.0).max(BEAT).min(most)
+        let spread = 0.75 + 0.5 * self.chance.unit();
+        let clear = Span::from_secs((self.running_left(now, 1.0) + left) / self.cores);
+        clear.scaled(COME_BACK * spread).max(BEAT).min(most)
     }
 
     fn unline(&mut self, id: OpId) {
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -1,6 +1,6 @@
 //! PCG-XSH-RR 64/32, started from an instance's seed.
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Pcg(u64);
 
 impl Pcg {
