Say credit at all times, shared by the weight of callers

Also answers: any server weaker than its callers think. Harm: a lone heavy caller beside many light ones gets less than it could.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -515,10 +515,7 @@
         let refused = self.refused_share();
         let pressed = self.rate.is_some() && refused > 0.02;
         let value = match self.facts.text("server.value") {
-            "credit" => {
-                let room = self.room(now);
-                if pressed { (room / self.active_callers()).max(1.0).round() } else { 1000.0 }
-            }
+            "credit" => (self.room(now) / self.active_callers()).max(1.0).round(),
             "weight" => {
                 if pressed {
                     (1.0 - refused).max(0.1)
@@ -529,7 +526,7 @@
             _ => return None,
         };
         let value = (value * 20.0).round() / 20.0;
-        if self.said == Some(value) || (self.said.is_none() && !pressed) {
+        if self.said == Some(value) || (self.said.is_none() && self.ops.is_empty()) {
             return None;
         }
         self.said = Some(value);
@@ -737,11 +734,14 @@
         self.run_bound(now) * (target / self.usual_run_secs().max(1e-3) * 0.7).clamp(1.0, 20.0)
     }
 
+    /// Callers with ops in hand, counted by weight: two alike are 2, a heavy and a light one little over 1.
     fn active_callers(&self) -> f64 {
-        let mut callers: Vec<CallerId> = self.ops.values().map(|op| op.caller).collect();
-        callers.sort();
-        callers.dedup();
-        callers.len().max(1) as f64
+        let mut in_hand: BTreeMap<CallerId, f64> = BTreeMap::new();
+        for op in self.ops.values() {
+            *in_hand.entry(op.caller).or_default() += 1.0;
+        }
+        let squares: f64 = in_hand.values().map(|n| n * n).sum();
+        (in_hand.values().sum::<f64>().powi(2) / squares.max(1.0)).max(1.0)
     }
 
     fn bound_users(&mut self, now: Moment) {
