--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,7 @@
 const READS_PRESS: f64 = 0.12;
 const AS_STRONG: f64 = 0.6;
 const COME_BACK: f64 = 0.1;
+const ROOM: f64 = 0.45;
 const FIT: f64 = 0.75;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
@@ -731,7 +732,7 @@
         let held = self.ops.len().max(1) as f64;
         let target =
             self.ops.values().map(|op| self.op_types[op.op_type].target_latency.secs()).sum::<f64>() / held;
-        self.run_bound(now) * (target / self.usual_run_secs().max(1e-3) * 0.7).clamp(1.0, 20.0)
+        self.run_bound(now) * (target / self.usual_run_secs().max(1e-3) * ROOM).clamp(1.0, 20.0)
     }
 
     /// Callers with ops in hand, counted by weight: two alike are 2, a heavy and a light one little over 1.
