Let the weight of reads on the cores decide the room that credit leaves

Also answers: handshakes and checks that weigh on the cores. Harm: disk waits hide reads from the gauge; then the room is the larger one.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,7 +33,8 @@
 const READS_PRESS: f64 = 0.12;
 const AS_STRONG: f64 = 0.6;
 const COME_BACK: f64 = 0.1;
-const ROOM: f64 = 0.45;
+const ROOM: f64 = 0.75;
+const LEAST_ROOM: f64 = 0.4;
 const FIT: f64 = 0.75;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
@@ -654,7 +655,7 @@
             && self.leaving.is_none()
             && last >= AS_STRONG * most
             && self.refused_share() > CROWDED
-            && -self.off_cores_mean() > READS_PRESS * self.cores
+            && self.reads_share() > READS_PRESS
     }
 
     fn refused_share(&self) -> f64 {
@@ -727,12 +728,19 @@
             .min(self.crowd_ceiling(now))
     }
 
-    /// How many ops in hand could still be acked within their targets.
+    /// How many ops in hand could still be acked within their targets; less where reads weigh on the cores,
+    /// since what is then sent in vain costs more than the choice among more ops brings.
     fn room(&self, now: Moment) -> f64 {
         let held = self.ops.len().max(1) as f64;
-        let target =
-            self.ops.values().map(|op| self.op_types[op.op_type].target_latency.secs()).sum::<f64>() / held;
-        self.run_bound(now) * (target / self.usual_run_secs().max(1e-3) * ROOM).clamp(1.0, 20.0)
+        let target = |op: &Op| self.op_types[op.op_type].target_latency.secs();
+        let target = self.ops.values().map(target).sum::<f64>() / held;
+        let part = (ROOM - self.reads_share()).max(LEAST_ROOM);
+        self.run_bound(now) * (target / self.usual_run_secs().max(1e-3) * part).clamp(1.0, 20.0)
+    }
+
+    /// What reads, checks and handshakes take of the cores, by the gauge.
+    fn reads_share(&self) -> f64 {
+        (-self.off_cores_mean() / self.cores).max(0.0)
     }
 
     /// Callers with ops in hand, counted by weight: two alike are 2, a heavy and a light one little over 1.
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -365,6 +365,22 @@
     );
 }
 
+#[test]
+fn credit_leaves_less_room_where_reads_weigh() {
+    let said = |reads: f64| {
+        let mut play = Play::new("server.value=credit");
+        play.reads = reads;
+        play.load(3000, 30);
+        play.seen(&["Say"]).lines().last().unwrap_or_default().to_string()
+    };
+    let seen = format!("cheap {}\ndear {}\n", said(0.0), said(0.6));
+    expect![[r#"
+        cheap 40    Say(10.0)
+        dear 880   Say(5.0)
+    "#]]
+    .assert_eq(&seen);
+}
+
 #[test]
 fn absurd_settings_are_named() {
     let told = |more: &str| Logic::new(facts(more), 1, Moment::default()).err().unwrap_or_default();
