--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,6 +76,8 @@
     beats_busy: u32,
     /// Ops said to run while the gauge saw them wait for disk.
     off_cores: Recent<f64, SAMPLES>,
+    /// Runs of the last acked ops over what was expected when they were read.
+    paces: Recent<f64, SAMPLES>,
     refused: Recent<f64, LAST_OPS>,
     /// Runs expected of the last ops read.
     expected: Recent<f64, LAST_OPS>,
@@ -201,7 +203,8 @@
 
     fn line_up(&mut self, id: OpId) {
         let line = usize::from(self.ops[&id].long);
-        let at = self.lines[line].partition_point(|other| self.goes_before(other, &id));
+        let at =
+            self.lines[line].partition_point(|other| self.order(&self.ops[other], &self.ops[&id]).is_lt());
         self.lines[line].insert(at, id);
     }
 
@@ -229,6 +232,7 @@
             let response = (now - op.arrived).secs();
             if outcome == Outcome::Ok {
                 let kind = &mut self.op_types[op.op_type];
+                self.paces.push(run / op.expected);
                 kind.runs.push((op.cost, run));
                 kind.calls.push(op.at_calls.secs());
                 if op.owed && now <= op.target_at {
@@ -407,8 +411,7 @@
         if self.count(|op| op.state == State::Calling) as f64 + 1.0 > self.calls_bound() {
             return None;
         }
-        let best = |a: &(&OpId, &Op), b: &(&OpId, &Op)| a.1.seq.cmp(&b.1.seq);
-        let id = *self.ops.iter().filter(|(_, op)| ready(op)).min_by(best)?.0;
+        let id = self.first_by_seq(ready)?;
         let op = self.ops.get_mut(&id)?;
         op.state = State::Calling;
         op.call_tries += 1;
@@ -429,14 +432,10 @@
             self.tokens -= 1.0;
             self.ops.get_mut(&id)?.admitted = true;
         }
-        let (_, id) = self
-            .held()
-            .filter(|(_, op)| !op.admitted)
-            .filter(|(_, op)| {
-                now + BEAT - op.arrived >= self.op_types[op.op_type].op_timeout.scaled(EARLY_SHARE)
-            })
-            .map(|(id, op)| (op.seq, id))
-            .min()?;
+        let early = |op: &Op| self.op_types[op.op_type].op_timeout.scaled(EARLY_SHARE);
+        let id = self.first_by_seq(|op| {
+            op.state == State::Held && !op.admitted && now + BEAT - op.arrived >= early(op)
+        })?;
         Some(self.give_up(now, id))
     }
 
@@ -483,7 +482,7 @@
         let long_runs = self.count(|op| op.state == State::Running && op.long) as f64;
         let id = match (short, long) {
             (Some(s), Some(l)) => {
-                let long_first = self.order(&self.ops[&l], &self.ops[&s]) == Ordering::Less;
+                let long_first = self.order(&self.ops[&l], &self.ops[&s]).is_lt();
                 if long_first && long_runs < self.cores / 2.0 { l } else { s }
             }
             (s, l) => s.or(l)?,
@@ -496,8 +495,7 @@
         }
         (op.state, op.ran, op.paused) = (State::Running, true, false);
         if let Some(user) = op.user {
-            self.users.insert(user, now);
-            self.bound_users(now);
+            self.list_user(user, now);
         }
         self.refused.push(0.0);
         Some(Decision::Run(id))
@@ -621,10 +619,6 @@
         (b.paused.cmp(&a.paused)).then(rank).then(a.target_at.cmp(&b.target_at)).then(a.seq.cmp(&b.seq))
     }
 
-    fn goes_before(&self, a: &OpId, b: &OpId) -> bool {
-        self.order(&self.ops[a], &self.ops[b]) == Ordering::Less
-    }
-
     fn run_secs(&self, op_type: usize, cost: f64) -> f64 {
         let kind = &self.op_types[op_type];
         let unknown = if cost == 1.0 { kind.target_latency.secs() * 0.2 } else { cost };
@@ -635,14 +629,17 @@
         self.expected.mean_without_top(0.0).unwrap_or(f64::INFINITY)
     }
 
-    /// How much longer than expected the runs on the cores take now; a slow or hung server shows here first.
+    /// How much longer than expected the runs on the cores take now, or how much shorter the last ones were.
+    /// Guards against a slow or hung server, and against refusing for long after it is well again, since
+    /// each op type learns from its own runs only. Harm: a run of small ops passes for a fast server.
     fn drag(&self, now: Moment) -> f64 {
         let mut ratios: Vec<f64> = (self.ops.values())
             .filter(|op| op.state == State::Running)
             .map(|op| (now - op.began - op.at_calls).secs() / op.expected)
             .collect();
         ratios.sort_by(f64::total_cmp);
-        ratios.get(ratios.len() / 2).copied().unwrap_or(1.0).max(1.0)
+        let running = ratios.get(ratios.len() / 2).copied().unwrap_or(1.0);
+        if running > 1.0 { running } else { self.paces.mean_without_top(0.0).unwrap_or(1.0).min(1.0) }
     }
 
     /// Refusals come from demand, not from this server's own weakness: it is warm and yields what it lately
@@ -753,14 +750,12 @@
         (in_hand.values().sum::<f64>().powi(2) / squares.max(1.0)).max(1.0)
     }
 
-    fn bound_users(&mut self, now: Moment) {
-        if self.users.len() > USERS_KEPT {
-            self.users.retain(|_, seen| now - *seen < USER_IDLE);
-            if let Some(oldest) = self.users.iter().min_by_key(|(_, seen)| **seen).map(|(u, _)| *u)
-                && self.users.len() > USERS_KEPT
-            {
-                self.users.remove(&oldest);
-            }
+    fn list_user(&mut self, user: UserKey, now: Moment) {
+        self.users.insert(user, now);
+        if self.users.len() > USERS_KEPT
+            && let Some(oldest) = self.users.iter().min_by_key(|(_, seen)| **seen).map(|(user, _)| *user)
+        {
+            self.users.remove(&oldest);
         }
     }
 
