--- a/src/logic.rs
+++ b/src/logic.rs
@@ -538,11 +538,13 @@
     /// A cycle ends by successes or by time; then R is cut, raised, bound or let go.
     fn end_cycle(&mut self, now: Moment) {
         let span = now - self.cycle_began;
-        if span < CYCLE_MIN || (self.acks.len() < CYCLE_ACKS && span < CYCLE_MAX) {
-            return;
-        }
         let pressed = self.beats_held * 2 >= self.beats.max(1);
         let busy = self.beats_busy * 2 >= self.beats.max(1);
+        // An R that idles the cores is not kept for the rest of a cycle.
+        let idled = self.rate.is_some() && !pressed && !busy;
+        if span < CYCLE_MIN || (self.acks.len() < CYCLE_ACKS && span < CYCLE_MAX && !idled) {
+            return;
+        }
         let (cost, response) = self.acks.iter().fold((0.0, 0.0), |(c, r), (cost, resp)| (c + cost, r + resp));
         let response = response / cost.max(1e-9);
         let throughput = cost / span.secs();
