--- a/src/book.rs
+++ b/src/book.rs
@@ -135,7 +135,6 @@
     pub began: Moment,
     pub at_calls: Span,
     pub call_began: Moment,
-    pub call_sent: Moment,
     pub call_tries: u32,
     pub call_after: Moment,
     pub stop_sent: Option<Moment>,
@@ -147,8 +146,6 @@
     pub power: f64,
     pub response: f64,
     pub throughput: f64,
-    /// Seconds that calls took lately.
-    pub call: f64,
 }
 
 /// How a run or a call ended.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,8 +27,6 @@
 const CROWD_MARGIN: f64 = 0.75;
 const MEMORY_MARGIN: f64 = 0.92;
 const CALLS_MARGIN: f64 = 0.9;
-const CALL_SLOWER: f64 = 2.5;
-const CALLS_LEAST: f64 = 0.15;
 const CALL_TRIES: u32 = 3;
 const EARLY_SHARE: f64 = 0.09;
 const CROWDED: f64 = 0.3;
@@ -78,7 +76,6 @@
     beats_busy: u32,
     /// Ops said to run while the gauge saw them wait for disk.
     off_cores: Recent<f64, SAMPLES>,
-    call_times: Recent<f64, SAMPLES>,
     /// Runs of the last acked ops over what was expected when they were read.
     paces: Recent<f64, SAMPLES>,
     refused: Recent<f64, LAST_OPS>,
@@ -263,7 +260,6 @@
         if outcome == Outcome::Ok {
             op.at_calls = op.at_calls + (now - op.call_began);
             op.state = State::Running;
-            self.call_times.push((now - op.call_sent).secs());
             return;
         }
         op.state = State::WantsCall;
@@ -419,7 +415,6 @@
         let op = self.ops.get_mut(&id)?;
         op.state = State::Calling;
         op.call_tries += 1;
-        op.call_sent = now;
         Some(Decision::Call { op: id, patience: (op.due - now).max(BEAT) })
     }
 
@@ -553,7 +548,6 @@
         let (cost, response) = self.acks.iter().fold((0.0, 0.0), |(c, r), (cost, resp)| (c + cost, r + resp));
         let response = response / cost.max(1e-9);
         let throughput = cost / span.secs();
-        let call = self.call_times.mean_without_top(COSTLY).unwrap_or(0.0);
         let power = throughput / response.max(1e-9);
         self.cycle_began = now;
         (self.beats, self.beats_held, self.beats_busy) = (0, 0, 0);
@@ -561,9 +555,9 @@
         if acked == 0 {
             return;
         }
-        self.cycles.push(Cycle { power, response, throughput, call });
+        self.cycles.push(Cycle { power, response, throughput });
         let best = self.cycles.samples.iter().copied().max_by(|a, b| a.power.total_cmp(&b.power));
-        let best = best.unwrap_or(Cycle { power, response, throughput, call });
+        let best = best.unwrap_or(Cycle { power, response, throughput });
         let over = power / best.power < RATIO_THRESHOLD && response > best.response;
         let recent = self.admissions.samples.iter().filter(|at| now - **at <= span).count();
         let admitted = recent as f64 / span.secs();
@@ -705,14 +699,8 @@
         self.facts.num("server.memory_kb", f64::MAX) * MEMORY_MARGIN
     }
 
-    /// Under this server's share of what the dependency survives, and less while calls take several times
-    /// what they did in the best cycle kept: a crowded dependency yields less. Guards against one that is
-    /// slow for any cause; does harm where calls grow longer by nature, not by crowding.
     fn calls_bound(&self) -> f64 {
-        let best = self.cycles.samples.iter().map(|c| c.call).filter(|call| *call > 0.0).fold(1e9, f64::min);
-        let last = self.call_times.mean_without_top(COSTLY).unwrap_or(0.0).max(1e-6);
-        let part = (best * CALL_SLOWER / last).clamp(CALLS_LEAST, 1.0);
-        (self.facts.num("server.calls_bound", f64::MAX) * CALLS_MARGIN * part).max(1.0)
+        (self.facts.num("server.calls_bound", f64::MAX) * CALLS_MARGIN).max(1.0)
     }
 
     /// The crowd on the cores that is survived, with a margin: less while cold. A ceiling, not a target.
