Make calls in the order of the hold

Also answers: a dependency that refuses. Harm: light ops may wait at calls until they fail; their runs then were in vain.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -411,7 +411,8 @@
         if self.count(|op| op.state == State::Calling) as f64 + 1.0 > self.calls_bound() {
             return None;
         }
-        let id = self.first_by_seq(ready)?;
+        let ready = self.ops.iter().filter(|(_, op)| ready(op));
+        let id = *ready.min_by(|a, b| self.order(a.1, b.1))?.0;
         let op = self.ops.get_mut(&id)?;
         op.state = State::Calling;
         op.call_tries += 1;
