Mend what a reading found: stray events, calls left behind, idle R without acks

An op of an unknown op type was read and never answered; it is nacked. A stray end of run for a held op dropped it from the books. Calls given up count for as long as they may linger. A shared read was marked even where memory was short. R could stay bound through cycles without a single ack. The rate admitted was capped by 64 samples a cycle.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,6 +28,7 @@
 const MEMORY_MARGIN: f64 = 0.92;
 const CALLS_MARGIN: f64 = 0.9;
 const CALL_TRIES: u32 = 3;
+const STOP_AGAIN: Span = Span::from_ms(200);
 const EARLY_SHARE: f64 = 0.09;
 const CROWDED: f64 = 0.3;
 const READS_PRESS: f64 = 0.12;
@@ -40,6 +41,7 @@
 const LONG_WORK: f64 = 2.0;
 pub const SAMPLES: usize = 24;
 const LAST_OPS: usize = 64;
+const ADMISSIONS: usize = 256;
 const TENANT_SAMPLES: usize = 32;
 const CALLERS_KEPT: usize = 512;
 const WAITS: usize = 32;
@@ -67,7 +69,7 @@
     rate: Option<f64>,
     tokens: f64,
     refilled: Moment,
-    admissions: Recent<Moment, LAST_OPS>,
+    admissions: Recent<Moment, ADMISSIONS>,
     cycles: Recent<Cycle, CYCLES_KEPT>,
     cycle_began: Moment,
     acks: Vec<(f64, f64)>,
@@ -76,6 +78,8 @@
     beats_busy: u32,
     /// Ops said to run while the gauge saw them wait for disk.
     off_cores: Recent<f64, SAMPLES>,
+    /// When calls were given up, which may stay in the dependency's hands for a while.
+    left_calls: Recent<Moment, LAST_OPS>,
     /// Runs of the last acked ops over what was expected when they were read.
     paces: Recent<f64, SAMPLES>,
     refused: Recent<f64, LAST_OPS>,
@@ -95,11 +99,9 @@
                 return Err(format!("setting {name} is absurd: {n}"));
             }
         }
-        for name in ["server.cores", "server.memory_kb", "server.run_factor"] {
-            let n = facts.num(name, 1.0);
-            if n <= 0.0 {
-                return Err(format!("setting {name} is absurd: {n}"));
-            }
+        let above_zero = ["server.cores", "server.memory_kb", "server.run_factor"];
+        if let Some(name) = above_zero.into_iter().find(|name| facts.num(name, 1.0) <= 0.0) {
+            return Err(format!("setting {name} is absurd: {}", facts.num(name, 1.0)));
         }
         let named = |i: &usize| facts.has(&format!("op_types.{i}.target_latency_us"));
         let op_types: Vec<OpType> = (0..4096).take_while(named).map(|i| OpType::told(&facts, i)).collect();
@@ -143,7 +145,8 @@
         repeat_of: Option<OpId>,
     ) {
         if op_type.0 >= self.op_types.len() {
-            return;
+            let never = Decision::Nack { op: id, come_back: Span::ZERO, nowhere_else: true };
+            return self.out.push_back(never);
         }
         let arrived = now.back(age);
         let cost = cost.map_or(1.0, |c| c.secs().max(1e-4));
@@ -218,7 +221,10 @@
     }
 
     pub fn run_ended(&mut self, now: Moment, id: OpId, outcome: Outcome) {
-        let Some(op) = self.ops.get_mut(&id) else { return };
+        let Some(op) = self.ops.get_mut(&id).filter(|op| op.state != State::Held) else { return };
+        if op.state == State::Calling {
+            self.left_calls.push(now);
+        }
         if outcome == Outcome::Stopped && op.owed && op.state != State::AwaitsResult {
             // Back in the hold; what has run is failed there, unless it is only paused.
             op.state = State::Held;
@@ -244,7 +250,7 @@
     }
 
     pub fn call_wanted(&mut self, now: Moment, id: OpId) {
-        if let Some(op) = self.ops.get_mut(&id) {
+        if let Some(op) = self.ops.get_mut(&id).filter(|op| op.state == State::Running) {
             op.state = State::WantsCall;
             op.call_began = now;
             op.call_after = now;
@@ -262,6 +268,9 @@
             op.state = State::Running;
             return;
         }
+        if outcome == Outcome::TimedOut {
+            self.left_calls.push(now);
+        }
         op.state = State::WantsCall;
         op.call_after = now + Span::from_ms(50).scaled(f64::from(op.call_tries));
         let never_ran = matches!(outcome, Outcome::Full | Outcome::Unreached | Outcome::Moot);
@@ -280,8 +289,7 @@
             self.off_cores.push(running - on_cores);
         }
         self.beats += 1;
-        let held = self.held().any(|(_, op)| op.admitted);
-        self.beats_held += u32::from(held);
+        self.beats_held += u32::from(self.ops.values().any(|op| op.state == State::Held && op.admitted));
         self.beats_busy += u32::from(on_cores.unwrap_or(running) >= self.cores);
         if self.cold && now - self.started >= self.span("rules.cold_us") {
             self.cold = false;
@@ -342,9 +350,8 @@
         if let Some(id) = self.first_by_seq(worthless) {
             return Some(self.give_up(now, id));
         }
-        let again = Span::from_ms(200);
         let id = self.first_by_seq(|op| {
-            !op.owed && op.state == State::Running && op.stop_sent.is_none_or(|sent| now - sent > again)
+            !op.owed && op.state == State::Running && op.stop_sent.is_none_or(|sent| now - sent > STOP_AGAIN)
         })?;
         self.ops.get_mut(&id)?.stop_sent = Some(now);
         Some(Decision::Stop(id))
@@ -387,10 +394,14 @@
         } else {
             self.span("server.share_reads_us") + (op.due - now)
         };
-        if self.memory() + self.facts.num("server.key_kb", 0.0) > self.memory_limit() && keyed(op) {
+        let fits = self.memory() + self.facts.num("server.key_kb", 0.0) <= self.memory_limit();
+        if !fits && keyed(op) {
             return Some(self.give_up(now, id));
         }
         self.ops.get_mut(&id)?.key_kept = true;
+        if !fits {
+            return self.answer_repeats(now);
+        }
         self.keys.push_back((now + span, id));
         Some(Decision::KeepKey { op: id, span })
     }
@@ -400,15 +411,17 @@
         let ready = |op: &Op| op.state == State::WantsCall && op.owed && op.call_after <= now;
         let tired = |op: &Op| op.call_tries >= CALL_TRIES;
         if let Some(id) = self.first_by_seq(|op| ready(op) && tired(op)) {
-            if self.op_types[self.ops[&id].op_type].skip_worth > 0.0 {
-                let op = self.ops.get_mut(&id)?;
+            let op = self.ops.get_mut(&id)?;
+            if self.op_types[op.op_type].skip_worth > 0.0 {
                 op.at_calls = op.at_calls + (now - op.call_began);
                 op.state = State::Running;
                 return Some(Decision::SkipCall(id));
             }
             return Some(self.give_up(now, id));
         }
-        if self.count(|op| op.state == State::Calling) as f64 + 1.0 > self.calls_bound() {
+        let linger = self.span("server.lingers_us");
+        let left = self.left_calls.samples.iter().filter(|at| now - **at < linger).count();
+        if (self.count(|op| op.state == State::Calling) + left) as f64 + 1.0 > self.calls_bound() {
             return None;
         }
         let ready = self.ops.iter().filter(|(_, op)| ready(op));
@@ -424,12 +437,9 @@
         loop {
             let open = self.rate.is_none();
             let passes = |op: &Op| !op.admitted && (open || op.listed || self.tokens >= 1.0);
-            let id = self
-                .held()
-                .filter(|(_, op)| passes(op))
-                .min_by(|a, b| b.1.listed.cmp(&a.1.listed).then(self.order(a.1, b.1)))
-                .map(|(id, _)| id);
-            let Some(id) = id else { break };
+            let best =
+                |a: &(OpId, &Op), b: &(OpId, &Op)| b.1.listed.cmp(&a.1.listed).then(self.order(a.1, b.1));
+            let Some((id, _)) = self.held().filter(|(_, op)| passes(op)).min_by(best) else { break };
             self.tokens -= 1.0;
             self.ops.get_mut(&id)?.admitted = true;
         }
@@ -513,17 +523,10 @@
 
     /// What callers are told, so that ops are turned away before they cost a read.
     fn say(&mut self, now: Moment) -> Option<Decision> {
-        let refused = self.refused_share();
-        let pressed = self.rate.is_some() && refused > 0.02;
         let value = match self.facts.text("server.value") {
             "credit" => (self.room(now) / self.active_callers()).max(1.0).round(),
-            "weight" => {
-                if pressed {
-                    (1.0 - refused).max(0.1)
-                } else {
-                    1.0
-                }
-            }
+            "weight" if self.rate.is_some() => (1.0 - self.refused_share()).max(0.1),
+            "weight" => 1.0,
             _ => return None,
         };
         let value = (value * 20.0).round() / 20.0;
@@ -554,11 +557,14 @@
         (self.beats, self.beats_held, self.beats_busy) = (0, 0, 0);
         let acked = std::mem::take(&mut self.acks).len();
         if acked == 0 {
+            if let Some(rate) = self.rate.filter(|_| idled) {
+                self.unbind(rate, 0.0, "acked=0");
+            }
             return;
         }
         self.cycles.push(Cycle { power, response, throughput });
-        let best = self.cycles.samples.iter().copied().max_by(|a, b| a.power.total_cmp(&b.power));
-        let best = best.unwrap_or(Cycle { power, response, throughput });
+        let powers = self.cycles.samples.iter().copied();
+        let Some(best) = powers.max_by(|a, b| a.power.total_cmp(&b.power)) else { return };
         let over = power / best.power < RATIO_THRESHOLD && response > best.response;
         let recent = self.admissions.samples.iter().filter(|at| now - **at <= span).count();
         let admitted = recent as f64 / span.secs();
@@ -570,7 +576,7 @@
                 self.refilled = now;
                 self.log(format!("mode bound R={admitted:.1}/s {figures}"));
             }
-            Some(rate) if !pressed && !busy => self.unbind(rate, admitted, &figures),
+            Some(rate) if idled => self.unbind(rate, admitted, &figures),
             Some(rate) if over && pressed => self.rate = Some((rate / D_FACTOR).max(1.0)),
             Some(rate) if !over => {
                 let raised = rate + I_FACTOR;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -342,6 +342,29 @@
     .assert_eq(&seen);
 }
 
+#[test]
+fn stray_events_do_no_harm_and_an_unknown_op_type_is_answered() {
+    let mut play = Play::new("op_types.0.target_latency_us=4000000");
+    for name in ["a", "b", "c"] {
+        play.read(name, Read { cost_ms: Some(500), ..Read::default() });
+    }
+    play.read("odd", Read { op_type: 9, ..Read::default() }).pull();
+    play.at(10).ended("c", Outcome::Stopped).ended("c", Outcome::Ok).ended("nobody", Outcome::Ok);
+    play.logic.call_wanted(play.now, id("c"));
+    play.logic.call_ended(play.now, id("a"), Outcome::Ok);
+    play.at(500).ended("a", Outcome::Ok).ended("a", Outcome::Ok);
+    check(
+        &mut play,
+        &[],
+        &expect![[r#"
+        0     Nack { op: odd, come_back: Span(0), nowhere_else: true }
+        0     Run(a)
+        0     Run(b)
+        500   Run(c)
+    "#]],
+    );
+}
+
 #[test]
 fn a_late_try_is_told_by_the_wait_left_to_its_caller() {
     let mut play = Play::new("");
