--- a/src/logic.rs
+++ b/src/logic.rs
@@ -456,15 +456,12 @@
         let mut ahead = self.running_left(now, drag);
         let mut before = self.count(|op| op.state == State::Running) as f64;
         let slots = self.run_bound(now).max(1.0);
-        let stuck =
-            self.ops.values().filter(|op| op.state == State::WantsCall).map(|op| now - op.call_began).max();
-        let stuck = stuck.unwrap_or_default().secs();
         let mut ids: Vec<OpId> = self.lines.concat();
         ids.sort_by(|a, b| self.order(&self.ops[a], &self.ops[b]));
         for id in ids {
             let op = &self.ops[&id];
             let run = op.expected * drag;
-            let calls = self.op_types[op.op_type].calls.mean_without_top(COSTLY).unwrap_or(0.0).max(stuck);
+            let calls = self.op_types[op.op_type].calls.mean_without_top(COSTLY).unwrap_or(0.0);
             let refused =
                 self.leaving.is_some_and(|(at, _)| op.arrived > at + self.span("rules.drain_grace_us"));
             let kind = &self.op_types[op.op_type];
