Let listed users pass R again

Found by reading the whole change; the trace of listed users did not see it, as rank alone let them go first. A new trace does: it fails without the line.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -176,6 +176,7 @@
             rank: (2.0 * (importance * share / work).log2()).round(),
             repeat_of,
             write,
+            listed,
             owed: true,
             began: now,
             ..Op::default()
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -79,6 +79,34 @@
     );
 }
 
+#[test]
+fn listed_users_need_no_token() {
+    // The listing was once lost on its way into the books, and only the rank still told of it.
+    let mut play = Play::new("");
+    play.read("first", Read { user: "regular", ..Read::default() });
+    play.load(4000, 9);
+    play.run = Span::from_ms(300);
+    while play.seen(&["mode bound"]).is_empty() {
+        play.load(40, 25);
+    }
+    // R has just been bound, with no token yet; let there be slots for all.
+    for _ in 0..24 {
+        play.beat(-20.0);
+    }
+    for i in 0..2 {
+        play.read(&format!("known{i}"), Read { user: "regular", ..Read::default() });
+        play.read(&format!("new{i}"), Read { user: &format!("stranger{i}"), ..Read::default() });
+    }
+    check(
+        &mut play,
+        &["known", "new"],
+        &expect![[r#"
+        8000  Run(known0)
+        8000  Run(known1)
+    "#]],
+    );
+}
+
 #[test]
 fn short_and_long_work_wait_in_two_lines() {
     let more = "server.cores=4 counted_by=work op_types.0.target_latency_us=9000000 op_types.0.op_timeout_us=9000000";
