Close idle connections by what callers' gaps cost; no netting of reads in the run bound (in progress)

Cause: at full size hardly a caller comes back to a server before its idle connection closes, so tables filled with idle connections and up to 97 in 100 attempts got none. And reads and handshakes on the cores lowered the run bound, which made more nacks and so more reads.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,9 +31,7 @@
 const STOP_AGAIN: Span = Span::from_ms(200);
 const EARLY_SHARE: f64 = 0.09;
 const CROWDED: f64 = 0.3;
-const READS_PRESS: f64 = 0.12;
-const AS_STRONG: f64 = 0.6;
-const COME_BACK: f64 = 0.1;
+const COME_BACK: f64 = 1.0;
 const ROOM: f64 = 0.75;
 const LEAST_ROOM: f64 = 0.4;
 const FIT: f64 = 0.45;
@@ -47,6 +45,8 @@
 const WAITS: usize = 32;
 const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
+const KEEP_WORTH: f64 = 5.0;
+const SHORTEST_KEEP: f64 = 0.125;
 
 #[derive(Default)]
 pub struct Logic {
@@ -86,6 +86,11 @@
     /// Runs expected of the last ops read.
     expected: Recent<f64, LAST_OPS>,
     said: Option<f64>,
+    /// When callers were last seen, and how long they stayed away between two ops.
+    callers: BTreeMap<CallerId, Moment>,
+    gaps: Recent<f64, LAST_OPS>,
+    gaps_judged: u64,
+    keep: f64,
     wake: Option<Moment>,
     out: VecDeque<Decision>,
 }
@@ -160,6 +165,8 @@
         let share = self.share_factor(now, tenant);
         let expected = self.run_secs(op_type.0, cost).max(1e-4);
         let work = if self.facts.text("counted_by") == "work" { 1.0 } else { expected };
+        let last = self.callers.insert(caller, now);
+        self.gaps.push(last.map_or(f64::INFINITY, |last| (now - last).secs()));
         self.seq += 1;
         let op = Op {
             seq: self.seq,
@@ -324,6 +331,7 @@
             .or_else(|| self.turn_away_late(now))
             .or_else(|| self.run_next(now))
             .or_else(|| self.say(now))
+            .or_else(|| self.close_idle())
             .or_else(|| {
                 self.wake.is_none().then(|| {
                     self.wake = Some(now + BEAT);
@@ -538,6 +546,28 @@
         Some(Decision::Say(value))
     }
 
+    /// How long connections stay open idle: an open one takes a little of the cores all the time and a place
+    /// in a table whose size is not told, a new one takes work once. The time that would have cost least for
+    /// the last callers seen, by how long they stayed away; callers not seen before would have gained nothing.
+    /// Guards against a table full of callers that don't come back; does harm where new connections are dear.
+    fn close_idle(&mut self) -> Option<Decision> {
+        if self.seq < self.gaps_judged + LAST_OPS as u64 / 4 {
+            return None;
+        }
+        self.gaps_judged = self.seq;
+        let cost = |keep: f64| {
+            let of = |gap: &f64| gap.min(keep) / KEEP_WORTH + f64::from(u8::from(*gap > keep));
+            self.gaps.samples.iter().map(of).sum::<f64>()
+        };
+        let steps = (0..9).map(|step| SHORTEST_KEEP * f64::from(1 << step));
+        let keep = steps.min_by(|a, b| cost(*a).total_cmp(&cost(*b)))?;
+        if keep == self.keep {
+            return None;
+        }
+        self.keep = keep;
+        Some(Decision::CloseIdle(Span::from_secs(keep).min(self.span("server.caller_idle_us"))))
+    }
+
     // ---- the power test ----
 
     /// A cycle ends by successes or by time; then R is cut, raised, bound or let go.
@@ -655,14 +685,7 @@
     /// Refusals come from demand, not from this server's own weakness: it is warm and yields what it lately
     /// could. Guards against storms of tries elsewhere; does harm where only this server is sought out.
     fn crowded_everywhere(&self) -> bool {
-        let yields = |cycle: &Cycle| cycle.throughput;
-        let most = self.cycles.samples.iter().map(yields).fold(0.0, f64::max);
-        let last = self.cycles.samples.back().map_or(0.0, yields);
-        !self.cold
-            && self.leaving.is_none()
-            && last >= AS_STRONG * most
-            && self.refused_share() > CROWDED
-            && self.reads_share() > READS_PRESS
+        !self.cold && self.leaving.is_none() && self.refused_share() > CROWDED
     }
 
     fn refused_share(&self) -> f64 {
@@ -730,8 +753,9 @@
 
     /// How many may run: the cores' worth, and as many again as were seen to wait for disk.
     fn run_bound(&self, now: Moment) -> f64 {
-        (self.cores * RUNS_PER_CORE + self.off_cores_mean())
-            .max(self.cores * 0.75)
+        let waits = self.off_cores.samples.iter().map(|off| off.max(0.0));
+        let off = waits.sum::<f64>() / self.off_cores.samples.len().max(1) as f64;
+        (self.cores * RUNS_PER_CORE + off)
             .min(self.crowd_ceiling(now))
     }
 
