--- a/src/book.rs
+++ b/src/book.rs
@@ -140,6 +140,15 @@
     pub stop_sent: Option<Moment>,
 }
 
+/// An op read: when and from whom, how long after the caller's one before, and the run expected in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Read {
+    pub at: Moment,
+    pub caller: CallerId,
+    pub gap: f64,
+    pub expected: f64,
+}
+
 /// One control cycle: power is throughput over response time, both per unit of cost.
 #[derive(Clone, Copy, Debug)]
 pub struct Cycle {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! `leave_notice`), which only update what is known, then pull `next_decision(now)` until it is `None`.
 //! The interface is this type's `pub fn`s and `Decision` in decision.rs; docs/design.md says why.
 
-use crate::book::{Cycle, Op, OpType, Outcome, Recent, Repeats, State};
+use crate::book::{Cycle, Op, OpType, Outcome, Read, Recent, Repeats, State};
 use crate::pcg::Pcg;
 use crate::{CallerId, Decision, Fact, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
 use std::cmp::Ordering;
@@ -83,12 +83,11 @@
     /// Runs of the last acked ops over what was expected when they were read.
     paces: Recent<f64, SAMPLES>,
     refused: Recent<f64, LAST_OPS>,
-    /// Runs expected of the last ops read.
-    expected: Recent<f64, LAST_OPS>,
+    /// The last ops read, for what is common now.
+    reads: Recent<Read, LAST_OPS>,
     said: Option<f64>,
     /// When callers were last seen, and how long they stayed away between two ops.
     callers: BTreeMap<CallerId, Moment>,
-    gaps: Recent<f64, LAST_OPS>,
     gaps_judged: u64,
     keep: f64,
     wake: Option<Moment>,
@@ -165,8 +164,8 @@
         let share = self.share_factor(now, tenant);
         let expected = self.run_secs(op_type.0, cost).max(1e-4);
         let work = if self.facts.text("counted_by") == "work" { 1.0 } else { expected };
-        let last = self.callers.insert(caller, now);
-        self.gaps.push(last.map_or(f64::INFINITY, |last| (now - last).secs()));
+        let gap = self.callers.insert(caller, now).map_or(f64::INFINITY, |last| (now - last).secs());
+        self.reads.push(Read { at: now, caller, gap, expected });
         self.seq += 1;
         let op = Op {
             seq: self.seq,
@@ -188,7 +187,6 @@
             began: now,
             ..Op::default()
         };
-        self.expected.push(expected);
         self.ops.insert(id, op);
         self.line_up(id);
     }
@@ -556,8 +554,8 @@
         }
         self.gaps_judged = self.seq;
         let cost = |keep: f64| {
-            let of = |gap: &f64| gap.min(keep) / KEEP_WORTH + f64::from(u8::from(*gap > keep));
-            self.gaps.samples.iter().map(of).sum::<f64>()
+            let of = |read: &Read| read.gap.min(keep) / KEEP_WORTH + f64::from(u8::from(read.gap > keep));
+            self.reads.samples.iter().map(of).sum::<f64>()
         };
         let steps = (0..9).map(|step| SHORTEST_KEEP * f64::from(1 << step));
         let keep = steps.min_by(|a, b| cost(*a).total_cmp(&cost(*b)))?;
@@ -666,7 +664,8 @@
     }
 
     fn usual_run_secs(&self) -> f64 {
-        self.expected.mean_without_top(0.0).unwrap_or(f64::INFINITY)
+        let sum: f64 = self.reads.samples.iter().map(|read| read.expected).sum();
+        if sum > 0.0 { sum / self.reads.samples.len() as f64 } else { f64::INFINITY }
     }
 
     /// How much longer than expected the runs on the cores take now, or how much shorter the last ones were.
@@ -801,7 +800,7 @@
         }
         let (ran, state, repeat, kept) = (op.ran, op.state, op.repeat_of.is_some(), op.key_kept);
         self.refused.push(1.0);
-        let come_back = self.come_back(now);
+        let come_back = self.come_back(now, op.caller);
         if matches!(state, State::Held | State::AwaitsResult) {
             self.forget(id);
         } else if let Some(op) = self.ops.get_mut(&id) {
@@ -819,15 +818,18 @@
 
     /// When a refused caller may find room: once a part of what is in hand here has been worked off; spread
     /// by chance, so that those refused together don't come back together.
-    fn come_back(&mut self, now: Moment) -> Span {
+    fn come_back(&mut self, now: Moment, caller: CallerId) -> Span {
         if self.facts.num("limits.retry_after", 0.0) <= 0.0 {
             return Span::ZERO;
         }
         let most = self.span("limits.max_retry_after_us");
         let left: f64 = self.held().map(|(_, op)| op.expected).sum();
         let spread = 0.75 + 0.5 * self.chance.unit();
-        let clear = Span::from_secs((self.running_left(now, 1.0) + left) / self.cores);
-        clear.scaled(COME_BACK * spread).max(BEAT).min(most)
+        let clear = (self.running_left(now, 1.0) + left) / self.cores;
+        let its = self.reads.samples.iter().filter(|read| read.caller == caller).count();
+        let since = self.reads.samples.front().map_or(Span::ZERO, |read| now - read.at).secs();
+        let gap = since / its.max(1) as f64;
+        Span::from_secs(clear.min(gap * COME_BACK)).scaled(spread).max(BEAT).min(most)
     }
 
     fn unline(&mut self, id: OpId) {
