--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,7 +22,7 @@
 
 /// Ours, where the design is silent.
 const BEAT: Span = Span::from_ms(40);
-const RUNS_PER_CORE: f64 = 1.3;
+const RUNS_PER_CORE: f64 = 1.16;
 const COSTLY: f64 = 0.125;
 const CROWD_MARGIN: f64 = 0.75;
 const MEMORY_MARGIN: f64 = 0.92;
@@ -752,8 +752,10 @@
 
     /// How many may run: the cores' worth, and as many again as were seen to wait for disk.
     fn run_bound(&self, now: Moment) -> f64 {
-        let waits = self.off_cores.samples.iter().map(|off| off.max(0.0));
-        let off = waits.sum::<f64>() / self.off_cores.samples.len().max(1) as f64;
+        let mut waits: Vec<f64> = self.off_cores.samples.iter().map(|off| off.max(0.0)).collect();
+        waits.sort_by(f64::total_cmp);
+        let upper = &waits[waits.len() / 2..];
+        let off = upper.iter().sum::<f64>() / upper.len().max(1) as f64;
         (self.cores * RUNS_PER_CORE + off)
             .min(self.crowd_ceiling(now))
     }
