--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,7 +34,8 @@
 const COME_BACK: f64 = 1.0;
 const ROOM: f64 = 0.75;
 const LEAST_ROOM: f64 = 0.4;
-const FIT: f64 = 0.45;
+const FIT: f64 = 0.55;
+const MOST_OVERTAKEN: f64 = 0.9;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
 pub const SAMPLES: usize = 24;
@@ -165,7 +166,11 @@
         let expected = self.run_secs(op_type.0, cost).max(1e-4);
         let work = if self.facts.text("counted_by") == "work" { 1.0 } else { expected };
         let gap = self.callers.insert(caller, now).map_or(f64::INFINITY, |last| (now - last).secs());
-        self.reads.push(Read { at: now, caller, gap, expected });
+        let rank = (2.0 * (importance * share / work).log2()).round();
+        let better = self.reads.samples.iter().filter(|read| read.rank > rank).map(|read| read.expected);
+        let since = self.reads.samples.front().map_or(Span::ZERO, |read| now - read.at).secs();
+        let overtaken = better.sum::<f64>() / (since.max(1.0) * self.cores);
+        self.reads.push(Read { at: now, caller, gap, expected, rank });
         self.seq += 1;
         let op = Op {
             seq: self.seq,
@@ -179,7 +184,8 @@
             cost,
             expected,
             long: expected > LONG_WORK * self.usual_run_secs(),
-            rank: (2.0 * (importance * share / work).log2()).round(),
+            rank,
+            overtaken: overtaken.min(MOST_OVERTAKEN),
             repeat_of,
             write,
             listed,
@@ -476,7 +482,7 @@
             let early = now - op.arrived < kind.op_timeout.scaled(EARLY_SHARE);
             let wait = if before < slots { Span::ZERO } else { Span::from_secs(ahead / slots) };
             let finish =
-                now + wait.scaled(if early { 1.0 / FIT } else { 1.0 }) + Span::from_secs(run + calls);
+                now + wait.scaled(if early { 1.0 / (FIT - FIT * op.overtaken) } else { 1.0 }) + Span::from_secs(run + calls);
             if refused || finish > last || (op.ran && !op.paused) {
                 return Some(self.give_up(now, id));
             }
