--- a/src/book.rs
+++ b/src/book.rs
@@ -123,8 +123,6 @@
     pub expected: f64,
     pub long: bool,
     pub rank: f64,
-    /// The part of the cores that ops of a better rank asked for lately.
-    pub overtaken: f64,
     pub repeat_of: Option<OpId>,
     pub write: bool,
     pub state: State,
@@ -149,7 +147,6 @@
     pub caller: CallerId,
     pub gap: f64,
     pub expected: f64,
-    pub rank: f64,
 }
 
 /// One control cycle: power is throughput over response time, both per unit of cost.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,8 +34,7 @@
 const COME_BACK: f64 = 1.0;
 const ROOM: f64 = 0.75;
 const LEAST_ROOM: f64 = 0.4;
-const FIT: f64 = 0.55;
-const MOST_OVERTAKEN: f64 = 0.9;
+const FIT: f64 = 0.45;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
 pub const SAMPLES: usize = 24;
@@ -166,11 +165,7 @@
         let expected = self.run_secs(op_type.0, cost).max(1e-4);
         let work = if self.facts.text("counted_by") == "work" { 1.0 } else { expected };
         let gap = self.callers.insert(caller, now).map_or(f64::INFINITY, |last| (now - last).secs());
-        let rank = (2.0 * (importance * share / work).log2()).round();
-        let better = self.reads.samples.iter().filter(|read| read.rank > rank).map(|read| read.expected);
-        let since = self.reads.samples.front().map_or(Span::ZERO, |read| now - read.at).secs();
-        let overtaken = better.sum::<f64>() / (since.max(1.0) * self.cores);
-        self.reads.push(Read { at: now, caller, gap, expected, rank });
+        self.reads.push(Read { at: now, caller, gap, expected });
         self.seq += 1;
         let op = Op {
             seq: self.seq,
@@ -184,8 +179,7 @@
             cost,
             expected,
             long: expected > LONG_WORK * self.usual_run_secs(),
-            rank,
-            overtaken: overtaken.min(MOST_OVERTAKEN),
+            rank: (2.0 * (importance * share / work).log2()).round(),
             repeat_of,
             write,
             listed,
@@ -482,7 +476,7 @@
             let early = now - op.arrived < kind.op_timeout.scaled(EARLY_SHARE);
             let wait = if before < slots { Span::ZERO } else { Span::from_secs(ahead / slots) };
             let finish =
-                now + wait.scaled(if early { 1.0 / (FIT - FIT * op.overtaken) } else { 1.0 }) + Span::from_secs(run + calls);
+                now + wait.scaled(if early { 1.0 / FIT } else { 1.0 }) + Span::from_secs(run + calls);
             if refused || finish > last || (op.ran && !op.paused) {
                 return Some(self.give_up(now, id));
             }
