--- a/src/book.rs
+++ b/src/book.rs
@@ -1,6 +1,6 @@
 //! What is written down about ops and op types, and samples with the figures worked out from them.
 
-use crate::logic::SAMPLES;
+use crate::logic::{SAMPLES, WAITS};
 use crate::{CallerId, Facts, Moment, OpId, Span, UserKey};
 use std::collections::VecDeque;
 
@@ -72,6 +72,8 @@
     /// Cost told and seconds run (disk waits too), and seconds at calls, of the last acked ops.
     pub runs: Recent<(f64, f64), SAMPLES>,
     pub calls: Recent<f64, SAMPLES>,
+    /// How long callers of the last ops read would still wait, in steps.
+    pub waits: Recent<u64, WAITS>,
 }
 
 impl OpType {
@@ -94,6 +96,7 @@
             window: Span::from_us(num("window_us", 5e6) as u64),
             runs: Recent::default(),
             calls: Recent::default(),
+            waits: Recent::default(),
         }
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,8 +41,7 @@
 const LAST_OPS: usize = 64;
 const ADMISSIONS: usize = 256;
 const TENANT_SAMPLES: usize = 32;
-const CALLERS_KEPT: usize = 512;
-const WAITS: usize = 32;
+pub const WAITS: usize = 32;
 const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
 const KEEP_WORTH: f64 = 5.0;
@@ -59,7 +58,6 @@
     lines: [Vec<OpId>; 2],
     users: BTreeMap<UserKey, Moment>,
     tenants: Vec<Recent<Moment, TENANT_SAMPLES>>,
-    waits: BTreeMap<(CallerId, usize), Recent<u64, WAITS>>,
     keys: VecDeque<(Moment, OpId)>,
     seq: u64,
     started: Moment,
@@ -155,7 +153,7 @@
         let arrived = now.back(age);
         let cost = cost.map_or(1.0, |c| c.secs().max(1e-4));
         let timeout = self.op_types[op_type.0].op_timeout;
-        let gone_by = due.map_or(Span::ZERO, |due| self.gone_by(caller, op_type.0, due - arrived, timeout));
+        let gone_by = due.map_or(Span::ZERO, |due| self.gone_by(op_type.0, due - arrived, timeout));
         let due = due.unwrap_or(arrived + timeout);
         let kind = &self.op_types[op_type.0];
         let target = kind.target_latency + Span::from_secs(kind.target_stretch * cost);
@@ -194,12 +192,9 @@
     /// How long ago the client's first try was, by how long its caller still waits: a first try's wait is a
     /// common one; a shorter one is a repeat within it, a longer one a last try with all that is left.
     /// Guards against late acks after repeats; says nothing where callers draw their waits by chance.
-    fn gone_by(&mut self, caller: CallerId, op_type: usize, left: Span, timeout: Span) -> Span {
-        if self.waits.len() > CALLERS_KEPT {
-            self.waits.clear();
-        }
+    fn gone_by(&mut self, op_type: usize, left: Span, timeout: Span) -> Span {
         let step = left.us() / WAIT_STEP.us();
-        let seen = self.waits.entry((caller, op_type)).or_default();
+        let seen = &mut self.op_types[op_type].waits;
         seen.push(step);
         let often = |s: u64| seen.samples.iter().filter(|other| other.abs_diff(s) <= 1).count();
         let mut common = seen.samples.iter().copied().filter(|s| often(*s) * 8 >= seen.samples.len());
