--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,7 +26,7 @@
 const COSTLY: f64 = 0.125;
 const CROWD_MARGIN: f64 = 0.75;
 const MEMORY_MARGIN: f64 = 0.92;
-const CALLS_MARGIN: f64 = 0.9;
+const CALLS_PART: f64 = 0.45;
 const CALL_TRIES: u32 = 3;
 const STOP_AGAIN: Span = Span::from_ms(200);
 const EARLY_SHARE: f64 = 0.09;
@@ -76,8 +76,9 @@
     beats_busy: u32,
     /// Ops said to run while the gauge saw them wait for disk.
     off_cores: Recent<f64, SAMPLES>,
-    /// When calls were given up, which may stay in the dependency's hands for a while.
-    left_calls: Recent<Moment, LAST_OPS>,
+    /// Seconds that calls may still take, by this server's share; how long the last ones took.
+    call_budget: f64,
+    call_times: Recent<f64, SAMPLES>,
     /// Runs of the last acked ops over what was expected when they were read.
     paces: Recent<f64, SAMPLES>,
     refused: Recent<f64, LAST_OPS>,
@@ -123,6 +124,7 @@
             refilled: now,
             cycle_began: now,
             out,
+            call_budget: CALLS_PART * facts.num("server.calls_bound", 1e9),
             facts,
             ..Self::default()
         })
@@ -222,9 +224,11 @@
     }
 
     pub fn run_ended(&mut self, now: Moment, id: OpId, outcome: Outcome) {
+        self.refill(now);
+        let linger = self.span("server.lingers_us").secs();
         let Some(op) = self.ops.get_mut(&id).filter(|op| op.state != State::Held) else { return };
         if op.state == State::Calling {
-            self.left_calls.push(now);
+            self.call_budget -= linger;
         }
         if outcome == Outcome::Stopped && op.owed && op.state != State::AwaitsResult {
             // Back in the hold; what has run is failed there, unless it is only paused.
@@ -260,17 +264,17 @@
     }
 
     pub fn call_ended(&mut self, now: Moment, id: OpId, outcome: Outcome) {
-        let Some(op) = self.ops.get_mut(&id) else { return };
-        if op.state != State::Calling {
-            return;
-        }
+        self.refill(now);
+        let linger = self.span("server.lingers_us").secs();
+        let Some(op) = self.ops.get_mut(&id).filter(|op| op.state == State::Calling) else { return };
+        self.call_times.push((now - op.call_after).secs());
         if outcome == Outcome::Ok {
             op.at_calls = op.at_calls + (now - op.call_began);
             op.state = State::Running;
             return;
         }
         if outcome == Outcome::TimedOut {
-            self.left_calls.push(now);
+            self.call_budget -= linger;
         }
         op.state = State::WantsCall;
         op.call_after = now + Span::from_ms(50).scaled(f64::from(op.call_tries));
@@ -307,8 +311,8 @@
     // ---- decisions, one by one ----
 
     pub fn next_decision(&mut self, now: Moment) -> Option<Decision> {
-        self.end_cycle(now);
         self.refill(now);
+        self.end_cycle(now);
         while self.keys.front().is_some_and(|(until, _)| *until <= now) {
             self.keys.pop_front();
         }
@@ -421,17 +425,18 @@
             }
             return Some(self.give_up(now, id));
         }
-        let linger = self.span("server.lingers_us");
-        let left = self.left_calls.samples.iter().filter(|at| now - **at < linger).count();
-        if (self.count(|op| op.state == State::Calling) + left) as f64 + 1.0 > self.calls_bound() {
+        if self.calls_short() {
             return None;
         }
+        let drain = self.count(|op| op.state == State::Calling) as f64 + 1.0 - self.calls_bound();
+        let lasts = Span::from_secs(if drain > 0.0 { self.call_budget / drain } else { 1e6 });
         let ready = self.ops.iter().filter(|(_, op)| ready(op));
         let id = *ready.min_by(|a, b| self.order(a.1, b.1))?.0;
         let op = self.ops.get_mut(&id)?;
         op.state = State::Calling;
+        op.call_after = now;
         op.call_tries += 1;
-        Some(Decision::Call { op: id, patience: (op.due - now).max(BEAT) })
+        Some(Decision::Call { op: id, patience: (op.due - now).min(lasts).max(BEAT) })
     }
 
     /// The design: listed users pass, openings of unlisted users meet R, and all admitted ops count to it.
@@ -458,6 +463,7 @@
         let mut ahead = self.running_left(now, drag);
         let mut before = self.count(|op| op.state == State::Running) as f64;
         let slots = self.run_bound(now).max(1.0);
+        let waiting = self.count(|op| op.state == State::WantsCall) as f64;
         let mut ids: Vec<OpId> = self.lines.concat();
         ids.sort_by(|a, b| self.order(&self.ops[a], &self.ops[b]));
         for id in ids {
@@ -469,7 +475,8 @@
             let kind = &self.op_types[op.op_type];
             let last = if kind.late_worth > 0.0 { op.due } else { op.target_at };
             let early = now - op.arrived < kind.op_timeout.scaled(EARLY_SHARE);
-            let wait = if before < slots { Span::ZERO } else { Span::from_secs(ahead / slots) };
+            let wait = if before < slots { 0.0 } else { ahead / slots };
+            let wait = Span::from_secs(wait.max(((before + waiting) * self.call_secs() - self.call_budget) / self.calls_bound()));
             let finish =
                 now + wait.scaled(if early { 1.0 / FIT } else { 1.0 }) + Span::from_secs(run + calls);
             if refused || finish > last || (op.ran && !op.paused) {
@@ -488,6 +495,7 @@
         if on_cores + 1.0 > self.run_bound(now)
             || live + 1.0 > self.crowd_ceiling(now)
             || waiting > self.cores
+            || waiting > 0.0 && self.calls_short()
         {
             return None;
         }
@@ -619,6 +627,10 @@
     }
 
     fn refill(&mut self, now: Moment) {
+        let calls = self.count(|op| op.state == State::Calling) as f64;
+        let most = self.calls_bound() * self.calls_over();
+        self.call_budget += (self.calls_bound() - calls) * (now - self.refilled).secs();
+        self.call_budget = self.call_budget.min(most);
         let rate = self.rate.unwrap_or(0.0);
         let gain = rate * (now - self.refilled).secs();
         self.tokens = (self.tokens + gain).clamp(-rate, (rate * 0.25).max(1.0));
@@ -724,8 +736,21 @@
         self.facts.num("server.memory_kb", f64::MAX) * MEMORY_MARGIN
     }
 
+    /// Calls in hand on average, and the time that is taken over: as much again may have been saved up.
     fn calls_bound(&self) -> f64 {
-        (self.facts.num("server.calls_bound", f64::MAX) * CALLS_MARGIN).max(1.0)
+        self.facts.num("server.calls_bound", 1e9) * CALLS_PART
+    }
+
+    fn calls_over(&self) -> f64 {
+        self.facts.num("server.calls_over_us", 5e6) / 1e6
+    }
+
+    fn call_secs(&self) -> f64 {
+        self.call_times.mean_without_top(COSTLY).unwrap_or(0.0)
+    }
+
+    fn calls_short(&self) -> bool {
+        self.call_budget <= self.call_secs().min(0.8 * self.calls_bound() * self.calls_over())
     }
 
     /// The crowd on the cores that is survived, with a margin: less while cold. A ceiling, not a target.
