--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,6 +27,7 @@
 const CROWD_MARGIN: f64 = 0.75;
 const MEMORY_MARGIN: f64 = 0.92;
 const CALLS_PART: f64 = 0.45;
+const CALLS_SAVED: f64 = 0.3;
 const CALL_TRIES: u32 = 3;
 const STOP_AGAIN: Span = Span::from_ms(200);
 const EARLY_SHARE: f64 = 0.09;
@@ -267,7 +268,8 @@
         self.refill(now);
         let linger = self.span("server.lingers_us").secs();
         let Some(op) = self.ops.get_mut(&id).filter(|op| op.state == State::Calling) else { return };
-        self.call_times.push((now - op.call_after).secs());
+        let censored = if outcome == Outcome::TimedOut { 2.0 } else { 1.0 };
+        self.call_times.push((now - op.call_after).secs() * censored);
         if outcome == Outcome::Ok {
             op.at_calls = op.at_calls + (now - op.call_began);
             op.state = State::Running;
@@ -628,9 +630,8 @@
 
     fn refill(&mut self, now: Moment) {
         let calls = self.count(|op| op.state == State::Calling) as f64;
-        let most = self.calls_bound() * self.calls_over();
         self.call_budget += (self.calls_bound() - calls) * (now - self.refilled).secs();
-        self.call_budget = self.call_budget.min(most);
+        self.call_budget = self.call_budget.min(self.calls_saved());
         let rate = self.rate.unwrap_or(0.0);
         let gain = rate * (now - self.refilled).secs();
         self.tokens = (self.tokens + gain).clamp(-rate, (rate * 0.25).max(1.0));
@@ -741,8 +742,8 @@
         self.facts.num("server.calls_bound", 1e9) * CALLS_PART
     }
 
-    fn calls_over(&self) -> f64 {
-        self.facts.num("server.calls_over_us", 5e6) / 1e6
+    fn calls_saved(&self) -> f64 {
+        self.calls_bound() * self.facts.num("server.calls_over_us", 5e6) / 1e6 * CALLS_SAVED
     }
 
     fn call_secs(&self) -> f64 {
@@ -750,7 +751,7 @@
     }
 
     fn calls_short(&self) -> bool {
-        self.call_budget <= self.call_secs().min(0.8 * self.calls_bound() * self.calls_over())
+        self.call_budget <= (2.0 * self.call_secs()).min(0.8 * self.calls_saved())
     }
 
     /// The crowd on the cores that is survived, with a margin: less while cold. A ceiling, not a target.
