--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,7 +45,7 @@
 pub const WAITS: usize = 32;
 const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
-const KEEP_WORTH: f64 = 5.0;
+const KEEP_WORTH: f64 = 1.0;
 const SHORTEST_KEEP: f64 = 0.125;
 
 #[derive(Default)]
@@ -558,8 +558,9 @@
             return None;
         }
         self.gaps_judged = self.seq;
+        let dear = self.refused_share() / KEEP_WORTH;
         let cost = |keep: f64| {
-            let of = |read: &Read| read.gap.min(keep) / KEEP_WORTH + f64::from(u8::from(read.gap > keep));
+            let of = |read: &Read| read.gap.min(keep) * dear + f64::from(u8::from(read.gap > keep));
             self.reads.samples.iter().map(of).sum::<f64>()
         };
         let steps = (0..9).map(|step| SHORTEST_KEEP * f64::from(1 << step));
