--- a/src/logic.rs
+++ b/src/logic.rs
@@ -685,8 +685,9 @@
             .filter(|op| op.state == State::Running)
             .map(|op| (now - op.began - op.at_calls).secs() / op.expected)
             .collect();
+        ratios.resize(ratios.len().max(self.cores as usize), 1.0);
         ratios.sort_by(f64::total_cmp);
-        let running = ratios.get(ratios.len() / 2).copied().unwrap_or(1.0);
+        let running = ratios[(ratios.len() - 1) / 2];
         if running > 1.0 { running } else { self.paces.mean_without_top(0.0).unwrap_or(1.0).min(1.0) }
     }
 
