--- a/src/logic.rs
+++ b/src/logic.rs
@@ -687,7 +687,7 @@
             .collect();
         ratios.resize(ratios.len().max(self.cores as usize), 1.0);
         ratios.sort_by(f64::total_cmp);
-        let running = ratios[(ratios.len() - 1) / 2];
+        let running = (ratios[(ratios.len() - 1) / 2] * ratios[ratios.len() / 2]).sqrt();
         if running > 1.0 { running } else { self.paces.mean_without_top(0.0).unwrap_or(1.0).min(1.0) }
     }
 
