--- a/src/book.rs
+++ b/src/book.rs
@@ -25,13 +25,39 @@
     }
 }
 
+fn sorted(samples: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut sorted: Vec<f64> = samples.collect();
+    sorted.sort_by(f64::total_cmp);
+    sorted
+}
+
+fn mean(samples: &[f64]) -> Option<f64> {
+    (!samples.is_empty()).then(|| samples.iter().sum::<f64>() / samples.len() as f64)
+}
+
+/// The middle sample; between the two in the middle of an even number.
+pub fn middle(samples: impl Iterator<Item = f64>) -> Option<f64> {
+    let sorted = sorted(samples);
+    let upper = sorted.get(sorted.len() / 2)?;
+    Some((sorted[(sorted.len() - 1) / 2] * upper).sqrt())
+}
+
+/// How many equal parts would be as uneven as these: two alike are 2, a heavy and a light one little over 1.
+pub fn parts(weights: impl Iterator<Item = f64>) -> f64 {
+    let (sum, squares) = weights.fold((0.0, 0.0), |(sum, squares), w| (sum + w, squares + w * w));
+    if squares > 0.0 { sum * sum / squares } else { 1.0 }
+}
+
 impl<const MOST: usize> Recent<f64, MOST> {
     /// The mean without the top `share`, so that a few very costly ops don't pass for a slow server.
     pub fn mean_without_top(&self, share: f64) -> Option<f64> {
-        let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
-        sorted.sort_by(f64::total_cmp);
-        sorted.truncate(sorted.len() - (sorted.len() as f64 * share) as usize);
-        (!sorted.is_empty()).then(|| sorted.iter().sum::<f64>() / sorted.len() as f64)
+        let sorted = sorted(self.samples.iter().copied());
+        mean(&sorted[..sorted.len() - (sorted.len() as f64 * share) as usize])
+    }
+
+    pub fn mean_of_upper_half(&self) -> Option<f64> {
+        let sorted = sorted(self.samples.iter().copied());
+        mean(&sorted[sorted.len() / 2..])
     }
 }
 
@@ -143,6 +169,13 @@
     pub stop_sent: Option<Moment>,
 }
 
+impl Op {
+    /// Seconds since it began, less those at calls.
+    pub fn ran_for(&self, now: Moment) -> f64 {
+        (now - self.began - self.at_calls).secs()
+    }
+}
+
 /// An op read: when and from whom, how long after the caller's one before, and the run expected in seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Read {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! `leave_notice`), which only update what is known, then pull `next_decision(now)` until it is `None`.
 //! The interface is this type's `pub fn`s and `Decision` in decision.rs; docs/design.md says why.
 
-use crate::book::{Cycle, Op, OpType, Outcome, Read, Recent, Repeats, State};
+use crate::book::{Cycle, Op, OpType, Outcome, Read, Recent, Repeats, State, middle, parts};
 use crate::pcg::Pcg;
 use crate::{CallerId, Decision, Fact, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
 use std::cmp::Ordering;
@@ -40,7 +40,6 @@
 const LONG_WORK: f64 = 2.0;
 pub const SAMPLES: usize = 24;
 const LAST_OPS: usize = 64;
-const ADMISSIONS: usize = 256;
 const TENANT_SAMPLES: usize = 32;
 pub const WAITS: usize = 32;
 const WAIT_STEP: Span = Span::from_ms(20);
@@ -68,7 +67,7 @@
     rate: Option<f64>,
     tokens: f64,
     refilled: Moment,
-    admissions: Recent<Moment, ADMISSIONS>,
+    admissions: u32,
     cycles: Recent<Cycle, CYCLES_KEPT>,
     cycle_began: Moment,
     acks: Vec<(f64, f64)>,
@@ -96,17 +95,14 @@
 
 impl Logic {
     pub fn new(facts: Facts, seed: u64, now: Moment) -> Result<Self, String> {
+        let above_zero = ["server.cores", "server.memory_kb", "server.run_factor"];
         for (name, fact) in &facts.0 {
-            if let Fact::Num(n) = fact
-                && (!n.is_finite() || (*n < 0.0 && name.ends_with("_us")))
-            {
+            let Fact::Num(n) = fact else { continue };
+            let least = if above_zero.contains(&name.as_str()) { f64::MIN_POSITIVE } else { 0.0 };
+            if !n.is_finite() || (*n < least && (least > 0.0 || name.ends_with("_us"))) {
                 return Err(format!("setting {name} is absurd: {n}"));
             }
         }
-        let above_zero = ["server.cores", "server.memory_kb", "server.run_factor"];
-        if let Some(name) = above_zero.into_iter().find(|name| facts.num(name, 1.0) <= 0.0) {
-            return Err(format!("setting {name} is absurd: {}", facts.num(name, 1.0)));
-        }
         let named = |i: &usize| facts.has(&format!("op_types.{i}.target_latency_us"));
         let op_types: Vec<OpType> = (0..4096).take_while(named).map(|i| OpType::told(&facts, i)).collect();
         let tenants = (0..4096).take_while(|i| facts.has(&format!("tenants.{i}.quota_per_s"))).count();
@@ -239,17 +235,14 @@
             self.line_up(id);
             return;
         }
-        if op.state == State::Running || op.state == State::WantsCall || op.state == State::Calling {
-            let run = (now - op.began - op.at_calls).secs();
-            let response = (now - op.arrived).secs();
-            if outcome == Outcome::Ok {
-                let kind = &mut self.op_types[op.op_type];
-                self.paces.push(run / op.expected);
-                kind.runs.push((op.cost, run));
-                kind.calls.push(op.at_calls.secs());
-                if op.owed && now <= op.target_at {
-                    self.acks.push((op.cost, response));
-                }
+        if outcome == Outcome::Ok && op.state != State::AwaitsResult {
+            let run = op.ran_for(now);
+            let kind = &mut self.op_types[op.op_type];
+            self.paces.push(run / op.expected);
+            kind.runs.push((op.cost, run));
+            kind.calls.push(op.at_calls.secs());
+            if op.owed && now <= op.target_at {
+                self.acks.push((op.cost, (now - op.arrived).secs()));
             }
         }
         self.forget(id);
@@ -322,7 +315,7 @@
             return Some(decision);
         }
         self.answer_due(now)
-            .or_else(|| self.stop_worthless(now))
+            .or_else(|| self.stop_unwanted(now))
             .or_else(|| self.guard_memory(now))
             .or_else(|| self.answer_repeats(now))
             .or_else(|| self.make_calls(now))
@@ -339,28 +332,26 @@
             })
     }
 
-    /// Rule 1: whatever has happened to an op, its answer leaves a beat before it is due.
+    /// Rule 1: whatever has happened to an op, its answer leaves a beat before it is due; sooner where a run
+    /// can't earn any more and can be stopped.
     fn answer_due(&mut self, now: Moment) -> Option<Decision> {
-        let stop = self.leaving.map(|(_, stop)| stop.back(DRAIN_MARGIN));
-        let late = |op: &Op| op.owed && (now + BEAT >= op.due || stop.is_some_and(|stop| now >= stop));
-        let id = self.first_by_seq(late)?;
+        let stop = self.leaving.is_some_and(|(_, stop)| now >= stop.back(DRAIN_MARGIN));
+        let stops = self.facts.text("server.stop") != "none";
+        let worthless = |op: &Op| {
+            stops && op.ran && now + BEAT >= op.target_at && self.op_types[op.op_type].late_worth <= 0.0
+        };
+        let id = self.first_by_seq(|op| op.owed && (now + BEAT >= op.due || stop || worthless(op)))?;
         Some(self.give_up(now, id))
     }
 
-    /// Work nobody waits for, or that can't earn any more, leaves the cores where it can be stopped.
-    fn stop_worthless(&mut self, now: Moment) -> Option<Decision> {
-        if self.facts.text("server.stop") == "none" {
-            return None;
-        }
-        let worthless = |op: &Op| {
-            op.owed && now + BEAT >= op.target_at && self.op_types[op.op_type].late_worth <= 0.0 && op.ran
-        };
-        if let Some(id) = self.first_by_seq(worthless) {
-            return Some(self.give_up(now, id));
-        }
+    /// Work nobody waits for leaves the cores where it can be stopped.
+    fn stop_unwanted(&mut self, now: Moment) -> Option<Decision> {
         let id = self.first_by_seq(|op| {
             !op.owed && op.state == State::Running && op.stop_sent.is_none_or(|sent| now - sent > STOP_AGAIN)
         })?;
+        if self.facts.text("server.stop") == "none" {
+            return None;
+        }
         self.ops.get_mut(&id)?.stop_sent = Some(now);
         Some(Decision::Stop(id))
     }
@@ -478,7 +469,9 @@
             let last = if kind.late_worth > 0.0 { op.due } else { op.target_at };
             let early = now - op.arrived < kind.op_timeout.scaled(EARLY_SHARE);
             let wait = if before < slots { 0.0 } else { ahead / slots };
-            let wait = Span::from_secs(wait.max(((before + waiting) * self.call_secs() - self.call_budget) / self.calls_bound()));
+            let wait = Span::from_secs(
+                wait.max(((before + waiting) * self.call_secs() - self.call_budget) / self.calls_bound()),
+            );
             let finish =
                 now + wait.scaled(if early { 1.0 / FIT } else { 1.0 }) + Span::from_secs(run + calls);
             if refused || finish > last || (op.ran && !op.paused) {
@@ -514,7 +507,7 @@
         let op = self.ops.get_mut(&id)?;
         if !op.paused {
             op.began = now;
-            self.admissions.push(now);
+            self.admissions += 1;
         }
         (op.state, op.ran, op.paused) = (State::Running, true, false);
         if let Some(user) = op.user {
@@ -589,6 +582,7 @@
         let throughput = cost / span.secs();
         let power = throughput / response.max(1e-9);
         self.cycle_began = now;
+        let admitted = std::mem::take(&mut self.admissions);
         (self.beats, self.beats_held, self.beats_busy) = (0, 0, 0);
         let acked = std::mem::take(&mut self.acks).len();
         if acked == 0 {
@@ -601,8 +595,7 @@
         let powers = self.cycles.samples.iter().copied();
         let Some(best) = powers.max_by(|a, b| a.power.total_cmp(&b.power)) else { return };
         let over = power / best.power < RATIO_THRESHOLD && response > best.response;
-        let recent = self.admissions.samples.iter().filter(|at| now - **at <= span).count();
-        let admitted = recent as f64 / span.secs();
+        let admitted = f64::from(admitted) / span.secs();
         let figures = format!("ratio={:.2} resp={response:.2} best={:.2}", power / best.power, best.response);
         match self.rate {
             None if over && pressed => {
@@ -681,22 +674,13 @@
     /// Guards against a slow or hung server, and against refusing for long after it is well again, since
     /// each op type learns from its own runs only. Harm: a run of small ops passes for a fast server.
     fn drag(&self, now: Moment) -> f64 {
-        let mut ratios: Vec<f64> = (self.ops.values())
-            .filter(|op| op.state == State::Running)
-            .map(|op| (now - op.began - op.at_calls).secs() / op.expected)
-            .collect();
-        ratios.resize(ratios.len().max(self.cores as usize), 1.0);
-        ratios.sort_by(f64::total_cmp);
-        let running = (ratios[(ratios.len() - 1) / 2] * ratios[ratios.len() / 2]).sqrt();
+        let running = self.ops.values().filter(|op| op.state == State::Running);
+        let free = (self.cores as usize).saturating_sub(running.clone().count());
+        let ratios = running.map(|op| op.ran_for(now) / op.expected).chain(std::iter::repeat_n(1.0, free));
+        let running = middle(ratios).unwrap_or(1.0);
         if running > 1.0 { running } else { self.paces.mean_without_top(0.0).unwrap_or(1.0).min(1.0) }
     }
 
-    /// Refusals come from demand, not from this server's own weakness: it is warm and yields what it lately
-    /// could. Guards against storms of tries elsewhere; does harm where only this server is sought out.
-    fn crowded_everywhere(&self) -> bool {
-        !self.cold && self.leaving.is_none() && self.refused_share() > CROWDED
-    }
-
     fn refused_share(&self) -> f64 {
         self.refused.samples.iter().sum::<f64>() / LAST_OPS as f64
     }
@@ -706,7 +690,7 @@
             .filter(|op| op.state == State::Running)
             .map(|op| {
                 let run = op.expected * drag;
-                (run - (now - op.began - op.at_calls).secs()).max(run * 0.2)
+                (run - op.ran_for(now)).max(run * 0.2)
             })
             .sum()
     }
@@ -775,11 +759,7 @@
 
     /// How many may run: the cores' worth, and as many again as were seen to wait for disk.
     fn run_bound(&self, now: Moment) -> f64 {
-        let mut waits: Vec<f64> = self.off_cores.samples.iter().map(|off| off.max(0.0)).collect();
-        waits.sort_by(f64::total_cmp);
-        let upper = &waits[waits.len() / 2..];
-        let off = upper.iter().sum::<f64>() / upper.len().max(1) as f64;
-        (self.cores * RUNS_PER_CORE + off)
+        (self.cores * RUNS_PER_CORE + self.off_cores.mean_of_upper_half().unwrap_or(0.0).max(0.0))
             .min(self.crowd_ceiling(now))
     }
 
@@ -804,8 +784,7 @@
         for op in self.ops.values() {
             *in_hand.entry(op.caller).or_default() += 1.0;
         }
-        let squares: f64 = in_hand.values().map(|n| n * n).sum();
-        (in_hand.values().sum::<f64>().powi(2) / squares.max(1.0)).max(1.0)
+        parts(in_hand.into_values())
     }
 
     fn list_user(&mut self, user: UserKey, now: Moment) {
@@ -838,7 +817,10 @@
             self.keys.retain(|(_, kept)| *kept != id);
             self.out.push_back(Decision::DropKey(id));
         }
-        Decision::Nack { op: id, come_back, nowhere_else: self.crowded_everywhere() }
+        // Where much is refused, demand is the cause, and tries elsewhere cost more than they bring. Guards
+        // against storms of tries; does harm where only this server is sought out.
+        let nowhere_else = !self.cold && self.leaving.is_none() && self.refused_share() > CROWDED;
+        Decision::Nack { op: id, come_back, nowhere_else }
     }
 
     /// When a refused caller may find room: once a part of what is in hand here has been worked off; spread
