--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,8 +33,7 @@
 const EARLY_SHARE: f64 = 0.09;
 const CROWDED: f64 = 0.3;
 const COME_BACK: f64 = 1.0;
-const ROOM: f64 = 0.75;
-const LEAST_ROOM: f64 = 0.4;
+const ROOM: f64 = 0.6;
 const FIT: f64 = 0.45;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
@@ -511,7 +510,10 @@
         }
         (op.state, op.ran, op.paused) = (State::Running, true, false);
         if let Some(user) = op.user {
-            self.list_user(user, now);
+            self.users.insert(user, now);
+            if self.users.len() > USERS_KEPT {
+                self.users.retain(|_, seen| now - *seen < USER_IDLE);
+            }
         }
         self.refused.push(0.0);
         Some(Decision::Run(id))
@@ -585,16 +587,10 @@
         let admitted = std::mem::take(&mut self.admissions);
         (self.beats, self.beats_held, self.beats_busy) = (0, 0, 0);
         let acked = std::mem::take(&mut self.acks).len();
-        if acked == 0 {
-            if let Some(rate) = self.rate.filter(|_| idled) {
-                self.unbind(rate, 0.0, "acked=0");
-            }
-            return;
-        }
         self.cycles.push(Cycle { power, response, throughput });
         let powers = self.cycles.samples.iter().copied();
         let Some(best) = powers.max_by(|a, b| a.power.total_cmp(&b.power)) else { return };
-        let over = power / best.power < RATIO_THRESHOLD && response > best.response;
+        let over = power / best.power < RATIO_THRESHOLD && (response > best.response || acked == 0);
         let admitted = f64::from(admitted) / span.secs();
         let figures = format!("ratio={:.2} resp={response:.2} best={:.2}", power / best.power, best.response);
         match self.rate {
@@ -753,10 +749,6 @@
         ((1.0 + (multiple - 1.0) * warm) * self.cores * CROWD_MARGIN).max(1.0)
     }
 
-    fn off_cores_mean(&self) -> f64 {
-        self.off_cores.mean_without_top(0.0).unwrap_or(0.0)
-    }
-
     /// How many may run: the cores' worth, and as many again as were seen to wait for disk.
     fn run_bound(&self, now: Moment) -> f64 {
         (self.cores * RUNS_PER_CORE + self.off_cores.mean_of_upper_half().unwrap_or(0.0).max(0.0))
@@ -769,13 +761,7 @@
         let held = self.ops.len().max(1) as f64;
         let target = |op: &Op| self.op_types[op.op_type].target_latency.secs();
         let target = self.ops.values().map(target).sum::<f64>() / held;
-        let part = (ROOM - self.reads_share()).max(LEAST_ROOM);
-        self.run_bound(now) * (target / self.usual_run_secs().max(1e-3) * part).clamp(1.0, 20.0)
-    }
-
-    /// What reads, checks and handshakes take of the cores, by the gauge.
-    fn reads_share(&self) -> f64 {
-        (-self.off_cores_mean() / self.cores).max(0.0)
+        self.run_bound(now) * (target / self.usual_run_secs().max(1e-3) * ROOM).clamp(1.0, 20.0)
     }
 
     /// Callers with ops in hand, counted by weight: two alike are 2, a heavy and a light one little over 1.
@@ -787,15 +773,6 @@
         parts(in_hand.into_values())
     }
 
-    fn list_user(&mut self, user: UserKey, now: Moment) {
-        self.users.insert(user, now);
-        if self.users.len() > USERS_KEPT
-            && let Some(oldest) = self.users.iter().min_by_key(|(_, seen)| **seen).map(|(user, _)| *user)
-        {
-            self.users.remove(&oldest);
-        }
-    }
-
     /// The final answer for an op that won't be acked: a nack while it never ran, else an error.
     fn give_up(&mut self, now: Moment, id: OpId) -> Decision {
         let op = &self.ops[&id];
