--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,7 +33,7 @@
 const EARLY_SHARE: f64 = 0.09;
 const CROWDED: f64 = 0.3;
 const COME_BACK: f64 = 1.0;
-const ROOM: f64 = 0.6;
+const ROOM: f64 = 0.65;
 const FIT: f64 = 0.45;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
@@ -755,13 +755,13 @@
             .min(self.crowd_ceiling(now))
     }
 
-    /// How many ops in hand could still be acked within their targets; less where reads weigh on the cores,
-    /// since what is then sent in vain costs more than the choice among more ops brings.
+    /// How many ops in hand could still be acked within their targets, by what those leave after an op's own
+    /// run; only a part, since what is sent in vain costs more than the choice among more ops brings.
     fn room(&self, now: Moment) -> f64 {
         let held = self.ops.len().max(1) as f64;
         let target = |op: &Op| self.op_types[op.op_type].target_latency.secs();
         let target = self.ops.values().map(target).sum::<f64>() / held;
-        self.run_bound(now) * (target / self.usual_run_secs().max(1e-3) * ROOM).clamp(1.0, 20.0)
+        self.run_bound(now) * ((target / self.usual_run_secs().max(1e-3) - 1.0) * ROOM).clamp(1.0, 20.0)
     }
 
     /// Callers with ops in hand, counted by weight: two alike are 2, a heavy and a light one little over 1.
