--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,7 +43,7 @@
 pub const WAITS: usize = 32;
 const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
-const KEEP_WORTH: f64 = 1.0;
+const KEEP_WORTH: f64 = 10.0;
 const SHORTEST_KEEP: f64 = 0.125;
 
 #[derive(Default)]
@@ -553,12 +553,12 @@
             return None;
         }
         self.gaps_judged = self.seq;
-        let dear = self.refused_share() / KEEP_WORTH;
+        let dear = (1.0 - self.refused_share() / CROWDED).max(0.0) / KEEP_WORTH;
         let cost = |keep: f64| {
             let of = |read: &Read| read.gap.min(keep) * dear + f64::from(u8::from(read.gap > keep));
             self.reads.samples.iter().map(of).sum::<f64>()
         };
-        let steps = (0..9).map(|step| SHORTEST_KEEP * f64::from(1 << step));
+        let steps = (0..9).rev().map(|step| SHORTEST_KEEP * f64::from(1 << step));
         let keep = steps.min_by(|a, b| cost(*a).total_cmp(&cost(*b)))?;
         if keep == self.keep {
             return None;
