--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,6 +44,7 @@
 const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
 const KEEP_WORTH: f64 = 10.0;
+const KEEP_STEP: Span = Span::from_ms(500);
 const SHORTEST_KEEP: f64 = 0.125;
 
 #[derive(Default)]
@@ -86,7 +87,9 @@
     said: Option<f64>,
     /// When callers were last seen, and how long they stayed away between two ops.
     callers: BTreeMap<CallerId, Moment>,
-    gaps_judged: u64,
+    idle_judged: Moment,
+    /// 1 for the beats that saw all cores taken, else 0.
+    full: Recent<f64, SAMPLES>,
     keep: f64,
     wake: Option<Moment>,
     out: VecDeque<Decision>,
@@ -289,7 +292,9 @@
         }
         self.beats += 1;
         self.beats_held += u32::from(self.ops.values().any(|op| op.state == State::Held && op.admitted));
-        self.beats_busy += u32::from(on_cores.unwrap_or(running) >= self.cores);
+        let full = on_cores.unwrap_or(running) >= self.cores;
+        self.full.push(f64::from(u8::from(full)));
+        self.beats_busy += u32::from(full);
         if self.cold && now - self.started >= self.span("rules.cold_us") {
             self.cold = false;
             self.log(format!("mode warm after_s={:.1}", (now - self.started).secs()));
@@ -322,7 +327,7 @@
             .or_else(|| self.turn_away_late(now))
             .or_else(|| self.run_next(now))
             .or_else(|| self.say(now))
-            .or_else(|| self.close_idle())
+            .or_else(|| self.close_idle(now))
             .or_else(|| {
                 self.wake.is_none().then(|| {
                     self.wake = Some(now + BEAT);
@@ -548,12 +553,13 @@
     /// in a table whose size is not told, a new one takes work once. The time that would have cost least for
     /// the last callers seen, by how long they stayed away; callers not seen before would have gained nothing.
     /// Guards against a table full of callers that don't come back; does harm where new connections are dear.
-    fn close_idle(&mut self) -> Option<Decision> {
-        if self.seq < self.gaps_judged + LAST_OPS as u64 / 4 {
+    fn close_idle(&mut self, now: Moment) -> Option<Decision> {
+        if now - self.idle_judged < KEEP_STEP {
             return None;
         }
-        self.gaps_judged = self.seq;
-        let dear = (1.0 - self.refused_share() / CROWDED).max(0.0) / KEEP_WORTH;
+        self.idle_judged = now;
+        let full = self.full.mean_without_top(0.0).unwrap_or(0.0);
+        let dear = (1.0 - 2.0 * full).max(0.0) / KEEP_WORTH;
         let cost = |keep: f64| {
             let of = |read: &Read| read.gap.min(keep) * dear + f64::from(u8::from(read.gap > keep));
             self.reads.samples.iter().map(of).sum::<f64>()
