--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,6 +44,7 @@
 const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
 const KEEP_WORTH: f64 = 10.0;
+const KEEP_ALL: f64 = 0.5;
 const KEEP_STEP: Span = Span::from_ms(500);
 const SHORTEST_KEEP: f64 = 0.125;
 
@@ -559,7 +560,7 @@
         }
         self.idle_judged = now;
         let full = self.full.mean_without_top(0.0).unwrap_or(0.0);
-        let dear = (1.0 - 2.0 * full).max(0.0) / KEEP_WORTH;
+        let dear = (1.0 - full / KEEP_ALL).max(0.0) / KEEP_WORTH;
         let cost = |keep: f64| {
             let of = |read: &Read| read.gap.min(keep) * dear + f64::from(u8::from(read.gap > keep));
             self.reads.samples.iter().map(of).sum::<f64>()
