--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,7 +45,7 @@
 const DRAIN_MARGIN: Span = Span::from_ms(250);
 const KEEP_WORTH: f64 = 10.0;
 const KEEP_ALL: f64 = 0.5;
-const KEEP_STEP: Span = Span::from_ms(500);
+const KEEP_STEP: Span = Span::from_ms(200);
 const SHORTEST_KEEP: f64 = 0.125;
 
 #[derive(Default)]
