--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,7 +45,6 @@
 const DRAIN_MARGIN: Span = Span::from_ms(250);
 const KEEP_WORTH: f64 = 10.0;
 const KEEP_ALL: f64 = 0.5;
-const KEEP_STEP: Span = Span::from_ms(200);
 const SHORTEST_KEEP: f64 = 0.125;
 
 #[derive(Default)]
@@ -88,7 +87,6 @@
     said: Option<f64>,
     /// When callers were last seen, and how long they stayed away between two ops.
     callers: BTreeMap<CallerId, Moment>,
-    idle_judged: Moment,
     /// 1 for the beats that saw all cores taken, else 0.
     full: Recent<f64, SAMPLES>,
     keep: f64,
@@ -328,7 +326,7 @@
             .or_else(|| self.turn_away_late(now))
             .or_else(|| self.run_next(now))
             .or_else(|| self.say(now))
-            .or_else(|| self.close_idle(now))
+            .or_else(|| self.close_idle())
             .or_else(|| {
                 self.wake.is_none().then(|| {
                     self.wake = Some(now + BEAT);
@@ -554,11 +552,10 @@
     /// in a table whose size is not told, a new one takes work once. The time that would have cost least for
     /// the last callers seen, by how long they stayed away; callers not seen before would have gained nothing.
     /// Guards against a table full of callers that don't come back; does harm where new connections are dear.
-    fn close_idle(&mut self, now: Moment) -> Option<Decision> {
-        if now - self.idle_judged < KEEP_STEP {
+    fn close_idle(&mut self) -> Option<Decision> {
+        if self.wake.is_some() {
             return None;
         }
-        self.idle_judged = now;
         let full = self.full.mean_without_top(0.0).unwrap_or(0.0);
         let dear = (1.0 - full / KEEP_ALL).max(0.0) / KEEP_WORTH;
         let cost = |keep: f64| {
