--- a/src/logic.rs
+++ b/src/logic.rs
@@ -530,7 +530,7 @@
     /// What callers are told, so that ops are turned away before they cost a read.
     fn say(&mut self, now: Moment) -> Option<Decision> {
         let value = match self.facts.text("server.value") {
-            "credit" => (self.room(now) / self.active_callers()).max(1.0).round(),
+            "credit" => (self.room(now) / self.active_callers()).max(1.0 - self.refused_share()),
             "weight" => (1.0 - self.refused_share()).max(0.1),
             _ => return None,
         };
@@ -755,13 +755,13 @@
         self.run_bound(now) * ((target / self.usual_run_secs().max(1e-3) - 1.0) * ROOM).clamp(1.0, 20.0)
     }
 
-    /// Callers with ops in hand, counted by weight: two alike are 2, a heavy and a light one little over 1.
+    /// Callers of the last ops read, counted by weight: two alike are 2, a heavy and a light one little over 1.
     fn active_callers(&self) -> f64 {
-        let mut in_hand: BTreeMap<CallerId, f64> = BTreeMap::new();
-        for op in self.ops.values() {
-            *in_hand.entry(op.caller).or_default() += 1.0;
+        let mut read: BTreeMap<CallerId, f64> = BTreeMap::new();
+        for last in &self.reads.samples {
+            *read.entry(last.caller).or_default() += 1.0;
         }
-        parts(in_hand.into_values())
+        parts(read.into_values())
     }
 
     /// The final answer for an op that won't be acked: a nack while it never ran, else an error.
