--- a/src/logic.rs
+++ b/src/logic.rs
@@ -771,6 +771,8 @@
             self.tokens += 1.0; // it never came to count
         }
         let (ran, state, repeat, kept) = (op.ran, op.state, op.repeat_of.is_some(), op.key_kept);
+        let hopeless = now + Span::from_secs(op.expected * 0.5) > op.target_at
+            && self.op_types[op.op_type].late_worth <= 0.0;
         self.refused.push(1.0);
         let come_back = self.come_back(now, op.caller);
         if matches!(state, State::Held | State::AwaitsResult) {
@@ -787,7 +789,7 @@
         }
         // Where much is refused, demand is the cause, and tries elsewhere cost more than they bring. Guards
         // against storms of tries; does harm where only this server is sought out.
-        let nowhere_else = !self.cold && self.leaving.is_none() && self.refused_share() > CROWDED;
+        let nowhere_else = hopeless || !self.cold && self.leaving.is_none() && self.refused_share() > CROWDED;
         Decision::Nack { op: id, come_back, nowhere_else }
     }
 
