--- a/src/book.rs
+++ b/src/book.rs
@@ -31,8 +31,9 @@
     sorted
 }
 
-fn mean(samples: &[f64]) -> Option<f64> {
-    (!samples.is_empty()).then(|| samples.iter().sum::<f64>() / samples.len() as f64)
+pub fn mean(samples: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, n) = samples.fold((0.0, 0u32), |(sum, n), sample| (sum + sample, n + 1));
+    (n > 0).then(|| sum / f64::from(n))
 }
 
 /// The middle sample; between the two in the middle of an even number.
@@ -52,12 +53,12 @@
     /// The mean without the top `share`, so that a few very costly ops don't pass for a slow server.
     pub fn mean_without_top(&self, share: f64) -> Option<f64> {
         let sorted = sorted(self.samples.iter().copied());
-        mean(&sorted[..sorted.len() - (sorted.len() as f64 * share) as usize])
+        mean(sorted[..sorted.len() - (sorted.len() as f64 * share) as usize].iter().copied())
     }
 
     pub fn mean_of_upper_half(&self) -> Option<f64> {
         let sorted = sorted(self.samples.iter().copied());
-        mean(&sorted[sorted.len() / 2..])
+        mean(sorted[sorted.len() / 2..].iter().copied())
     }
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! `leave_notice`), which only update what is known, then pull `next_decision(now)` until it is `None`.
 //! The interface is this type's `pub fn`s and `Decision` in decision.rs; docs/design.md says why.
 
-use crate::book::{Cycle, Op, OpType, Outcome, Read, Recent, Repeats, State, middle, parts};
+use crate::book::{Cycle, Op, OpType, Outcome, Read, Recent, Repeats, State, mean, middle, parts};
 use crate::pcg::Pcg;
 use crate::{CallerId, Decision, Fact, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
 use std::cmp::Ordering;
@@ -658,8 +658,7 @@
     }
 
     fn usual_run_secs(&self) -> f64 {
-        let sum: f64 = self.reads.samples.iter().map(|read| read.expected).sum();
-        if sum > 0.0 { sum / self.reads.samples.len() as f64 } else { f64::INFINITY }
+        mean(self.reads.samples.iter().map(|read| read.expected)).unwrap_or(f64::INFINITY)
     }
 
     /// How much longer than expected the runs on the cores take now, or how much shorter the last ones were.
@@ -749,9 +748,8 @@
     /// How many ops in hand could still be acked within their targets, by what those leave after an op's own
     /// run; only a part, since what is sent in vain costs more than the choice among more ops brings.
     fn room(&self, now: Moment) -> f64 {
-        let held = self.ops.len().max(1) as f64;
         let target = |op: &Op| self.op_types[op.op_type].target_latency.secs();
-        let target = self.ops.values().map(target).sum::<f64>() / held;
+        let target = mean(self.ops.values().map(target)).unwrap_or(0.0);
         self.run_bound(now) * ((target / self.usual_run_secs().max(1e-3) - 1.0) * ROOM).clamp(1.0, 20.0)
     }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -161,7 +161,7 @@
         &expect![[r#"
             0     Run(a)
             0     Run(b)
-            500   Nack { op: late, come_back: Span(149707), nowhere_else: false }
+            500   Nack { op: late, come_back: Span(149707), nowhere_else: true }
             870   Fail(a)
             870   Fail(b)
         "#]],
@@ -424,8 +424,8 @@
         play.seen(&["Say"]).lines().last().unwrap_or_default().to_string()
     };
     expect![[r#"
-        short 2240  Say(14.0)
-        long 2300  Say(2.0)
+        short 2240  Say(13.55)
+        long 2470  Say(2.3)
     "#]]
     .assert_eq(&format!("short {}\nlong {}\n", said(100), said(400)));
 }
