--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,9 +43,9 @@
 pub const WAITS: usize = 32;
 const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
-const KEEP_WORTH: f64 = 10.0;
+const KEEP_WORTH: f64 = 20.0;
 const KEEP_ALL: f64 = 0.5;
-const SHORTEST_KEEP: f64 = 0.125;
+const SHORTEST_KEEP: f64 = 4.0;
 
 #[derive(Default)]
 pub struct Logic {
@@ -556,7 +556,7 @@
             let of = |read: &Read| read.gap.min(keep) * dear + f64::from(u8::from(read.gap > keep));
             self.reads.samples.iter().map(of).sum::<f64>()
         };
-        let steps = (0..9).rev().map(|step| SHORTEST_KEEP * f64::from(1 << step));
+        let steps = (0..4).rev().map(|step| SHORTEST_KEEP * f64::from(1 << step));
         let keep = steps.min_by(|a, b| cost(*a).total_cmp(&cost(*b)))?;
         if keep == self.keep {
             return None;
