--- a/src/logic.rs
+++ b/src/logic.rs
@@ -551,7 +551,7 @@
         if self.wake.is_some() || self.reads.samples.len() < SAMPLES {
             return None;
         }
-        let dear = (1.0 - self.full_share() / KEEP_ALL).max(0.0) / KEEP_WORTH;
+        let dear = (1.0 - self.full_share() / KEEP_ALL).max(0.0) * (1.0 / KEEP_WORTH + self.refused_share());
         let cost = |keep: f64| {
             let of = |read: &Read| read.gap.min(keep) * dear + f64::from(u8::from(read.gap > keep));
             self.reads.samples.iter().map(of).sum::<f64>()
