--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,7 +32,6 @@
 const STOP_AGAIN: Span = Span::from_ms(200);
 const EARLY_SHARE: f64 = 0.09;
 const CROWDED: f64 = 0.3;
-const COME_BACK: f64 = 1.0;
 const ROOM: f64 = 0.65;
 const FIT: f64 = 0.45;
 const LISTED_BOOST: f64 = 1.5;
@@ -416,10 +415,11 @@
             }
             return Some(self.give_up(now, id));
         }
-        if self.calls_short() {
+        let calls = self.count(|op| op.state == State::Calling) as f64 + 1.0;
+        if self.calls_short() || calls > (2.0 * self.calls_bound()).max(1.0) {
             return None;
         }
-        let drain = self.count(|op| op.state == State::Calling) as f64 + 1.0 - self.calls_bound();
+        let drain = calls - self.calls_bound();
         let lasts = Span::from_secs(if drain > 0.0 { self.call_budget / drain } else { 1e6 });
         let ready = self.ops.iter().filter(|(_, op)| ready(op));
         let id = *ready.min_by(|a, b| self.order(a.1, b.1))?.0;
@@ -723,7 +723,7 @@
     }
 
     fn call_secs(&self) -> f64 {
-        self.call_times.mean_without_top(COSTLY).unwrap_or(0.0)
+        middle(self.call_times.samples.iter().copied()).unwrap_or(0.0)
     }
 
     fn calls_short(&self) -> bool {
@@ -804,7 +804,7 @@
         let its = self.reads.samples.iter().filter(|read| read.caller == caller).count();
         let since = self.reads.samples.front().map_or(Span::ZERO, |read| now - read.at).secs();
         let gap = since / its.max(1) as f64;
-        Span::from_secs(clear.min(gap * COME_BACK)).scaled(spread).max(BEAT).min(most)
+        Span::from_secs(clear.min(gap)).scaled(spread).max(BEAT).min(most)
     }
 
     fn unline(&mut self, id: OpId) {
