--- a/src/book.rs
+++ b/src/book.rs
@@ -166,6 +166,7 @@
     pub at_calls: Span,
     pub call_began: Moment,
     pub call_tries: u32,
+    /// Before this no call is made again; once one is out, when it was made.
     pub call_after: Moment,
     pub stop_sent: Option<Moment>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -17,7 +17,7 @@
 const CYCLE_MIN: Span = Span::from_ms(500);
 const CYCLE_MAX: Span = Span::from_ms(4000);
 const CYCLES_KEPT: usize = 16;
-const USERS_KEPT: usize = 4096;
+const SEEN_KEPT: usize = 4096;
 const USER_IDLE: Span = Span::from_ms(20_000);
 
 /// Ours, where the design is silent.
@@ -160,7 +160,9 @@
         let share = self.share_factor(now, tenant);
         let expected = self.run_secs(op_type.0, cost).max(1e-4);
         let work = if self.facts.text("counted_by") == "work" { 1.0 } else { expected };
-        let gap = self.callers.insert(caller, now).map_or(f64::INFINITY, |last| (now - last).secs());
+        let idle = self.span("server.caller_idle_us");
+        let last = note(&mut self.callers, caller, now, idle);
+        let gap = last.map_or(f64::INFINITY, |last| (now - last).secs());
         self.reads.push(Read { at: now, caller, gap, expected });
         self.seq += 1;
         let op = Op {
@@ -344,12 +346,9 @@
 
     /// Work nobody waits for leaves the cores where it can be stopped.
     fn stop_unwanted(&mut self, now: Moment) -> Option<Decision> {
-        let id = self.first_by_seq(|op| {
-            !op.owed && op.state == State::Running && op.stop_sent.is_none_or(|sent| now - sent > STOP_AGAIN)
-        })?;
-        if self.facts.text("server.stop") == "none" {
-            return None;
-        }
+        let stops = self.facts.text("server.stop") != "none";
+        let unsent = |op: &Op| op.stop_sent.is_none_or(|sent| now - sent > STOP_AGAIN);
+        let id = self.first_by_seq(|op| stops && !op.owed && op.state == State::Running && unsent(op))?;
         self.ops.get_mut(&id)?.stop_sent = Some(now);
         Some(Decision::Stop(id))
     }
@@ -402,7 +401,8 @@
         Some(Decision::KeepKey { op: id, span })
     }
 
-    /// Calls in hand stay under this server's share of what the dependency survives.
+    /// The time at calls, not only their number, stays within this server's share of what the dependency
+    /// survives. Guards against slow spells; gives up calls for which others may have left room.
     fn make_calls(&mut self, now: Moment) -> Option<Decision> {
         let ready = |op: &Op| op.state == State::WantsCall && op.owed && op.call_after <= now;
         let tired = |op: &Op| op.call_tries >= CALL_TRIES;
@@ -509,10 +509,7 @@
         }
         (op.state, op.ran, op.paused) = (State::Running, true, false);
         if let Some(user) = op.user {
-            self.users.insert(user, now);
-            if self.users.len() > USERS_KEPT {
-                self.users.retain(|_, seen| now - *seen < USER_IDLE);
-            }
+            note(&mut self.users, user, now, USER_IDLE);
         }
         self.refused.push(0.0);
         Some(Decision::Run(id))
@@ -542,11 +539,10 @@
         Some(Decision::Say(value))
     }
 
-    /// How long idle connections stay open. A kept one takes a little of the cores and a place in a table whose
-    /// size is not told, a new one takes work once: the time that would have cost least for the last callers, by
-    /// how long each had stayed away. While all cores are taken all are kept, since a full table turns tries away
-    /// unread. Guards against tables full of callers that don't come back, and against storms of tries; does harm
-    /// where cores are taken and most callers are new.
+    /// How long idle connections stay open: a kept one takes some of the cores and a place in the table, a new
+    /// one work once. By how long the last callers stayed away; while all cores are taken all are kept, as a
+    /// full table turns tries away unread. Guards against tables full of callers that don't come back and
+    /// against storms of tries; does harm where cores are taken and most callers are new.
     fn close_idle(&mut self) -> Option<Decision> {
         if self.wake.is_some() || self.reads.samples.len() < SAMPLES {
             return None;
@@ -558,11 +554,8 @@
         };
         let steps = (0..4).rev().map(|step| SHORTEST_KEEP * f64::from(1 << step));
         let keep = steps.min_by(|a, b| cost(*a).total_cmp(&cost(*b)))?;
-        if keep == self.keep {
-            return None;
-        }
-        self.keep = keep;
-        Some(Decision::CloseIdle(Span::from_secs(keep).min(self.span("server.caller_idle_us"))))
+        let idle = Span::from_secs(keep).min(self.span("server.caller_idle_us"));
+        (std::mem::replace(&mut self.keep, keep) != keep).then_some(Decision::CloseIdle(idle))
     }
 
     // ---- the power test ----
@@ -713,7 +706,7 @@
         self.facts.num("server.memory_kb", f64::MAX) * MEMORY_MARGIN
     }
 
-    /// Calls in hand on average, and the time that is taken over: as much again may have been saved up.
+    /// Calls in hand on average; with what may be saved up they stay under 0.6 of this server's share.
     fn calls_bound(&self) -> f64 {
         self.facts.num("server.calls_bound", 1e9) * CALLS_PART
     }
@@ -753,7 +746,7 @@
         self.run_bound(now) * ((target / self.usual_run_secs().max(1e-3) - 1.0) * ROOM).clamp(1.0, 20.0)
     }
 
-    /// Callers of the last ops read, counted by weight: two alike are 2, a heavy and a light one little over 1.
+    /// Callers of the last ops read, by weight: two alike are 2, a heavy and a light one little over 1.
     fn active_callers(&self) -> f64 {
         let mut read: BTreeMap<CallerId, f64> = BTreeMap::new();
         for last in &self.reads.samples {
@@ -791,8 +784,8 @@
         Decision::Nack { op: id, come_back, nowhere_else }
     }
 
-    /// When a refused caller may find room: once a part of what is in hand here has been worked off; spread
-    /// by chance, so that those refused together don't come back together.
+    /// When a refused caller may find room: once what is in hand has been worked off, or after its usual gap
+    /// if shorter, so that few callers are not shut out; by chance, so that they don't all come back at once.
     fn come_back(&mut self, now: Moment, caller: CallerId) -> Span {
         if self.facts.num("limits.retry_after", 0.0) <= 0.0 {
             return Span::ZERO;
@@ -818,3 +811,11 @@
         self.ops.remove(&id);
     }
 }
+
+/// Writes down who was seen now and says when before; past a number, those not seen for `idle` are dropped.
+fn note<K: Ord>(seen: &mut BTreeMap<K, Moment>, who: K, now: Moment, idle: Span) -> Option<Moment> {
+    if seen.len() >= SEEN_KEPT {
+        seen.retain(|_, last| now - *last < idle);
+    }
+    seen.insert(who, now)
+}
