--- a/src/logic.rs
+++ b/src/logic.rs
@@ -539,9 +539,9 @@
         Some(Decision::Say(value))
     }
 
-    /// How long idle connections stay open: a kept one takes some of the cores and a place in the table, a new
-    /// one work once. By how long the last callers stayed away; while all cores are taken all are kept, as a
-    /// full table turns tries away unread. Guards against tables full of callers that don't come back and
+    /// How long idle connections stay open: a kept one takes some of the cores and a place in a table, a new
+    /// one work once. By how long the last callers stayed away; while all cores are taken all are kept, since
+    /// a full table turns tries away unread. Guards against tables full of callers that don't come back and
     /// against storms of tries; does harm where cores are taken and most callers are new.
     fn close_idle(&mut self) -> Option<Decision> {
         if self.wake.is_some() || self.reads.samples.len() < SAMPLES {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -523,6 +523,41 @@
     .assert_eq(&format!("three {}\nsixty {}\n", away(3), away(60)));
 }
 
+#[test]
+fn small_and_bare_servers_decide_all_the_same() {
+    let seen = |more: &str, callers: u64, gauges: &[(&str, f64)]| {
+        let mut play = Play::new(more);
+        for i in 0..6000 {
+            let name = format!("a{i}");
+            play.at(i * 2).read(&name, Read { caller: i % callers, ..Read::default() });
+            play.logic.timer(play.now, gauges);
+            play.pull();
+            play.ended(&name, Outcome::Ok).pull();
+        }
+        let trace = play.seen(&[]);
+        let count = |word: &str| trace.lines().filter(|line| line.contains(word)).count();
+        format!(
+            "run {} nack {} fail {} idle {}",
+            count(" Run"),
+            count(" Nack"),
+            count(" Fail"),
+            count("CloseIdle")
+        )
+    };
+    let bare = seen("server.cores=1 servers=0", 1, &[]);
+    let many = seen("server.caller_idle_us=30000000", 5000, &[("on_cores", 0.0)]);
+    let no_memory = seen("server.memory_kb=5", 3, &[("on_cores", 0.0)]);
+    let no_calls = seen("server.calls_bound=0 server.calls_over_us=0", 3, &[("on_cores", 0.0)]);
+    let seen = format!("bare {bare}\nmany {many}\nno memory {no_memory}\nno calls {no_calls}\n");
+    expect![[r#"
+        bare run 6000 nack 0 fail 0 idle 2
+        many run 6000 nack 0 fail 0 idle 3
+        no memory run 0 nack 6000 fail 0 idle 2
+        no calls run 6000 nack 0 fail 0 idle 2
+    "#]]
+    .assert_eq(&seen);
+}
+
 #[test]
 fn absurd_settings_are_named() {
     let told = |more: &str| Logic::new(facts(more), 1, Moment::default()).err().unwrap_or_default();
