Work out the figures for calls once for all held ops, not for each

The late check sorted the last call times and looked the share up by name for every held op; the share of full beats was sorted to take a plain mean.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -455,21 +455,21 @@
         let mut before = self.count(|op| op.state == State::Running) as f64;
         let slots = self.run_bound(now).max(1.0);
         let waiting = self.count(|op| op.state == State::WantsCall) as f64;
+        let (call_secs, calls_bound) = (self.call_secs(), self.calls_bound());
         let mut ids: Vec<OpId> = self.lines.concat();
         ids.sort_by(|a, b| self.order(&self.ops[a], &self.ops[b]));
         for id in ids {
             let op = &self.ops[&id];
             let run = op.expected * drag;
-            let calls = self.op_types[op.op_type].calls.mean_without_top(COSTLY).unwrap_or(0.0);
+            let kind = &self.op_types[op.op_type];
+            let calls = kind.calls.mean_without_top(COSTLY).unwrap_or(0.0);
             let refused =
                 self.leaving.is_some_and(|(at, _)| op.arrived > at + self.span("rules.drain_grace_us"));
-            let kind = &self.op_types[op.op_type];
             let last = if kind.late_worth > 0.0 { op.due } else { op.target_at };
             let early = now - op.arrived < kind.op_timeout.scaled(EARLY_SHARE);
             let wait = if before < slots { 0.0 } else { ahead / slots };
-            let wait = Span::from_secs(
-                wait.max(((before + waiting) * self.call_secs() - self.call_budget) / self.calls_bound()),
-            );
+            let for_calls = ((before + waiting) * call_secs - self.call_budget) / calls_bound;
+            let wait = Span::from_secs(wait.max(for_calls));
             let finish =
                 now + wait.scaled(if early { 1.0 / FIT } else { 1.0 }) + Span::from_secs(run + calls);
             if refused || finish > last || (op.ran && !op.paused) {
@@ -666,7 +666,7 @@
     }
 
     fn full_share(&self) -> f64 {
-        self.full.mean_without_top(0.0).unwrap_or(0.0)
+        mean(self.full.samples.iter().copied()).unwrap_or(0.0)
     }
 
     fn refused_share(&self) -> f64 {
