A real server on sockets: tokio LocalSet tasks round one desk that owns the module

crates/hazelspur-server serves gateways, runtime, ledger and control plane; crates/hazelspur-parsers holds the texts (JSON, JSON-RPC lines, runtime lines, HTTP/1.1) and the settings reader, which the adapter now shares, so serde_json is gone.

Not done yet: repeats answered from a first try (not asked for at this site), tests of the server.

--- a/crates/hazelspur-adapter/src/main.rs
+++ b/crates/hazelspur-adapter/src/main.rs
@@ -3,6 +3,7 @@
 mod wire;
 
 use hazelspur::{CallerId, Logic, Moment, OpTypeId, Span, TenantId, UserKey};
+use hazelspur_parsers::{Json, settings};
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
@@ -117,7 +118,8 @@
             let start = || -> Result<Logic, String> {
                 let seed = fields.need("salt")?;
                 let info = fields.rest("boot-info").ok_or("field boot-info is missing")?;
-                let facts = wire::facts(info)?;
+                let object = Json::parse(info.as_bytes()).ok_or("field boot-info is unreadable")?;
+                let facts = settings::facts(object);
                 catch_unwind(|| Logic::new(facts, seed, now)).map_err(|p| panic_text(&*p))?
             };
             let logic = start().map_err(|text| Trouble { text, instance: Some(server.into()) })?;
--- a/crates/hazelspur-adapter/src/wire.rs
+++ b/crates/hazelspur-adapter/src/wire.rs
@@ -1,7 +1,6 @@
-//! The wire's lines, read in place, and its start-up object flattened to the project's words.
+//! The wire's lines, read in place.
 
-use hazelspur::{Decision, Fact, Facts, OpId, Outcome};
-use serde_json::Value;
+use hazelspur::{Decision, OpId, Outcome};
 use std::fmt::Write;
 
 /// A message's fields, looked up where they stand.
@@ -56,63 +55,6 @@
     })
 }
 
-/// `lanes[0].aim-us` becomes `op_types.0.target_latency_us`, and so on.
-pub fn facts(info: &str) -> Result<Facts, String> {
-    let object: Value =
-        serde_json::from_str(info).map_err(|e| format!("field boot-info is unreadable: {e}"))?;
-    let mut facts = Facts::default();
-    flatten(&object, String::new(), &mut facts);
-    Ok(facts)
-}
-
-fn flatten(value: &Value, name: String, facts: &mut Facts) {
-    let below = |part: &str| if name.is_empty() { part.into() } else { format!("{name}.{part}") };
-    match value {
-        Value::Object(map) => map.iter().for_each(|(key, v)| flatten(v, below(&our_name(key)), facts)),
-        Value::Array(list) => {
-            list.iter().enumerate().for_each(|(i, v)| flatten(v, below(&i.to_string()), facts));
-        }
-        Value::Bool(flag) => drop(facts.0.insert(name, Fact::Num(f64::from(u8::from(*flag))))),
-        Value::Number(n) => drop(facts.0.insert(name, Fact::Num(n.as_f64().unwrap_or(f64::NAN)))),
-        Value::String(text) => drop(facts.0.insert(name, Fact::Text(our_word(text).into()))),
-        Value::Null => {}
-    }
-}
-
-fn our_name(key: &str) -> String {
-    match key {
-        "lanes" => "op_types".into(),
-        "aim-us" => "target_latency_us".into(),
-        "aim-stretch" => "target_stretch".into(),
-        "deadline-us" => "op_timeout_us".into(),
-        "semantics" => "repeats".into(),
-        "memory-span-us" => "window_us".into(),
-        "family-info" => "server".into(),
-        "n-cores" => "cores".into(),
-        "mem-limit-kb" => "memory_kb".into(),
-        "stop-mode" => "stop".into(),
-        "say" => "value".into(),
-        "share-for-us" => "share_reads_us".into(),
-        "calls-out" => "calls_bound".into(),
-        "class-skip-worth" => "skip_worth".into(),
-        "fall-multiple" => "crowd_multiple".into(),
-        "overload-for-us" => "crowd_over_us".into(),
-        "orgs" => "tenants".into(),
-        "quota-rps" => "quota_per_s".into(),
-        _ => key.replace('-', "_"),
-    }
-}
-
-fn our_word(text: &str) -> &str {
-    match text {
-        "safe" => "retryable",
-        "unsafe" => "non-retryable",
-        "silent" => "none",
-        "request" => "op",
-        _ => text,
-    }
-}
-
 pub fn write_decision(reply: &mut String, decision: &Decision) {
     let flag = |b: bool| u8::from(b);
     let line = match decision {
--- /dev/null
+++ b/crates/hazelspur-parsers/src/lib.rs
@@ -0,0 +1,11 @@
+//! Reads and writes the texts of all fronts; no I/O.
+
+pub mod buffer;
+pub mod http;
+pub mod json;
+pub mod rpc;
+pub mod runtime;
+pub mod settings;
+
+pub use buffer::Buffer;
+pub use json::Json;
--- /dev/null
+++ b/crates/hazelspur-server/src/desk.rs
@@ -0,0 +1,120 @@
+//! The desk owns the `Logic`: tasks report inputs, the desk pulls decisions once all that has come in is told,
+//! and hands each to the op's task or to its owner.
+
+use crate::clock::Clock;
+use hazelspur::{Decision, Logic, Moment, OpId, Outcome, Span};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// What the task of an op hears.
+pub enum News {
+    Decided(Decision),
+    Wants(Vec<u8>),
+    Ended(Outcome, Vec<u8>),
+    /// Nobody waits for it any more.
+    Gone,
+}
+
+#[derive(Default)]
+pub struct Desk {
+    pub clock: Clock,
+    logic: RefCell<Option<Logic>>,
+    ops: RefCell<BTreeMap<OpId, UnboundedSender<News>>>,
+    stirred: Notify,
+    /// What the last decisions for nobody's op said, for those who go by them.
+    pub good: Cell<bool>,
+    pub signal: Cell<Option<f64>>,
+    pub keep_idle: Cell<Option<Span>>,
+    pub wake: Cell<Option<Moment>>,
+    pub wake_set: Notify,
+}
+
+impl Desk {
+    pub fn open(&self, logic: Logic) {
+        *self.logic.borrow_mut() = Some(logic);
+        self.stirred.notify_one();
+    }
+
+    pub fn is_open(&self) -> bool {
+        self.logic.borrow().is_some()
+    }
+
+    /// Reports an input. A failure inside the module is logged and leaves the rest of the program going.
+    pub fn tell(&self, input: impl FnOnce(&mut Logic, Moment)) {
+        let now = self.clock.now();
+        if let Some(logic) = self.logic.borrow_mut().as_mut()
+            && catch_unwind(AssertUnwindSafe(|| input(logic, now))).is_err()
+        {
+            log::error!("module failed at=input");
+        }
+        self.stirred.notify_one();
+    }
+
+    /// From now on what concerns this op goes to the receiver; `None` where an op has this id already.
+    pub fn enroll(&self, op: OpId) -> Option<UnboundedReceiver<News>> {
+        let (to, from) = unbounded_channel();
+        let mut ops = self.ops.borrow_mut();
+        if ops.contains_key(&op) {
+            return None;
+        }
+        ops.insert(op, to);
+        Some(from)
+    }
+
+    pub fn strike(&self, op: OpId) {
+        self.ops.borrow_mut().remove(&op);
+    }
+
+    pub fn hand(&self, op: OpId, news: News) {
+        if let Some(to) = self.ops.borrow().get(&op) {
+            let _ = to.send(news); // its task may just have ended
+        }
+    }
+
+    /// Pulls whenever something was reported, but only after everything else that is ready has run.
+    pub async fn run(&self) {
+        loop {
+            self.stirred.notified().await;
+            tokio::task::yield_now().await;
+            while let Some(decision) = self.pull() {
+                self.carry_out(decision);
+            }
+        }
+    }
+
+    fn pull(&self) -> Option<Decision> {
+        let now = self.clock.now();
+        let mut logic = self.logic.borrow_mut();
+        let logic = logic.as_mut()?;
+        catch_unwind(AssertUnwindSafe(|| logic.next_decision(now))).unwrap_or_else(|_| {
+            log::error!("module failed at=decision");
+            None
+        })
+    }
+
+    fn carry_out(&self, decision: Decision) {
+        log::trace!("decided {decision:?}");
+        match decision {
+            Decision::Say(value) => self.signal.set(Some(value)),
+            Decision::Health { good, .. } => self.good.set(good),
+            Decision::CloseIdle(span) => self.keep_idle.set(Some(span)),
+            Decision::Log(text) => log::info!("{text}"),
+            Decision::Wake(at) => {
+                self.wake.set(Some(at));
+                self.wake_set.notify_one();
+            }
+            Decision::Run(op)
+            | Decision::Stop(op)
+            | Decision::Nack { op, .. }
+            | Decision::Fail(op)
+            | Decision::AnswerFrom(op)
+            | Decision::Call { op, .. }
+            | Decision::SkipCall(op)
+            | Decision::KeepKey { op, .. }
+            | Decision::DropKey(op) => self.hand(op, News::Decided(decision)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-server/src/ledger.rs
@@ -0,0 +1,110 @@
+//! Calls to the shared ledger, one at a time on a connection; closing a connection gives its call up.
+
+use crate::clock::{Clock, long};
+use hazelspur::{Moment, OpId, Outcome, Span};
+use hazelspur_parsers::{Buffer, http};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// The ledger closes connections that stood idle for 10 s.
+const REUSE_WITHIN: Span = Span::from_ms(5000);
+const MOST_IDLE: usize = 16;
+/// The ledger ends a call in time by itself; only past this is it given up from here.
+const PATIENCE_SLACK: Span = Span::from_ms(15);
+const UNTOUCHED: &str = "X-Untouched";
+
+pub struct Ledger {
+    address: SocketAddr,
+    idle: RefCell<Vec<(Moment, TcpStream)>>,
+}
+
+impl Ledger {
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, idle: RefCell::default() }
+    }
+
+    /// Makes the call for a run; dropping the future gives it up.
+    pub async fn call(&self, clock: &Clock, op: OpId, patience: Span, body: &[u8]) -> (Outcome, Vec<u8>) {
+        let until = clock.now() + patience + PATIENCE_SLACK;
+        let kept = self.kept(clock.now());
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => match tokio::time::timeout(long(patience), TcpStream::connect(self.address)).await {
+                Ok(Ok(stream)) => stream,
+                _ => return (Outcome::Unreached, Vec::new()),
+            },
+        };
+        let _ = stream.set_nodelay(true);
+        let left = (until - clock.now()).max(Span::from_ms(1));
+        match tokio::time::timeout(long(left), self.exchange(&mut stream, op, patience, body)).await {
+            Ok(Ok((outcome, stays, reply))) => {
+                if stays {
+                    self.keep(clock.now(), stream);
+                }
+                (outcome, reply)
+            }
+            Ok(Err(why)) => {
+                log::debug!("ledger call broke op={op} why={why}");
+                (Outcome::Broken, Vec::new())
+            }
+            Err(_) => (Outcome::TimedOut, Vec::new()),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        stream: &mut TcpStream,
+        op: OpId,
+        patience: Span,
+        body: &[u8],
+    ) -> Result<(Outcome, bool, Vec<u8>), String> {
+        let (id, limit) = (op.to_string(), (patience.us() / 1000).max(1).to_string());
+        let mut out = Vec::new();
+        let more = [("X-Txn-Ref", id.as_str()), ("X-Limit-Ms", limit.as_str())];
+        http::write_call(&mut out, "POST", "/post", &self.address.to_string(), &more, body);
+        stream.write_all(&out).await.map_err(|e| e.to_string())?;
+        let mut buffer = Buffer::default();
+        loop {
+            let closed = stream.read_buf(buffer.room()).await.map_err(|e| e.to_string())? == 0;
+            if let Some((status, untouched, stays, reply)) = http::reply(buffer.unread(), UNTOUCHED, closed)?
+            {
+                return Ok((outcome(status, untouched), stays, reply));
+            }
+            if closed {
+                return Err("closed".into());
+            }
+        }
+    }
+
+    /// A kept connection that is young and silent; whatever has something to say is no use for a call.
+    fn kept(&self, now: Moment) -> Option<TcpStream> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|(since, _)| now - *since < REUSE_WITHIN);
+        while let Some((_, stream)) = idle.pop() {
+            let silent = stream.try_read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+            if silent {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, now: Moment, stream: TcpStream) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MOST_IDLE {
+            idle.push((now, stream));
+        }
+    }
+}
+
+fn outcome(status: u16, untouched: bool) -> Outcome {
+    match status {
+        200 => Outcome::Ok,
+        409 if untouched => Outcome::Moot,
+        _ if untouched => Outcome::Full,
+        504 => Outcome::TimedOut,
+        _ => Outcome::Error,
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-server/src/main.rs
@@ -0,0 +1,98 @@
+//! The hazelspur server: gateways on one side, the runtime, the ledger and the control plane on the other,
+//! every decision in between made by `hazelspur::Logic`.
+
+mod answers;
+mod clock;
+mod control;
+mod desk;
+mod gateways;
+mod ledger;
+mod logger;
+mod ops;
+mod phases;
+mod runtime;
+mod startup;
+
+use clock::sleep;
+use desk::Desk;
+use gateways::Gateways;
+use hazelspur::{Fact, Logic, Span};
+use ledger::Ledger;
+use ops::Means;
+use phases::{Phase, Phases};
+use runtime::Link;
+use startup::Startup;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+/// The process ends this long before it would be killed.
+const STOP_MARGIN: Span = Span::from_ms(60);
+
+fn main() -> ExitCode {
+    logger::begin(&std::env::var("HAZELSPUR_LOG").unwrap_or_default());
+    let startup = match startup::read(|name| std::env::var(name).ok()) {
+        Ok(startup) => startup,
+        Err(why) => {
+            log::error!("start refused: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime.map(|runtime| LocalSet::new().block_on(&runtime, serve(startup))) {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(e)) | Err(e) => {
+            log::error!("server ended: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(startup: Startup) -> std::io::Result<()> {
+    let Startup { name, listen, runtime, ledger, control, seed, stop, sockets, mut facts } = startup;
+    let mut leave = signal(SignalKind::terminate())?;
+    let listener = TcpListener::bind(listen).await?;
+    let (desk, phases) = (Rc::new(Desk::default()), Rc::new(Phases::default()));
+    let gauge_names = (0..64).map(|i| facts.text(&format!("server.meters.{i}")).to_string());
+    let link = Rc::new(Link::new(desk.clone(), gauge_names.take_while(|name| !name.is_empty()).collect()));
+    let means = Means { desk: desk.clone(), link: link.clone(), ledger: Rc::new(Ledger::new(ledger)) };
+    let gateways = Rc::new(Gateways::new(Rc::new(means), phases.clone(), &facts, sockets));
+    let grace = Span::from_us(facts.num("rules.drain_grace_us", 0.0) as u64);
+    log::info!("start name={name} listen={listen} stop_ms={}", stop.us() / 1000);
+
+    spawn_local(gateways.clone().accept(listener));
+    spawn_local(gateways.clone().keep());
+    spawn_local(link.clone().run(runtime));
+    spawn_local(link.clone().beat());
+    spawn_local(control::report(name, control, desk.clone(), phases.clone()));
+    spawn_local({
+        let desk = desk.clone();
+        async move { desk.run().await }
+    });
+
+    let (hot, up) = tokio::select! {
+        state = link.ready() => state,
+        _ = leave.recv() => return Ok(()),
+    };
+    facts.0.insert("server.cold".into(), Fact::Num(f64::from(u8::from(!hot))));
+    let began = desk.clock.now().back(up);
+    desk.open(Logic::new(facts, seed, began).map_err(std::io::Error::other)?);
+    phases.enter(Phase::Serving);
+
+    leave.recv().await;
+    let noticed = desk.clock.now();
+    let stop = noticed + stop;
+    desk.tell(|logic, now| logic.leave_notice(now, stop));
+    phases.enter(Phase::Leaving { noticed, stop });
+    desk.clock.sleep_until((noticed + grace).min(stop.back(STOP_MARGIN))).await;
+
+    phases.enter(Phase::Closing { stop });
+    while desk.clock.now() < stop.back(STOP_MARGIN) && gateways.connected() > 0 {
+        sleep(Span::from_ms(5)).await;
+    }
+    phases.enter(Phase::Over);
+    log::info!("end open={} connections={}", gateways.open(), gateways.connected());
+    Ok(())
+}
--- /dev/null
+++ b/crates/hazelspur-server/src/ops.rs
@@ -0,0 +1,125 @@
+//! The life of one op: read, decided, run, calls, result, answer. Whatever path it takes, it ends with one
+//! answer or with a caller that is gone, and the module is told.
+
+use crate::answers::Owed;
+use crate::desk::{Desk, News};
+use crate::ledger::Ledger;
+use crate::runtime::Link;
+use hazelspur::{Decision, OpId, Outcome};
+use std::future::{Future, pending};
+use std::pin::Pin;
+use std::rc::Rc;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// What an op's task works with.
+pub struct Means {
+    pub desk: Rc<Desk>,
+    pub link: Rc<Link>,
+    pub ledger: Rc<Ledger>,
+}
+
+pub struct Life {
+    pub means: Rc<Means>,
+    pub op: OpId,
+    pub class: Rc<str>,
+    pub body: Rc<[u8]>,
+    pub owed: Owed,
+    pub news: UnboundedReceiver<News>,
+}
+
+type CallUnderWay = Pin<Box<dyn Future<Output = (Outcome, Vec<u8>)>>>;
+
+impl Life {
+    /// From the moment the op is read and the module told.
+    pub async fn live(mut self) {
+        let means = self.means.clone();
+        let (desk, link) = (&means.desk, &means.link);
+        'held: while let Some(news) = self.news.recv().await {
+            // decided
+            match news {
+                News::Decided(Decision::Run(_)) => {}
+                News::Decided(decision) => {
+                    self.answer(&decision);
+                    if self.owed.pending() {
+                        continue;
+                    }
+                    return;
+                }
+                News::Gone => return self.owed.release(),
+                News::Wants(_) | News::Ended(..) => continue,
+            }
+            // run
+            link.start(self.op, self.class.clone(), self.body.clone());
+            let mut wanted: Rc<[u8]> = Rc::from([]);
+            let mut call: CallUnderWay = Box::pin(pending());
+            loop {
+                let news = tokio::select! {
+                    biased;
+                    news = self.news.recv() => news,
+                    (outcome, reply) = &mut call => {
+                        call = Box::pin(pending());
+                        if outcome == Outcome::Ok {
+                            link.give(self.op, reply);
+                        }
+                        desk.tell(|logic, now| logic.call_ended(now, self.op, outcome));
+                        continue;
+                    }
+                };
+                match news {
+                    // calls
+                    Some(News::Wants(body)) => {
+                        wanted = body.into();
+                        desk.tell(|logic, now| logic.call_wanted(now, self.op));
+                    }
+                    Some(News::Decided(Decision::Call { patience, .. })) => {
+                        let (means, op, wanted) = (means.clone(), self.op, wanted.clone());
+                        call = Box::pin(async move {
+                            means.ledger.call(&means.desk.clock, op, patience, &wanted).await
+                        });
+                    }
+                    // an answer before the run's end, or none at all: the run goes on, its call does not
+                    Some(News::Decided(Decision::Stop(_))) => link.stop(self.op),
+                    Some(News::Decided(decision)) => {
+                        self.answer(&decision);
+                        call = Box::pin(pending());
+                    }
+                    Some(News::Gone) => {
+                        self.owed.release();
+                        call = Box::pin(pending());
+                    }
+                    // result
+                    Some(News::Ended(outcome, result)) => {
+                        desk.tell(|logic, now| logic.run_ended(now, self.op, outcome));
+                        match outcome {
+                            Outcome::Ok => self.owed.acked(&result),
+                            Outcome::Stopped if self.owed.pending() => continue 'held,
+                            _ => self.owed.failed(),
+                        }
+                        return;
+                    }
+                    None => return,
+                }
+            }
+        }
+    }
+
+    /// Gives the answer that a decision stands for.
+    fn answer(&mut self, decision: &Decision) {
+        match decision {
+            Decision::Nack { come_back, nowhere_else, .. } => self.owed.nacked(*come_back, *nowhere_else),
+            Decision::Fail(_) => self.owed.failed(),
+            _ => log::warn!("not possible here: {decision:?}"),
+        }
+    }
+}
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        if self.owed.pending() {
+            let op = self.op;
+            log::error!("op left without an answer op={op}");
+            self.means.desk.tell(|logic, _| logic.op_gone(op));
+        }
+        self.means.desk.strike(self.op);
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-server/src/phases.rs
@@ -0,0 +1,58 @@
+//! The program's phases from start to exit, as named states of one object.
+
+use hazelspur::Moment;
+use std::cell::Cell;
+use tokio::sync::Notify;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Phase {
+    /// Listening; the runtime is not up yet and no op can run.
+    Waiting,
+    Serving,
+    /// The leave notice is read; what arrives within the grace still runs.
+    Leaving {
+        noticed: Moment,
+        stop: Moment,
+    },
+    /// The grace is over: no new connections, farewells go out, what is read is answered.
+    Closing {
+        stop: Moment,
+    },
+    Over,
+}
+
+pub struct Phases {
+    phase: Cell<Phase>,
+    changed: Notify,
+}
+
+impl Default for Phases {
+    fn default() -> Self {
+        Self { phase: Cell::new(Phase::Waiting), changed: Notify::new() }
+    }
+}
+
+impl Phases {
+    pub fn now(&self) -> Phase {
+        self.phase.get()
+    }
+
+    pub fn enter(&self, phase: Phase) {
+        log::info!("phase from={:?} to={phase:?}", self.phase.get());
+        self.phase.set(phase);
+        self.changed.notify_waiters();
+    }
+
+    /// Comes back once `wanted` holds.
+    pub async fn reached(&self, wanted: impl Fn(Phase) -> bool) {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if wanted(self.phase.get()) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-server/src/runtime.rs
@@ -0,0 +1,281 @@
+//! The link to the runtime: commands out, notices in, and what is still unanswered when the link breaks.
+
+use crate::clock::sleep;
+use crate::desk::{Desk, News};
+use hazelspur::{Moment, OpId, Outcome, Span};
+use hazelspur_parsers::{Buffer, runtime};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+const PAUSE: Span = Span::from_ms(20);
+const LONGEST_PAUSE: Span = Span::from_ms(500);
+const CONNECTING: Span = Span::from_ms(1000);
+/// The replay is over when the gauges asked for behind it come; they are not waited for longer than this.
+const REPLAY: Span = Span::from_ms(2000);
+/// How long before the module's timer its gauges are asked for, and how old they may be.
+const GAUGES_LEAD: Span = Span::from_ms(4);
+const GAUGES_FRESH: Span = Span::from_ms(60);
+const FENCE: &str = "replayed";
+
+/// A run, and the commands on it that no notice has answered yet.
+struct Run {
+    class: Rc<str>,
+    body: Rc<[u8]>,
+    started: bool,
+    given: Option<Vec<u8>>,
+    stopped: bool,
+}
+
+pub struct Link {
+    desk: Rc<Desk>,
+    gauge_names: Vec<String>,
+    runs: RefCell<BTreeMap<OpId, Run>>,
+    last: Cell<u64>,
+    /// Only while this holds do commands go out; else they wait in `runs`.
+    up: Cell<bool>,
+    fenced: Notify,
+    out: RefCell<Vec<u8>>,
+    more: Notify,
+    gauges: RefCell<Vec<f64>>,
+    gauges_at: Cell<Option<Moment>>,
+    state: Cell<Option<(bool, Span)>>,
+    state_known: Notify,
+}
+
+impl Link {
+    pub fn new(desk: Rc<Desk>, gauge_names: Vec<String>) -> Self {
+        Self {
+            desk,
+            gauge_names,
+            runs: RefCell::default(),
+            last: Cell::new(0),
+            up: Cell::new(false),
+            fenced: Notify::new(),
+            out: RefCell::default(),
+            more: Notify::new(),
+            gauges: RefCell::default(),
+            gauges_at: Cell::new(None),
+            state: Cell::new(None),
+            state_known: Notify::new(),
+        }
+    }
+
+    /// Whether the runtime started hot, and how long it is up; waits until it is.
+    pub async fn ready(&self) -> (bool, Span) {
+        loop {
+            if let Some(state) = self.state.get() {
+                return state;
+            }
+            self.state_known.notified().await;
+        }
+    }
+
+    pub fn start(&self, op: OpId, class: Rc<str>, body: Rc<[u8]>) {
+        self.send(|out| runtime::start(out, &op.to_string(), &class, &body));
+        let run = Run { class, body, started: true, given: None, stopped: false };
+        self.runs.borrow_mut().insert(op, run);
+    }
+
+    pub fn stop(&self, op: OpId) {
+        self.send(|out| runtime::stop(out, &op.to_string()));
+        if let Some(run) = self.runs.borrow_mut().get_mut(&op) {
+            run.stopped = true;
+        }
+    }
+
+    pub fn give(&self, op: OpId, reply: Vec<u8>) {
+        self.send(|out| runtime::give(out, &op.to_string(), &reply));
+        if let Some(run) = self.runs.borrow_mut().get_mut(&op) {
+            run.given = Some(reply);
+        }
+    }
+
+    fn send(&self, write: impl FnOnce(&mut Vec<u8>)) {
+        if self.up.get() {
+            write(&mut self.out.borrow_mut());
+            self.more.notify_one();
+        }
+    }
+
+    /// Keeps the link: connects, lets the runtime replay, re-sends, and again after each break.
+    pub async fn run(self: Rc<Self>, address: SocketAddr) {
+        let mut pause = PAUSE;
+        loop {
+            let connecting =
+                tokio::time::timeout(crate::clock::long(CONNECTING), TcpStream::connect(address));
+            match connecting.await {
+                Ok(Ok(stream)) => {
+                    pause = PAUSE;
+                    let why = self.serve(stream).await;
+                    self.up.set(false);
+                    log::warn!("runtime link broke last={} why={why}", self.last.get());
+                }
+                _ => log::debug!("runtime link refused"),
+            }
+            sleep(pause).await;
+            pause = (pause + pause).min(LONGEST_PAUSE);
+        }
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> String {
+        let _ = stream.set_nodelay(true);
+        let (mut read, mut write) = stream.split();
+        let mut out = std::mem::take(&mut *self.out.borrow_mut());
+        out.clear();
+        runtime::sync(&mut out, self.last.get());
+        if let Err(e) = write.write_all(&out).await {
+            return e.to_string();
+        }
+        let mut buffer = Buffer::default();
+        let reading = async {
+            loop {
+                match read.read_buf(buffer.room()).await {
+                    Ok(0) => return "closed".to_string(),
+                    Ok(_) => {}
+                    Err(e) => return e.to_string(),
+                }
+                loop {
+                    match runtime::read(buffer.unread(), &mut Ears(self)) {
+                        Ok(Some(used)) => buffer.take(used),
+                        Ok(None) => break,
+                        Err(e) => return e,
+                    }
+                }
+            }
+        };
+        let writing = async {
+            self.ready().await;
+            let mut out = Vec::new();
+            runtime::gauges(&mut out, FENCE);
+            loop {
+                if let Err(e) = write.write_all(&out).await {
+                    return e.to_string();
+                }
+                out.clear();
+                if !self.up.get() {
+                    let replay = tokio::time::timeout(crate::clock::long(REPLAY), self.fenced.notified());
+                    if replay.await.is_err() {
+                        return "no end of the replay".to_string();
+                    }
+                    self.resend(&mut out);
+                    self.up.set(true);
+                    continue;
+                }
+                self.more.notified().await;
+                tokio::task::yield_now().await;
+                std::mem::swap(&mut out, &mut *self.out.borrow_mut());
+            }
+        };
+        tokio::select! { why = reading => why, why = writing => why }
+    }
+
+    /// All replayed notices have been taken: whatever they did not answer goes out again.
+    fn resend(&self, out: &mut Vec<u8>) {
+        let mut again = 0;
+        for (op, run) in self.runs.borrow().iter() {
+            let (id, before) = (op.to_string(), out.len());
+            if run.started {
+                runtime::start(out, &id, &run.class, &run.body);
+            }
+            if let Some(reply) = &run.given {
+                runtime::give(out, &id, reply);
+            }
+            if run.stopped {
+                runtime::stop(out, &id);
+            }
+            again += usize::from(out.len() > before);
+        }
+        log::info!(
+            "runtime link up last={} runs={} again={again}",
+            self.last.get(),
+            self.runs.borrow().len()
+        );
+    }
+
+    /// Calls the module's timer when it asks to be woken, with gauges if fresh ones have come in time.
+    pub async fn beat(self: Rc<Self>) {
+        loop {
+            let Some(at) = self.desk.wake.take() else {
+                self.desk.wake_set.notified().await;
+                continue;
+            };
+            self.desk.clock.sleep_until(at.back(GAUGES_LEAD)).await;
+            self.send(|out| runtime::gauges(out, "beat"));
+            self.desk.clock.sleep_until(at).await;
+            let now = self.desk.clock.now();
+            let fresh = self.gauges_at.get().is_some_and(|seen| now - seen <= GAUGES_FRESH);
+            let gauges = self.gauges.borrow().clone();
+            let named = self.gauge_names.iter().map(String::as_str).zip(gauges).filter(|_| fresh);
+            let named: Vec<(&str, f64)> = named.collect();
+            self.desk.tell(|logic, now| logic.timer(now, &named));
+        }
+    }
+
+    fn unseen(&self, number: u64) -> bool {
+        let unseen = number > self.last.get();
+        self.last.set(number.max(self.last.get()));
+        unseen
+    }
+}
+
+/// Takes notices as they are decoded.
+struct Ears<'a>(&'a Link);
+
+impl runtime::Listener for Ears<'_> {
+    fn ready(&mut self, hot: bool, since_ms: u64) {
+        let link = self.0;
+        if link.state.replace(Some((hot, Span::from_ms(since_ms)))).is_none() {
+            log::info!("runtime ready hot={hot} up_ms={since_ms}");
+        }
+        link.state_known.notify_waiters();
+        link.state_known.notify_one();
+    }
+
+    fn end(&mut self, number: u64, id: &str, end: &str, result: &[u8]) {
+        let Some(op) = OpId::padded(id).filter(|_| self.0.unseen(number)) else { return };
+        self.0.runs.borrow_mut().remove(&op);
+        let outcome = match end {
+            "complete" => Outcome::Ok,
+            "cancelled" => Outcome::Stopped,
+            "unknown" => Outcome::Moot,
+            _ => Outcome::Error,
+        };
+        self.0.desk.hand(op, News::Ended(outcome, result.to_vec()));
+    }
+
+    fn wants(&mut self, number: u64, id: &str, body: &[u8]) {
+        let Some(op) = OpId::padded(id).filter(|_| self.0.unseen(number)) else { return };
+        if let Some(run) = self.0.runs.borrow_mut().get_mut(&op) {
+            run.started = false;
+            run.given = None;
+        }
+        self.0.desk.hand(op, News::Wants(body.to_vec()));
+    }
+
+    fn load(&mut self, tag: &str, values: &[f64]) {
+        if tag == FENCE {
+            self.0.fenced.notify_one();
+        }
+        *self.0.gauges.borrow_mut() = values.to_vec();
+        self.0.gauges_at.set(Some(self.0.desk.clock.now()));
+    }
+
+    fn nack(&mut self, command: &str, id: &str) {
+        log::warn!("runtime nack command={command} id={id}");
+        let Some(op) = OpId::padded(id) else { return };
+        if command == "start" && self.0.runs.borrow_mut().remove(&op).is_some() {
+            self.0.desk.hand(op, News::Ended(Outcome::Error, Vec::new()));
+        }
+    }
+
+    fn info(&mut self, number: u64, text: &str) {
+        if self.0.unseen(number) {
+            log::debug!("runtime info {text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-server/src/startup.rs
@@ -0,0 +1,72 @@
+//! What the program is told at its start: the one place where configuration is read, checked and given
+//! defaults. Every message names the key at fault.
+
+use hazelspur::{Facts, Moment, Span};
+use hazelspur_parsers::{Json, settings};
+use std::net::SocketAddr;
+
+const LONGEST_STOP: f64 = 600_000.0;
+
+pub struct Startup {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub runtime: SocketAddr,
+    pub ledger: SocketAddr,
+    pub control: SocketAddr,
+    pub seed: u64,
+    /// From the leave notice to the end of the process.
+    pub stop: Span,
+    pub sockets: usize,
+    pub facts: Facts,
+}
+
+/// Reads the file that `ROUTER_CONFIG` names; `ROUTER_NAME` and `ROUTER_LISTEN` stand in for absent keys.
+pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Startup, String> {
+    let path = variable("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
+    let text = std::fs::read(&path).map_err(|e| format!("ROUTER_CONFIG: {path}: {e}"))?;
+    check(&text, variable)
+}
+
+pub fn check(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Startup, String> {
+    let all = Json::parse(text).filter(|all| all.is_object()).ok_or("the configuration is no JSON object")?;
+    let word = |key: &str, instead: Option<String>| match all.get(key) {
+        Some(value) => value.text().map(|t| t.into_owned()).ok_or(format!("{key}: not a string")),
+        None => instead.ok_or(format!("{key}: missing")),
+    };
+    let address = |key: &str, instead: Option<String>| {
+        let text = word(key, instead)?;
+        text.parse::<SocketAddr>().map_err(|_| format!("{key}: not an address and port: {text}"))
+    };
+    let number = |of: Option<Json>, key: &str, default: f64, range: std::ops::RangeInclusive<f64>| {
+        let Some(value) = of else { return Ok(default) };
+        let n = value.number().filter(|n| range.contains(n));
+        n.ok_or(format!("{key}: not a number from {} to {}", range.start(), range.end()))
+    };
+    let limit = |key: &str| all.get("limits").and_then(|limits| limits.get(key));
+    number(limit("cores"), "limits.cores", 1.0, 0.01..=1e4)?;
+    number(limit("memory_mb"), "limits.memory_mb", 192.0, 1.0..=1e7)?;
+    let settings = all.get("settings").filter(|s| s.is_object()).ok_or("settings: missing or no object")?;
+    let facts = settings::facts(settings);
+    if !facts.has("op_types.0.target_latency_us") {
+        return Err("settings.lanes: missing or empty".into());
+    }
+    hazelspur::Logic::new(facts.clone(), 0, Moment::default()).map_err(|e| format!("settings: {e}"))?;
+    let seed = match all.get("seed") {
+        None => 0,
+        Some(seed) => seed
+            .text()
+            .and_then(|hex| u64::from_str_radix(&hex, 16).ok())
+            .ok_or("seed: not 16 hexadecimal digits")?,
+    };
+    Ok(Startup {
+        name: word("name", variable("ROUTER_NAME"))?,
+        listen: address("listen", variable("ROUTER_LISTEN"))?,
+        runtime: address("runtime", None)?,
+        ledger: address("ledger", None)?,
+        control: address("control", None)?,
+        seed,
+        stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
+        sockets: number(limit("sockets"), "limits.sockets", 1024.0, 32.0..=1e7)? as usize,
+        facts,
+    })
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-/// The 36 characters a front hands over for an op, given back unchanged.
+/// The characters a front hands over for an op, 36 or fewer, given back unchanged.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct OpId([u8; 36]);
 
@@ -10,11 +10,18 @@
     pub fn parse(text: &str) -> Option<Self> {
         text.as_bytes().try_into().ok().map(Self)
     }
+
+    /// A shorter id, filled up with blanks that are not shown again.
+    pub fn padded(text: &str) -> Option<Self> {
+        let fits = text.len() <= 36 && !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic());
+        let mut id = [b' '; 36];
+        fits.then(|| id[..text.len()].copy_from_slice(text.as_bytes())).map(|()| Self(id))
+    }
 }
 
 impl fmt::Display for OpId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(std::str::from_utf8(&self.0).unwrap_or("?"))
+        f.write_str(std::str::from_utf8(&self.0).unwrap_or("?").trim_end_matches(' '))
     }
 }
 
