--- a/crates/hazelspur-server/src/answers.rs
+++ b/crates/hazelspur-server/src/answers.rs
@@ -21,6 +21,7 @@
     more: Notify,
     being_written: Cell<bool>,
     settled: Notify,
+    taken: Notify,
 }
 
 impl Answers {
@@ -36,6 +37,7 @@
             more: Notify::new(),
             being_written: Cell::new(false),
             settled: Notify::new(),
+            taken: Notify::new(),
         }
     }
 
@@ -44,8 +46,11 @@
         self.more.notify_one();
     }
 
-    pub fn unwritten(&self) -> usize {
-        self.out.borrow().len()
+    /// Comes back once less than this waits to be written.
+    pub async fn written_below(&self, most: usize) {
+        while self.out.borrow().len() >= most {
+            self.taken.notified().await;
+        }
     }
 
     /// What is to be written next; the one before it is out.
@@ -58,11 +63,12 @@
         }
         self.being_written.set(true);
         std::mem::swap(out, &mut *self.out.borrow_mut());
+        self.taken.notify_one();
     }
 
     /// Comes back once nothing is open any more and all is written.
     pub async fn all_out(&self) {
-        while !self.open.borrow().is_empty() || self.unwritten() > 0 || self.being_written.get() {
+        while !self.open.borrow().is_empty() || !self.out.borrow().is_empty() || self.being_written.get() {
             self.settled.notified().await;
         }
     }
--- a/crates/hazelspur-server/src/desk.rs
+++ b/crates/hazelspur-server/src/desk.rs
@@ -2,10 +2,12 @@
 //! and hands each to the op's task or to its owner.
 
 use crate::clock::Clock;
+use crate::repeats::Repeats;
 use hazelspur::{Decision, Logic, Moment, OpId, Outcome, Span};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
@@ -23,6 +25,7 @@
     pub clock: Clock,
     logic: RefCell<Option<Logic>>,
     ops: RefCell<BTreeMap<OpId, UnboundedSender<News>>>,
+    pub repeats: RefCell<Repeats>,
     stirred: Notify,
     /// What the last decisions for nobody's op said, for those who go by them.
     pub good: Cell<bool>,
@@ -74,8 +77,14 @@
         }
     }
 
+    /// Tells those that wait for this try how it ended.
+    pub fn try_ended(&self, op: OpId, outcome: Outcome, result: &[u8]) {
+        let waiting = self.repeats.borrow_mut().ended(op, outcome, result);
+        waiting.into_iter().for_each(|op| self.hand(op, News::Ended(outcome, result.to_vec())));
+    }
+
     /// Pulls whenever something was reported, but only after everything else that is ready has run.
-    pub async fn run(&self) {
+    pub async fn run(self: Rc<Self>) {
         loop {
             self.stirred.notified().await;
             tokio::task::yield_now().await;
@@ -101,6 +110,8 @@
             Decision::Say(value) => self.signal.set(Some(value)),
             Decision::Health { good, .. } => self.good.set(good),
             Decision::CloseIdle(span) => self.keep_idle.set(Some(span)),
+            Decision::KeepKey { op, span } => self.repeats.borrow_mut().keep(op, self.clock.now() + span),
+            Decision::DropKey(op) => self.repeats.borrow_mut().release(op),
             Decision::Log(text) => log::info!("{text}"),
             Decision::Wake(at) => {
                 self.wake.set(Some(at));
@@ -112,9 +123,7 @@
             | Decision::Fail(op)
             | Decision::AnswerFrom(op)
             | Decision::Call { op, .. }
-            | Decision::SkipCall(op)
-            | Decision::KeepKey { op, .. }
-            | Decision::DropKey(op) => self.hand(op, News::Decided(decision)),
+            | Decision::SkipCall(op) => self.hand(op, News::Decided(decision)),
         }
     }
 }
--- a/crates/hazelspur-server/src/gateways.rs
+++ b/crates/hazelspur-server/src/gateways.rs
@@ -16,8 +16,8 @@
 const MOST_OPEN: usize = 32;
 const LONGEST_LINE: usize = 16 * 1024;
 const LONGEST_BODY: usize = 2048;
-/// A gateway that reads nothing of this much is not waited for.
-const MOST_UNWRITTEN: usize = 1024 * 1024;
+/// From a gateway that does not read this much, nothing more is read either.
+const MOST_UNWRITTEN: usize = 64 * 1024;
 const ROUND: Span = Span::from_ms(100);
 const CLOSING_ROUND: Span = Span::from_ms(10);
 /// How long a gateway may take to close a connection after a farewell.
@@ -60,8 +60,8 @@
         self.connections.borrow().len()
     }
 
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let closing = |phase| matches!(phase, Phase::Closing { .. } | Phase::Over);
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+        let closing = |phase| matches!(phase, Phase::Closing | Phase::Over);
         loop {
             tokio::select! {
                 () = self.phases.reached(closing) => break,
@@ -105,7 +105,7 @@
     /// Closes what has been idle for as long as the module says; while closing, all that is not in use.
     pub async fn keep(self: Rc<Self>) {
         loop {
-            let closing = matches!(self.phases.now(), Phase::Closing { .. });
+            let closing = matches!(self.phases.now(), Phase::Closing);
             let now = self.means.desk.clock.now();
             let idle = self.means.desk.keep_idle.get();
             for connection in self.connections.borrow().values() {
@@ -135,6 +135,7 @@
             let (mut buffer, mut skipping) = (Buffer::default(), false);
             while read.read_buf(buffer.room()).await? > 0 {
                 self.take_lines(&answers, &mut buffer, &mut skipping);
+                answers.written_below(MOST_UNWRITTEN).await;
             }
             std::io::Result::Ok(())
         };
@@ -142,9 +143,6 @@
             let mut out = Vec::new();
             loop {
                 answers.next_out(&mut out).await;
-                if out.len() > MOST_UNWRITTEN {
-                    return;
-                }
                 if write.write_all(&out).await.is_err() {
                     return;
                 }
@@ -178,7 +176,11 @@
 
     fn take_lines(&self, answers: &Rc<Answers>, buffer: &mut Buffer, skipping: &mut bool) {
         while let Some(length) = buffer.line() {
-            if !std::mem::take(skipping) {
+            if std::mem::take(skipping) {
+                // the rest of a line that was too long
+            } else if length > LONGEST_LINE {
+                complain(answers, None, (rpc::NOT_VALID, "the line is too long"));
+            } else {
                 self.take_line(answers, buffer.unread()[..length].trim_ascii_end());
             }
             buffer.take(length + 1);
@@ -211,8 +213,7 @@
                 answers.for_health.set(true);
                 answers.quiet_since.set(self.means.desk.clock.now());
                 let desk = &self.means.desk;
-                let ready = desk.good.get() && self.phases.now() == Phase::Serving;
-                answers.put(|out| rpc::check(out, id, ready, desk.signal.get()));
+                answers.put(|out| rpc::check(out, id, desk.good.get(), desk.signal.get()));
             }
             (class, Some(id)) => {
                 if let Err(refusal) = self.read_op(answers, id, class, params) {
@@ -263,6 +264,7 @@
         let timeout = timeout.map(|ms| ms.ok_or(bad("timeout is no time"))).transpose()?;
         let subject =
             params.get("subject").map(|s| s.text().ok_or(bad("subject is no string"))).transpose()?;
+        let opkey = params.get("opkey").map(|k| k.text().ok_or(bad("opkey is no string"))).transpose()?;
         let body = params.get("data").map_or(Some(Vec::new()), |data| rpc::body(&data.text()?));
         let body = body.filter(|body| body.len() <= LONGEST_BODY).ok_or(bad("data is no body"))?;
         if !level || ts > u64::MAX / 2000 {
@@ -278,14 +280,17 @@
         let arrived = Moment::from_us(ts * 1000);
         let due = timeout.map(|ms| arrived + Span::from_secs(ms / 1000.0));
         let user = subject.as_deref().map(UserKey::of);
+        let key = opkey.as_deref().map(UserKey::of).or(user);
+        let repeat_of = key
+            .and_then(|key| desk.repeats.borrow_mut().read(desk.clock.now(), op, (OpTypeId(op_type), key)));
         let owed = Owed::new(answers.clone(), id, op);
         desk.tell(|logic, now| {
-            let (op_type, tenant, caller) = (OpTypeId(op_type), TenantId(tenant), CallerId(via));
-            let age = now - arrived;
-            logic.op_read(now, op, op_type, tenant, user, caller, due, None, need, age, false, None);
+            let (kind, tenant, caller, age) =
+                (OpTypeId(op_type), TenantId(tenant), CallerId(via), now - arrived);
+            logic.op_read(now, op, kind, tenant, user, caller, due, None, need, age, false, repeat_of);
         });
         let class = self.op_types[op_type].clone();
-        let life = Life { means: self.means.clone(), op, class, body: body.into(), owed, news };
+        let life = Life { means: self.means.clone(), op, class, body: body.into(), repeat_of, owed, news };
         tokio::task::spawn_local(life.live());
         Ok(())
     }
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -10,6 +10,7 @@
 mod logger;
 mod ops;
 mod phases;
+mod repeats;
 mod runtime;
 mod startup;
 
@@ -50,6 +51,16 @@
     }
 }
 
+/// Runs a task that serves all ops, and again should it fail.
+fn keep_up<F: Future<Output = ()> + 'static>(name: &'static str, task: impl Fn() -> F + 'static) {
+    spawn_local(async move {
+        while spawn_local(task()).await.is_err() {
+            log::error!("task failed name={name}");
+            sleep(Span::from_ms(10)).await;
+        }
+    });
+}
+
 async fn serve(startup: Startup) -> std::io::Result<()> {
     let Startup { name, listen, runtime, ledger, control, seed, stop, sockets, mut facts } = startup;
     let mut leave = signal(SignalKind::terminate())?;
@@ -62,15 +73,18 @@
     let grace = Span::from_us(facts.num("rules.drain_grace_us", 0.0) as u64);
     log::info!("start name={name} listen={listen} stop_ms={}", stop.us() / 1000);
 
-    spawn_local(gateways.clone().accept(listener));
-    spawn_local(gateways.clone().keep());
-    spawn_local(link.clone().run(runtime));
-    spawn_local(link.clone().beat());
-    spawn_local(control::report(name, control, desk.clone(), phases.clone()));
-    spawn_local({
-        let desk = desk.clone();
-        async move { desk.run().await }
-    });
+    let listener = Rc::new(listener);
+    let (of_gateways, of_link) = (gateways.clone(), link.clone());
+    keep_up("accept", move || of_gateways.clone().accept(listener.clone()));
+    let of_gateways = gateways.clone();
+    keep_up("connections", move || of_gateways.clone().keep());
+    keep_up("runtime", move || of_link.clone().run(runtime));
+    let of_link = link.clone();
+    keep_up("beat", move || of_link.clone().beat());
+    let (of_desk, of_phases) = (desk.clone(), phases.clone());
+    keep_up("control", move || control::report(name.clone(), control, of_desk.clone(), of_phases.clone()));
+    let of_desk = desk.clone();
+    keep_up("desk", move || of_desk.clone().run());
 
     let (hot, up) = tokio::select! {
         state = link.ready() => state,
@@ -85,10 +99,10 @@
     let noticed = desk.clock.now();
     let stop = noticed + stop;
     desk.tell(|logic, now| logic.leave_notice(now, stop));
-    phases.enter(Phase::Leaving { noticed, stop });
+    phases.enter(Phase::Leaving);
     desk.clock.sleep_until((noticed + grace).min(stop.back(STOP_MARGIN))).await;
 
-    phases.enter(Phase::Closing { stop });
+    phases.enter(Phase::Closing);
     while desk.clock.now() < stop.back(STOP_MARGIN) && gateways.connected() > 0 {
         sleep(Span::from_ms(5)).await;
     }
--- a/crates/hazelspur-server/src/ops.rs
+++ b/crates/hazelspur-server/src/ops.rs
@@ -23,6 +23,7 @@
     pub op: OpId,
     pub class: Rc<str>,
     pub body: Rc<[u8]>,
+    pub repeat_of: Option<OpId>,
     pub owed: Owed,
     pub news: UnboundedReceiver<News>,
 }
@@ -38,6 +39,12 @@
             // decided
             match news {
                 News::Decided(Decision::Run(_)) => {}
+                News::Decided(Decision::AnswerFrom(_)) => {
+                    let first = self.repeat_of.unwrap_or(self.op);
+                    let end = desk.repeats.borrow_mut().wait_for(first, self.op);
+                    end.into_iter().for_each(|(end, result)| desk.hand(self.op, News::Ended(end, result)));
+                    continue;
+                }
                 News::Decided(decision) => {
                     self.answer(&decision);
                     if self.owed.pending() {
@@ -46,7 +53,16 @@
                     return;
                 }
                 News::Gone => return self.owed.release(),
-                News::Wants(_) | News::Ended(..) => continue,
+                News::Wants(_) => continue,
+                News::Ended(outcome, result) => {
+                    // the end of the try that this one repeats
+                    desk.tell(|logic, now| logic.run_ended(now, self.op, outcome));
+                    return if outcome == Outcome::Ok {
+                        self.owed.acked(&result)
+                    } else {
+                        self.owed.failed()
+                    };
+                }
             }
             // run
             link.start(self.op, self.class.clone(), self.body.clone());
@@ -91,7 +107,10 @@
                     Some(News::Ended(outcome, result)) => {
                         desk.tell(|logic, now| logic.run_ended(now, self.op, outcome));
                         match outcome {
-                            Outcome::Ok => self.owed.acked(&result),
+                            Outcome::Ok => {
+                                desk.try_ended(self.op, outcome, &result);
+                                self.owed.acked(&result);
+                            }
                             Outcome::Stopped if self.owed.pending() => continue 'held,
                             _ => self.owed.failed(),
                         }
@@ -120,6 +139,7 @@
             log::error!("op left without an answer op={op}");
             self.means.desk.tell(|logic, _| logic.op_gone(op));
         }
+        self.means.desk.try_ended(self.op, Outcome::Error, &[]);
         self.means.desk.strike(self.op);
     }
 }
--- a/crates/hazelspur-server/src/phases.rs
+++ b/crates/hazelspur-server/src/phases.rs
@@ -1,26 +1,32 @@
 //! The program's phases from start to exit, as named states of one object.
 
-use hazelspur::Moment;
 use std::cell::Cell;
 use tokio::sync::Notify;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, PartialEq)]
 pub enum Phase {
     /// Listening; the runtime is not up yet and no op can run.
     Waiting,
     Serving,
     /// The leave notice is read; what arrives within the grace still runs.
-    Leaving {
-        noticed: Moment,
-        stop: Moment,
-    },
+    Leaving,
     /// The grace is over: no new connections, farewells go out, what is read is answered.
-    Closing {
-        stop: Moment,
-    },
+    Closing,
     Over,
 }
 
+impl Phase {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Serving => "serving",
+            Self::Leaving => "leaving",
+            Self::Closing => "closing",
+            Self::Over => "over",
+        }
+    }
+}
+
 pub struct Phases {
     phase: Cell<Phase>,
     changed: Notify,
@@ -38,7 +44,7 @@
     }
 
     pub fn enter(&self, phase: Phase) {
-        log::info!("phase from={:?} to={phase:?}", self.phase.get());
+        log::info!("phase {}", phase.name());
         self.phase.set(phase);
         self.changed.notify_waiters();
     }
