--- /dev/null
+++ b/crates/hazelspur-parsers/tests/texts.rs
@@ -0,0 +1,204 @@
+//! What the parsers make of whole, cut and broken texts.
+
+use hazelspur_parsers::{Buffer, Json, http, rpc, runtime, settings};
+use std::fmt::Write;
+
+#[test]
+fn json_is_read_where_it_stands() {
+    let texts = [
+        r#" {"a":1.5e1,"b":[true,null,"x\u00e9\ud83d\ude00\n"],"a":2} "#,
+        r#"{"a":01}"#,
+        r#"{"a":1,}"#,
+        r#"{"a":"\x"}"#,
+        r#"{"a":"\ud800"}"#,
+        "[1 2]",
+        "1e999",
+        "-",
+        "\"tab\there\"",
+        &"[".repeat(40),
+        &format!("{}1{}", "[".repeat(30), "]".repeat(30)),
+        "{} {}",
+    ];
+    let mut seen = String::new();
+    for text in texts {
+        let json = Json::parse(text.as_bytes());
+        let a = json.and_then(|json| json.get("a"));
+        let items = json.and_then(|json| json.get("b")).map_or(0, |b| b.items().count());
+        let last = json.and_then(|json| json.get("b")?.items().last()?.text());
+        let _ = writeln!(
+            seen,
+            "{} a={:?}/{:?} items={items} last={last:?} number={:?}",
+            if json.is_some() { "good" } else { "bad" },
+            a.and_then(Json::number),
+            a.and_then(Json::text),
+            json.and_then(Json::number),
+        );
+    }
+    expect_test::expect![[r#"
+        good a=Some(15.0)/None items=3 last=Some("xé😀\n") number=None
+        bad a=None/None items=0 last=None number=None
+        bad a=None/None items=0 last=None number=None
+        bad a=None/None items=0 last=None number=None
+        good a=None/None items=0 last=None number=None
+        bad a=None/None items=0 last=None number=None
+        good a=None/None items=0 last=None number=None
+        bad a=None/None items=0 last=None number=None
+        bad a=None/None items=0 last=None number=None
+        bad a=None/None items=0 last=None number=None
+        good a=None/None items=0 last=None number=None
+        bad a=None/None items=0 last=None number=None
+    "#]].assert_eq(&seen);
+}
+
+#[test]
+fn settings_come_out_flat_and_in_our_words() {
+    let text = r#"{"lanes":[{"aim-us":1800000,"semantics":"safe"}],"family-info":{"n-cores":6,"cold":true,
+        "below":"silent","new":null,"odd":1e999},"orgs":[{"quota-rps":49.0}]}"#;
+    let facts = settings::facts(Json::parse(text.as_bytes()).expect("good"));
+    let seen: String = facts.0.iter().map(|(name, fact)| format!("{name} {fact:?}\n")).collect();
+    expect_test::expect![[r#"
+        op_types.0.repeats Text("retryable")
+        op_types.0.target_latency_us Num(1800000.0)
+        server.below Text("none")
+        server.cold Num(1.0)
+        server.cores Num(6.0)
+        server.odd Num(NaN)
+        tenants.0.quota_per_s Num(49.0)
+    "#]].assert_eq(&seen);
+}
+
+#[derive(Default)]
+struct Heard(String);
+
+impl runtime::Listener for Heard {
+    fn ready(&mut self, hot: bool, since_ms: u64) {
+        self.0 += &format!("ready {hot} {since_ms}\n");
+    }
+    fn end(&mut self, number: u64, id: &str, end: &str, result: &[u8]) {
+        self.0 += &format!("end {number} {id} {end} {result:?}\n");
+    }
+    fn wants(&mut self, number: u64, id: &str, body: &[u8]) {
+        self.0 += &format!("wants {number} {id} {body:?}\n");
+    }
+    fn load(&mut self, tag: &str, values: &[f64]) {
+        self.0 += &format!("load {tag} {values:?}\n");
+    }
+    fn nack(&mut self, command: &str, id: &str) {
+        self.0 += &format!("nack {command} {id}\n");
+    }
+    fn info(&mut self, number: u64, text: &str) {
+        self.0 += &format!("info {number} {text}\n");
+    }
+}
+
+#[test]
+fn runtime_lines_come_whole_however_they_are_cut() {
+    let text =
+        b"ready chilly 12\r\nend 1 aa complete 80 3\r\n\r\nx\r\nwants 2 bb 0\r\n\r\nload t 0.5 3 0 12\r\n\
+        info 3 all is well\r\nnack give cc\r\n";
+    let mut heard = Heard::default();
+    let mut buffer = Buffer::default();
+    for byte in text {
+        buffer.room().push(*byte);
+        while let Some(used) = runtime::read(buffer.unread(), &mut heard).expect("good lines") {
+            buffer.take(used);
+        }
+    }
+    heard.0 += &format!("left {}\n", buffer.unread().len());
+    for bad in
+        ["end 1 aa complete 80 x\r\n", "hello\r\n", "end 1 aa error 0 0\r\nxx", "ready hot -1\r\n", "\r\n"]
+    {
+        heard.0 += &format!("{:?}\n", runtime::read(bad.as_bytes(), &mut Heard::default()));
+    }
+    let endless = [b'x'; 9000];
+    heard.0 += &format!("{:?}\n", runtime::read(&endless, &mut Heard::default()));
+    expect_test::expect![[r#"
+        ready false 12
+        end 1 aa complete [13, 10, 120]
+        wants 2 bb []
+        load t [0.5, 3.0, 0.0, 12.0]
+        info 3 all is well
+        nack give cc
+        left 0
+        Err("an unreadable line: end 1 aa complete 80 x")
+        Err("an unreadable line: hello")
+        Err("no line end after a body: end 1 aa error 0 0")
+        Err("an unreadable line: ready hot -1")
+        Err("an unreadable line: ")
+        Err("a line of over 8192 bytes")
+    "#]].assert_eq(&heard.0);
+}
+
+#[test]
+fn replies_of_all_kinds() {
+    let replies = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nx-untouched: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 204 Done\r\nConnection: close\r\n\r\n",
+        "HTTP/1.0 200 OK\r\n\r\nto the end",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        "SMTP 200\r\n\r\n",
+        "HTTP/1.1 2",
+    ];
+    let mut seen = String::new();
+    for reply in replies {
+        for closed in [false, true] {
+            let read = http::reply(reply.as_bytes(), "X-Untouched", closed);
+            let text = |body: Vec<u8>| String::from_utf8(body);
+            let read = read.map(|r| r.map(|(status, mark, stays, body)| (status, mark, stays, text(body))));
+            let _ = writeln!(seen, "{read:?}");
+        }
+    }
+    let mut out = Vec::new();
+    http::write_call(&mut out, "PUT", "/x", "h:1", &[("X-A", "b")], b"body");
+    seen += &String::from_utf8_lossy(&out).replace("\r\n", "|");
+    expect_test::expect![[r#"
+        Ok(Some((200, false, true, Ok("abc"))))
+        Ok(Some((200, false, true, Ok("abc"))))
+        Ok(None)
+        Ok(None)
+        Ok(Some((503, true, true, Ok(""))))
+        Ok(Some((503, true, true, Ok(""))))
+        Ok(Some((204, false, false, Ok(""))))
+        Ok(Some((204, false, false, Ok(""))))
+        Ok(None)
+        Ok(Some((200, false, false, Ok("to the end"))))
+        Ok(Some((200, false, true, Ok("abcd"))))
+        Ok(Some((200, false, true, Ok("abcd"))))
+        Err("an unreadable chunk")
+        Err("an unreadable chunk")
+        Err("an unreadable length")
+        Err("an unreadable length")
+        Err("the body is too long")
+        Err("the body is too long")
+        Err("not HTTP/1")
+        Err("not HTTP/1")
+        Ok(None)
+        Ok(None)
+        PUT /x HTTP/1.1|Host: h:1|X-A: b|Content-Length: 4||body"#]].assert_eq(&seen);
+}
+
+#[test]
+fn answers_as_they_go_out() {
+    let mut out = Vec::new();
+    rpc::result(&mut out, 7, b"done", Some(0.25));
+    rpc::check(&mut out, 8, true, None);
+    rpc::error(&mut out, Some(9), rpc::NACKED, "refused", Some(250.0), true, Some(1.0));
+    rpc::error(&mut out, Some(9), rpc::NACKED, "refused", None, true, None);
+    rpc::error(&mut out, None, rpc::NOT_JSON, "a \"quote\"\n", None, false, None);
+    rpc::farewell(&mut out);
+    let lines = String::from_utf8(out).expect("text");
+    assert!(lines.lines().all(|line| Json::parse(line.as_bytes()).is_some()));
+    expect_test::expect![[r#"
+        {"jsonrpc":"2.0","id":7,"result":{"data":"ZG9uZQ==","signal":0.25}}
+        {"jsonrpc":"2.0","id":8,"result":{"ready":true}}
+        {"jsonrpc":"2.0","id":9,"error":{"code":-32011,"message":"refused","data":{"holdoff":250,"nomore":1,"signal":1}}}
+        {"jsonrpc":"2.0","id":9,"error":{"code":-32011,"message":"refused","data":{"nomore":1}}}
+        {"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"a \"quote\"\u000a"}}
+        {"jsonrpc":"2.0","method":"farewell"}
+    "#]].assert_eq(&lines);
+}
