--- a/crates/hazelspur-parsers/tests/texts.rs
+++ b/crates/hazelspur-parsers/tests/texts.rs
@@ -47,7 +47,8 @@
         bad a=None/None items=0 last=None number=None
         good a=None/None items=0 last=None number=None
         bad a=None/None items=0 last=None number=None
-    "#]].assert_eq(&seen);
+    "#]]
+    .assert_eq(&seen);
 }
 
 #[test]
@@ -64,7 +65,8 @@
         server.cores Num(6.0)
         server.odd Num(NaN)
         tenants.0.quota_per_s Num(49.0)
-    "#]].assert_eq(&seen);
+    "#]]
+    .assert_eq(&seen);
 }
 
 #[derive(Default)]
@@ -126,7 +128,8 @@
         Err("an unreadable line: ready hot -1")
         Err("an unreadable line: ")
         Err("a line of over 8192 bytes")
-    "#]].assert_eq(&heard.0);
+    "#]]
+    .assert_eq(&heard.0);
 }
 
 #[test]
@@ -179,7 +182,8 @@
         Err("not HTTP/1")
         Ok(None)
         Ok(None)
-        PUT /x HTTP/1.1|Host: h:1|X-A: b|Content-Length: 4||body"#]].assert_eq(&seen);
+        PUT /x HTTP/1.1|Host: h:1|X-A: b|Content-Length: 4||body"#]]
+    .assert_eq(&seen);
 }
 
 #[test]
