Nack ops that come before the runtime is up; buffers shrink after bursts; link and ledger tests

An op read before the runtime was up was failed, though it never ran; gateways.rs now nacks it, so that its caller may go elsewhere. New tests: before the runtime is up; refused calls; an op read while the link is down is started once after the replay.

--- a/crates/hazelspur-server/src/answers.rs
+++ b/crates/hazelspur-server/src/answers.rs
@@ -8,6 +8,9 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
+/// What a buffer keeps after a burst.
+const KEPT_ROOM: usize = 16 * 1024;
+
 pub struct Answers {
     pub desk: Rc<Desk>,
     pub open: RefCell<BTreeMap<u64, OpId>>,
@@ -56,6 +59,7 @@
     /// What is to be written next; the one before it is out.
     pub async fn next_out(&self, out: &mut Vec<u8>) {
         out.clear();
+        out.shrink_to(KEPT_ROOM);
         self.being_written.set(false);
         self.settled.notify_one();
         while self.out.borrow().is_empty() {
--- a/crates/hazelspur-server/src/gateways.rs
+++ b/crates/hazelspur-server/src/gateways.rs
@@ -274,7 +274,7 @@
             return Err((rpc::NOT_VALID, "too many open, or this id is"));
         }
         if !desk.is_open() {
-            return Err((rpc::FAILED, "not serving yet"));
+            return Err((rpc::NACKED, "not serving yet"));
         }
         let news = desk.enroll(op).ok_or(bad("this req is in hand"))?;
         let arrived = Moment::from_us(ts * 1000);
--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -57,7 +57,16 @@
 }
 
 impl Town {
+    /// With a runtime that is up.
     fn new(name: &str, first: &str) -> (Self, End) {
+        let mut town = Self::started(name, first);
+        let mut link = town.link();
+        link.say("ready hot 1000\r\n");
+        link.hear(&mut town.trace);
+        (town, link)
+    }
+
+    fn started(name: &str, first: &str) -> Self {
         let ((runtime, at_runtime), (ledger, at_ledger)) = (listener(), listener());
         let (control, at_control) = listener();
         let (_, listen) = listener();
@@ -75,11 +84,7 @@
             r#"{{"name":"n1","listen":"{listen}","runtime":"{at_runtime}","ledger":"{at_ledger}","control":"{at_control}","seed":"000000000000002a","stop_ms":1500,"settings":{SETTINGS}}}"#
         );
         let server = start(name, &config, first);
-        let mut town = Self { server, listen, runtime, ledger, trace: String::new() };
-        let mut link = town.link();
-        link.say("ready hot 1000\r\n");
-        link.hear(&mut town.trace);
-        (town, link)
+        Self { server, listen, runtime, ledger, trace: String::new() }
     }
 
     /// The server's next link to the runtime.
@@ -211,6 +216,49 @@
     .assert_eq(&town.trace);
 }
 
+#[test]
+fn before_the_runtime_is_up_nothing_is_held() {
+    let mut town = Town::started("early", "");
+    let mut link = town.link();
+    let mut gateway = town.gateway();
+    let check = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n";
+    gateway.say(check);
+    gateway.hear(&mut town.trace);
+    gateway.say(&format!("{}\n", op(2, 2, "view", "")));
+    gateway.hear(&mut town.trace);
+    link.say("ready chilly 0\r\n");
+    link.hear(&mut town.trace);
+    std::thread::sleep(Duration::from_millis(50));
+    gateway.say(&check.replace('1', "3"));
+    gateway.hear(&mut town.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"ready":false}}
+        gateway < {"jsonrpc":"2.0","id":2,"error":{"code":-32011,"message":"not serving yet"}}
+        gateway < {"jsonrpc":"2.0","id":3,"result":{"ready":true}}
+    "#]].assert_eq(&town.trace);
+}
+
+#[test]
+fn calls_that_are_refused_are_given_up_after_some_tries() {
+    let (mut town, mut link) = Town::new("refused", "");
+    town.ledger = listener().0;
+    let mut gateway = town.gateway();
+    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
+    link.hear(&mut town.trace);
+    link.say(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
+    gateway.hear(&mut town.trace);
+    link.say(&format!("end 2 {} cancelled 300 0\r\n\r\n", id(1)));
+    gateway.say(&format!("{}\n", op(2, 2, "view", "")));
+    link.hear(&mut town.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"failed"}}
+        runtime < start 0000000000000002 view 5 hello
+    "#]].assert_eq(&town.trace);
+}
+
 #[test]
 fn a_broken_call_is_made_again_only_where_that_does_no_harm() {
     let (mut town, mut link) = Town::new("calls", "");
@@ -268,7 +316,12 @@
     gateway.hear(&mut town.trace);
     link.say("no notice at all\r\n");
     drop(link);
-    town.link();
+    let mut link = town.link();
+    gateway.say(&format!("{}\n", op(3, 3, "view", "")));
+    std::thread::sleep(Duration::from_millis(30));
+    link.say("ready hot 3000\r\n");
+    link.hear(&mut town.trace);
+    link.hear(&mut town.trace);
     expect_test::expect![[r#"
         runtime < sync 0
         runtime < start 0000000000000001 view 5 hello
@@ -278,6 +331,7 @@
         runtime < start 0000000000000002 view 5 hello
         gateway < {"jsonrpc":"2.0","id":2,"result":{"data":"dHdv"}}
         runtime < sync 2
+        runtime < start 0000000000000003 view 5 hello
     "#]]
     .assert_eq(&town.trace);
 }
