--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -236,7 +236,8 @@
         gateway < {"jsonrpc":"2.0","id":1,"result":{"ready":false}}
         gateway < {"jsonrpc":"2.0","id":2,"error":{"code":-32011,"message":"not serving yet"}}
         gateway < {"jsonrpc":"2.0","id":3,"result":{"ready":true}}
-    "#]].assert_eq(&town.trace);
+    "#]]
+    .assert_eq(&town.trace);
 }
 
 #[test]
@@ -256,7 +257,8 @@
         runtime < start 0000000000000001 view 5 hello
         gateway < {"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"failed"}}
         runtime < start 0000000000000002 view 5 hello
-    "#]].assert_eq(&town.trace);
+    "#]]
+    .assert_eq(&town.trace);
 }
 
 #[test]
