An op's life tells the module of its read, its end and a gone caller; ids typed; phases logged with figures

Before, gateways.rs told the module of reads and gone callers, so an op's life was spread over two files. A result that arrives for a held op now counts only where the op waits for the op that it repeats (ops.rs).

--- a/crates/hazelspur-parsers/src/rpc.rs
+++ b/crates/hazelspur-parsers/src/rpc.rs
@@ -5,6 +5,10 @@
 use base64::engine::general_purpose::STANDARD;
 use std::io::Write;
 
+/// A request's id on its connection.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RpcId(pub u64);
+
 pub const NACKED: i32 = -32011;
 pub const FAILED: i32 = -32000;
 pub const NOT_JSON: i32 = -32700;
@@ -16,7 +20,7 @@
     STANDARD.decode(text).ok()
 }
 
-pub fn result(out: &mut Vec<u8>, id: u64, data: &[u8], signal: Option<f64>) {
+pub fn result(out: &mut Vec<u8>, id: RpcId, data: &[u8], signal: Option<f64>) {
     head(out, Some(id));
     out.extend_from_slice(b",\"result\":{\"data\":\"");
     out.extend_from_slice(STANDARD.encode(data).as_bytes());
@@ -25,7 +29,7 @@
     out.extend_from_slice(b"}}\n");
 }
 
-pub fn check(out: &mut Vec<u8>, id: u64, ready: bool, signal: Option<f64>) {
+pub fn check(out: &mut Vec<u8>, id: RpcId, ready: bool, signal: Option<f64>) {
     head(out, Some(id));
     put(out, format_args!(",\"result\":{{\"ready\":{ready}"));
     field(out, "signal", signal);
@@ -35,7 +39,7 @@
 /// An error; `holdoff` in milliseconds and `nomore` go with a refusal.
 pub fn error(
     out: &mut Vec<u8>,
-    id: Option<u64>,
+    id: Option<RpcId>,
     code: i32,
     message: &str,
     holdoff: Option<f64>,
@@ -61,9 +65,9 @@
     out.extend_from_slice(b"{\"jsonrpc\":\"2.0\",\"method\":\"farewell\"}\n");
 }
 
-fn head(out: &mut Vec<u8>, id: Option<u64>) {
+fn head(out: &mut Vec<u8>, id: Option<RpcId>) {
     match id {
-        Some(id) => put(out, format_args!("{{\"jsonrpc\":\"2.0\",\"id\":{id}")),
+        Some(RpcId(id)) => put(out, format_args!("{{\"jsonrpc\":\"2.0\",\"id\":{id}")),
         None => out.extend_from_slice(b"{\"jsonrpc\":\"2.0\",\"id\":null"),
     }
 }
--- a/crates/hazelspur-parsers/tests/texts.rs
+++ b/crates/hazelspur-parsers/tests/texts.rs
@@ -1,5 +1,6 @@
 //! What the parsers make of whole, cut and broken texts.
 
+use hazelspur_parsers::rpc::RpcId;
 use hazelspur_parsers::{Buffer, Json, http, rpc, runtime, settings};
 use std::fmt::Write;
 
@@ -189,10 +190,10 @@
 #[test]
 fn answers_as_they_go_out() {
     let mut out = Vec::new();
-    rpc::result(&mut out, 7, b"done", Some(0.25));
-    rpc::check(&mut out, 8, true, None);
-    rpc::error(&mut out, Some(9), rpc::NACKED, "refused", Some(250.0), true, Some(1.0));
-    rpc::error(&mut out, Some(9), rpc::NACKED, "refused", None, true, None);
+    rpc::result(&mut out, RpcId(7), b"done", Some(0.25));
+    rpc::check(&mut out, RpcId(8), true, None);
+    rpc::error(&mut out, Some(RpcId(9)), rpc::NACKED, "refused", Some(250.0), true, Some(1.0));
+    rpc::error(&mut out, Some(RpcId(9)), rpc::NACKED, "refused", None, true, None);
     rpc::error(&mut out, None, rpc::NOT_JSON, "a \"quote\"\n", None, false, None);
     rpc::farewell(&mut out);
     let lines = String::from_utf8(out).expect("text");
--- a/crates/hazelspur-server/src/answers.rs
+++ b/crates/hazelspur-server/src/answers.rs
@@ -2,7 +2,7 @@
 
 use crate::desk::Desk;
 use hazelspur::{Moment, OpId, Span};
-use hazelspur_parsers::rpc;
+use hazelspur_parsers::rpc::{self, RpcId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -13,7 +13,7 @@
 
 pub struct Answers {
     pub desk: Rc<Desk>,
-    pub open: RefCell<BTreeMap<u64, OpId>>,
+    pub open: RefCell<BTreeMap<RpcId, OpId>>,
     /// Since when nothing is open on it.
     pub quiet_since: Cell<Moment>,
     pub said_farewell: Cell<Option<Moment>>,
@@ -86,12 +86,12 @@
 /// The one answer that is owed to an op's caller; if nobody gives it, dropping this fails the op.
 pub struct Owed {
     answers: Rc<Answers>,
-    id: u64,
+    id: RpcId,
     pending: bool,
 }
 
 impl Owed {
-    pub fn new(answers: Rc<Answers>, id: u64, op: OpId) -> Self {
+    pub fn new(answers: Rc<Answers>, id: RpcId, op: OpId) -> Self {
         answers.open.borrow_mut().insert(id, op);
         Self { answers, id, pending: true }
     }
@@ -128,7 +128,7 @@
         }
     }
 
-    fn answer(&mut self, write: impl FnOnce(u64, &mut Vec<u8>, Option<f64>)) {
+    fn answer(&mut self, write: impl FnOnce(RpcId, &mut Vec<u8>, Option<f64>)) {
         if self.pending {
             self.answers.put(|out| write(self.id, out, self.answers.desk.signal.get()));
             self.release();
--- a/crates/hazelspur-server/src/gateways.rs
+++ b/crates/hazelspur-server/src/gateways.rs
@@ -6,7 +6,8 @@
 use crate::ops::{Life, Means};
 use crate::phases::{Phase, Phases};
 use hazelspur::{CallerId, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
-use hazelspur_parsers::{Buffer, Json, rpc};
+use hazelspur_parsers::rpc::{self, RpcId};
+use hazelspur_parsers::{Buffer, Json};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -32,10 +33,13 @@
     op_types: Vec<Rc<str>>,
     tenants: Vec<String>,
     most: usize,
-    connections: RefCell<BTreeMap<u64, Rc<Answers>>>,
-    numbered: Cell<u64>,
+    connections: RefCell<BTreeMap<ConnectionId, Rc<Answers>>>,
+    last: Cell<ConnectionId>,
 }
 
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct ConnectionId(u64);
+
 /// An error answer: its code and what it says.
 type Refusal = (i32, &'static str);
 
@@ -46,14 +50,15 @@
             (0..4096).map(name).take_while(|name| !name.is_empty()).collect()
         };
         let op_types = names("op_types").into_iter().map(Rc::from).collect();
-        let (connections, numbered) = (RefCell::default(), Cell::new(0));
+        let (connections, last) = (RefCell::default(), Cell::default());
         let most = sockets.saturating_sub(KEPT_BACK).max(sockets / 2);
-        Self { means, phases, op_types, tenants: names("tenants"), most, connections, numbered }
+        Self { means, phases, op_types, tenants: names("tenants"), most, connections, last }
     }
 
-    /// Ops that are owed an answer.
-    pub fn open(&self) -> usize {
-        self.connections.borrow().values().map(|c| c.open.borrow().len()).sum()
+    /// How many ops are owed an answer, on how many connections.
+    pub fn figures(&self) -> String {
+        let open: usize = self.connections.borrow().values().map(|c| c.open.borrow().len()).sum();
+        format!("open={open} connections={}", self.connected())
     }
 
     pub fn connected(&self) -> usize {
@@ -126,9 +131,9 @@
 
     async fn converse(self: Rc<Self>, mut stream: TcpStream) {
         let answers = Rc::new(Answers::new(self.means.desk.clone()));
-        let number = self.numbered.get() + 1;
-        self.numbered.set(number);
-        self.connections.borrow_mut().insert(number, answers.clone());
+        let connection = ConnectionId(self.last.get().0 + 1);
+        self.last.set(connection);
+        self.connections.borrow_mut().insert(connection, answers.clone());
         let _ = stream.set_nodelay(true);
         let (mut read, mut write) = stream.split();
         let reading = async {
@@ -161,17 +166,12 @@
                 () = answers.all_out() => {}
             }
         }
-        self.connections.borrow_mut().remove(&number);
+        self.connections.borrow_mut().remove(&connection);
         let left: Vec<OpId> = answers.open.borrow().values().copied().collect();
         if !left.is_empty() {
             log::debug!("connection broke open={}", left.len());
         }
-        left.into_iter().for_each(|op| self.gone(op));
-    }
-
-    fn gone(&self, op: OpId) {
-        self.means.desk.tell(|logic, _| logic.op_gone(op));
-        self.means.desk.hand(op, News::Gone);
+        left.into_iter().for_each(|op| self.means.desk.hand(op, News::Gone));
     }
 
     fn take_lines(&self, answers: &Rc<Answers>, buffer: &mut Buffer, skipping: &mut bool) {
@@ -201,7 +201,7 @@
         let Some(message) = Json::parse(line).filter(|message| message.is_object()) else {
             return complain(answers, None, (rpc::NOT_JSON, "not a JSON object"));
         };
-        let id = message.get("id").and_then(Json::whole).filter(|id| *id > 0);
+        let id = message.get("id").and_then(Json::whole).filter(|id| *id > 0).map(RpcId);
         let params = message.get("params");
         let Some(method) = message.get("method").and_then(Json::text) else {
             return complain(answers, id, (rpc::NOT_VALID, "no method"));
@@ -223,23 +223,24 @@
         }
     }
 
-    fn interrupt(&self, answers: &Answers, id: Option<u64>, params: Option<Json>) {
+    fn interrupt(&self, answers: &Answers, id: Option<RpcId>, params: Option<Json>) {
         let field = |name: &str| params.and_then(|params| params.get(name));
         let open = answers.open.borrow();
         let named = field("req").and_then(Json::text).and_then(|req| OpId::padded(&req));
-        let numbered = field("id").and_then(Json::whole).or(id).and_then(|id| open.get(&id).copied());
+        let numbered =
+            field("id").and_then(Json::whole).map(RpcId).or(id).and_then(|id| open.get(&id).copied());
         let op = named.filter(|op| open.values().any(|other| other == op)).or(numbered);
         drop(open);
         if let Some(op) = op {
-            self.gone(op);
+            self.means.desk.hand(op, News::Gone);
         }
     }
 
-    /// Reads an op, tells the module and begins its life.
+    /// Decodes an op and begins its life.
     fn read_op(
         &self,
         answers: &Rc<Answers>,
-        id: u64,
+        id: RpcId,
         class: &str,
         params: Option<Json>,
     ) -> Result<(), Refusal> {
@@ -284,20 +285,16 @@
         let repeat_of = key
             .and_then(|key| desk.repeats.borrow_mut().read(desk.clock.now(), op, (OpTypeId(op_type), key)));
         let owed = Owed::new(answers.clone(), id, op);
-        desk.tell(|logic, now| {
-            let (kind, tenant, caller, age) =
-                (OpTypeId(op_type), TenantId(tenant), CallerId(via), now - arrived);
-            logic.op_read(now, op, kind, tenant, user, caller, due, None, need, age, false, repeat_of);
-        });
         let class = self.op_types[op_type].clone();
         let life = Life { means: self.means.clone(), op, class, body: body.into(), repeat_of, owed, news };
-        tokio::task::spawn_local(life.live());
+        let (op_type, tenant, caller) = (OpTypeId(op_type), TenantId(tenant), CallerId(via));
+        tokio::task::spawn_local(life.live(op_type, tenant, user, caller, due, need, arrived));
         Ok(())
     }
 }
 
 /// An error answer and one line.
-fn complain(answers: &Answers, id: Option<u64>, (code, message): Refusal) {
-    log::warn!("bad input id={} why={message}", id.unwrap_or(0));
+fn complain(answers: &Answers, id: Option<RpcId>, (code, message): Refusal) {
+    log::warn!("bad input id={} why={message}", id.map_or(0, |id| id.0));
     answers.put(|out| rpc::error(out, id, code, message, None, false, None));
 }
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -93,20 +93,19 @@
     facts.0.insert("server.cold".into(), Fact::Num(f64::from(u8::from(!hot))));
     let began = desk.clock.now().back(up);
     desk.open(Logic::new(facts, seed, began).map_err(std::io::Error::other)?);
-    phases.enter(Phase::Serving);
+    phases.enter(Phase::Serving, &format!("cold={} up_ms={}", !hot, up.us() / 1000));
 
     leave.recv().await;
     let noticed = desk.clock.now();
     let stop = noticed + stop;
     desk.tell(|logic, now| logic.leave_notice(now, stop));
-    phases.enter(Phase::Leaving);
+    phases.enter(Phase::Leaving, &gateways.figures());
     desk.clock.sleep_until((noticed + grace).min(stop.back(STOP_MARGIN))).await;
 
-    phases.enter(Phase::Closing);
+    phases.enter(Phase::Closing, &gateways.figures());
     while desk.clock.now() < stop.back(STOP_MARGIN) && gateways.connected() > 0 {
         sleep(Span::from_ms(5)).await;
     }
-    phases.enter(Phase::Over);
-    log::info!("end open={} connections={}", gateways.open(), gateways.connected());
+    phases.enter(Phase::Over, &gateways.figures());
     Ok(())
 }
--- a/crates/hazelspur-server/src/ops.rs
+++ b/crates/hazelspur-server/src/ops.rs
@@ -5,7 +5,7 @@
 use crate::desk::{Desk, News};
 use crate::ledger::Ledger;
 use crate::runtime::Link;
-use hazelspur::{Decision, OpId, Outcome};
+use hazelspur::{CallerId, Decision, Moment, OpId, OpTypeId, Outcome, TenantId, UserKey};
 use std::future::{Future, pending};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -31,15 +31,32 @@
 type CallUnderWay = Pin<Box<dyn Future<Output = (Outcome, Vec<u8>)>>>;
 
 impl Life {
-    /// From the moment the op is read and the module told.
-    pub async fn live(mut self) {
+    #[allow(clippy::too_many_arguments)]
+    pub async fn live(
+        mut self,
+        op_type: OpTypeId,
+        tenant: TenantId,
+        user: Option<UserKey>,
+        caller: CallerId,
+        due: Option<Moment>,
+        kb: f64,
+        arrived: Moment,
+    ) {
         let means = self.means.clone();
         let (desk, link) = (&means.desk, &means.link);
+        // read
+        let (op, repeat_of) = (self.op, self.repeat_of);
+        desk.tell(|logic, now| {
+            let age = now - arrived;
+            logic.op_read(now, op, op_type, tenant, user, caller, due, None, kb, age, false, repeat_of);
+        });
+        let mut awaits_first = false;
         'held: while let Some(news) = self.news.recv().await {
             // decided
             match news {
                 News::Decided(Decision::Run(_)) => {}
                 News::Decided(Decision::AnswerFrom(_)) => {
+                    awaits_first = true;
                     let first = self.repeat_of.unwrap_or(self.op);
                     let end = desk.repeats.borrow_mut().wait_for(first, self.op);
                     end.into_iter().for_each(|(end, result)| desk.hand(self.op, News::Ended(end, result)));
@@ -52,10 +69,8 @@
                     }
                     return;
                 }
-                News::Gone => return self.owed.release(),
-                News::Wants(_) => continue,
-                News::Ended(outcome, result) => {
-                    // the end of the try that this one repeats
+                News::Gone => return self.gone(),
+                News::Ended(outcome, result) if awaits_first => {
                     desk.tell(|logic, now| logic.run_ended(now, self.op, outcome));
                     return if outcome == Outcome::Ok {
                         self.owed.acked(&result)
@@ -63,6 +78,7 @@
                         self.owed.failed()
                     };
                 }
+                News::Wants(_) | News::Ended(..) => continue,
             }
             // run
             link.start(self.op, self.class.clone(), self.body.clone());
@@ -100,7 +116,7 @@
                         call = Box::pin(pending());
                     }
                     Some(News::Gone) => {
-                        self.owed.release();
+                        self.gone();
                         call = Box::pin(pending());
                     }
                     // result
@@ -122,6 +138,12 @@
         }
     }
 
+    fn gone(&mut self) {
+        let op = self.op;
+        self.means.desk.tell(|logic, _| logic.op_gone(op));
+        self.owed.release();
+    }
+
     /// Gives the answer that a decision stands for.
     fn answer(&mut self, decision: &Decision) {
         match decision {
@@ -135,9 +157,9 @@
 impl Drop for Life {
     fn drop(&mut self) {
         if self.owed.pending() {
-            let op = self.op;
-            log::error!("op left without an answer op={op}");
-            self.means.desk.tell(|logic, _| logic.op_gone(op));
+            log::error!("op left without an answer op={}", self.op);
+            self.owed.failed();
+            self.gone();
         }
         self.means.desk.try_ended(self.op, Outcome::Error, &[]);
         self.means.desk.strike(self.op);
--- a/crates/hazelspur-server/src/phases.rs
+++ b/crates/hazelspur-server/src/phases.rs
@@ -43,8 +43,9 @@
         self.phase.get()
     }
 
-    pub fn enter(&self, phase: Phase) {
-        log::info!("phase {}", phase.name());
+    /// One line for the change, with its figures.
+    pub fn enter(&self, phase: Phase, figures: &str) {
+        log::info!("phase {} {figures}", phase.name());
         self.phase.set(phase);
         self.changed.notify_waiters();
     }
