Gauges are asked for when the module's timer is due, not 4 ms before; the timer goes on without them

Excluded: late timers (median 1 ms, 2 ms at most), CPU, way in and out. At fault: the lead in Link::beat (runtime.rs). New test: a run that never ends, with no gauges, is answered in time.

--- a/crates/hazelspur-server/src/runtime.rs
+++ b/crates/hazelspur-server/src/runtime.rs
@@ -1,8 +1,8 @@
 //! The link to the runtime: commands out, notices in, and what is still unanswered when the link breaks.
 
-use crate::clock::sleep;
+use crate::clock::{long, sleep};
 use crate::desk::{Desk, News};
-use hazelspur::{Moment, OpId, Outcome, Span};
+use hazelspur::{OpId, Outcome, Span};
 use hazelspur_parsers::{Buffer, runtime};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -17,9 +17,9 @@
 const CONNECTING: Span = Span::from_ms(1000);
 /// The replay is over when the gauges asked for behind it come; they are not waited for longer than this.
 const REPLAY: Span = Span::from_ms(2000);
-/// How long before the module's timer its gauges are asked for, and how old they may be.
-const GAUGES_LEAD: Span = Span::from_ms(4);
-const GAUGES_FRESH: Span = Span::from_ms(60);
+/// The module compares gauges with what it knows at that moment, so they are asked for when its timer is due
+/// and used as they come; past this the timer goes without.
+const GAUGES_WITHIN: Span = Span::from_ms(2);
 const FENCE: &str = "replayed";
 
 /// A run, and the commands on it that no notice has answered yet.
@@ -41,8 +41,10 @@
     fenced: Notify,
     out: RefCell<Vec<u8>>,
     more: Notify,
-    gauges: RefCell<Vec<f64>>,
-    gauges_at: Cell<Option<Moment>>,
+    /// The beat for which gauges are asked, and what has come for it.
+    beat: Cell<u64>,
+    gauges: RefCell<Option<Vec<f64>>>,
+    gauges_came: Notify,
     state: Cell<Option<(bool, Span)>>,
     state_known: Notify,
 }
@@ -58,8 +60,9 @@
             fenced: Notify::new(),
             out: RefCell::default(),
             more: Notify::new(),
+            beat: Cell::new(0),
             gauges: RefCell::default(),
-            gauges_at: Cell::new(None),
+            gauges_came: Notify::new(),
             state: Cell::new(None),
             state_known: Notify::new(),
         }
@@ -106,8 +109,7 @@
     pub async fn run(self: Rc<Self>, address: SocketAddr) {
         let mut pause = PAUSE;
         loop {
-            let connecting =
-                tokio::time::timeout(crate::clock::long(CONNECTING), TcpStream::connect(address));
+            let connecting = tokio::time::timeout(long(CONNECTING), TcpStream::connect(address));
             match connecting.await {
                 Ok(Ok(stream)) => {
                     pause = PAUSE;
@@ -158,7 +160,7 @@
                 }
                 out.clear();
                 if !self.up.get() {
-                    let replay = tokio::time::timeout(crate::clock::long(REPLAY), self.fenced.notified());
+                    let replay = tokio::time::timeout(long(REPLAY), self.fenced.notified());
                     if replay.await.is_err() {
                         return "no end of the replay".to_string();
                     }
@@ -204,18 +206,26 @@
                 self.desk.wake_set.notified().await;
                 continue;
             };
-            self.desk.clock.sleep_until(at.back(GAUGES_LEAD)).await;
-            self.send(|out| runtime::gauges(out, "beat"));
             self.desk.clock.sleep_until(at).await;
-            let now = self.desk.clock.now();
-            let fresh = self.gauges_at.get().is_some_and(|seen| now - seen <= GAUGES_FRESH);
-            let gauges = self.gauges.borrow().clone();
-            let named = self.gauge_names.iter().map(String::as_str).zip(gauges).filter(|_| fresh);
-            let named: Vec<(&str, f64)> = named.collect();
+            let gauges = tokio::time::timeout(long(GAUGES_WITHIN), self.fresh_gauges()).await;
+            let gauges = gauges.unwrap_or_default();
+            let named: Vec<(&str, f64)> = self.gauge_names.iter().map(String::as_str).zip(gauges).collect();
             self.desk.tell(|logic, now| logic.timer(now, &named));
         }
     }
 
+    async fn fresh_gauges(&self) -> Vec<f64> {
+        self.beat.set(self.beat.get() + 1);
+        self.gauges.take();
+        self.send(|out| runtime::gauges(out, &self.beat.get().to_string()));
+        loop {
+            if let Some(gauges) = self.gauges.take() {
+                return gauges;
+            }
+            self.gauges_came.notified().await;
+        }
+    }
+
     fn unseen(&self, number: u64) -> bool {
         let unseen = number > self.last.get();
         self.last.set(number.max(self.last.get()));
@@ -261,8 +271,10 @@
         if tag == FENCE {
             self.0.fenced.notify_one();
         }
-        *self.0.gauges.borrow_mut() = values.to_vec();
-        self.0.gauges_at.set(Some(self.0.desk.clock.now()));
+        if tag.parse() == Ok(self.0.beat.get()) {
+            self.0.gauges.replace(Some(values.to_vec()));
+            self.0.gauges_came.notify_one();
+        }
     }
 
     fn nack(&mut self, command: &str, id: &str) {
--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -389,6 +389,27 @@
     .assert_eq(&town.trace);
 }
 
+#[test]
+fn a_run_that_never_ends_is_answered_in_time_without_gauges() {
+    let (mut town, mut link) = Town::new("mute", "");
+    let mut gateway = town.gateway();
+    gateway.say(&format!("{}\n", op(1, 1, "view", "").replace(":4000,", ":1500,")));
+    let read = Instant::now();
+    link.hear(&mut town.trace);
+    // meanwhile the link's lines, gauges too, stay unanswered
+    gateway.hear(&mut town.trace);
+    let _ = writeln!(town.trace, "in time {}", (1000..1630).contains(&read.elapsed().as_millis()));
+    link.hear(&mut town.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"failed"}}
+        in time true
+        runtime < stop 0000000000000001
+    "#]]
+    .assert_eq(&town.trace);
+}
+
 #[test]
 fn a_gateway_that_is_gone_is_told_and_one_that_only_stopped_writing_is_answered() {
     let (mut town, mut link) = Town::new("gone", "");
