Each link to the runtime waits for the end of its own replay; a failed op's run is told to the module

By reading: the sign that a replay is over could be left from a link that broke meanwhile, so that the next one re-sent before its replay was read (a start after its end could run twice). The gauges that mark the end now carry the link's number (runtime.rs). An op's task that fails while running left its run in the module for good (Drop of Life in ops.rs).

--- a/crates/hazelspur-server/src/ops.rs
+++ b/crates/hazelspur-server/src/ops.rs
@@ -161,6 +161,10 @@
             self.owed.failed();
             self.gone();
         }
+        if std::thread::panicking() {
+            let op = self.op;
+            self.means.desk.tell(|logic, now| logic.run_ended(now, op, Outcome::Error));
+        }
         self.means.desk.try_ended(self.op, Outcome::Error, &[]);
         self.means.desk.strike(self.op);
     }
--- a/crates/hazelspur-server/src/runtime.rs
+++ b/crates/hazelspur-server/src/runtime.rs
@@ -16,11 +16,11 @@
 const LONGEST_PAUSE: Span = Span::from_ms(500);
 const CONNECTING: Span = Span::from_ms(1000);
 /// The replay is over when the gauges asked for behind it come; they are not waited for longer than this.
+const REPLAYED: &str = "link";
 const REPLAY: Span = Span::from_ms(2000);
 /// The module compares gauges with what it knows at that moment, so they are asked for when its timer is due
 /// and used as they come; past this the timer goes without.
 const GAUGES_WITHIN: Span = Span::from_ms(2);
-const FENCE: &str = "replayed";
 
 /// A run, and the commands on it that no notice has answered yet.
 struct Run {
@@ -38,6 +38,9 @@
     last: Cell<u64>,
     /// Only while this holds do commands go out; else they wait in `runs`.
     up: Cell<bool>,
+    /// The replay of which link is over, so that what an older link brought does not count.
+    links: Cell<u64>,
+    replayed: Cell<u64>,
     fenced: Notify,
     out: RefCell<Vec<u8>>,
     more: Notify,
@@ -57,6 +60,8 @@
             runs: RefCell::default(),
             last: Cell::new(0),
             up: Cell::new(false),
+            links: Cell::new(0),
+            replayed: Cell::new(0),
             fenced: Notify::new(),
             out: RefCell::default(),
             more: Notify::new(),
@@ -126,6 +131,8 @@
 
     async fn serve(&self, mut stream: TcpStream) -> String {
         let _ = stream.set_nodelay(true);
+        let link = self.links.get() + 1;
+        self.links.set(link);
         let (mut read, mut write) = stream.split();
         let mut out = std::mem::take(&mut *self.out.borrow_mut());
         out.clear();
@@ -153,15 +160,19 @@
         let writing = async {
             self.ready().await;
             let mut out = Vec::new();
-            runtime::gauges(&mut out, FENCE);
+            runtime::gauges(&mut out, &format!("{REPLAYED}{link}"));
             loop {
                 if let Err(e) = write.write_all(&out).await {
                     return e.to_string();
                 }
                 out.clear();
                 if !self.up.get() {
-                    let replay = tokio::time::timeout(long(REPLAY), self.fenced.notified());
-                    if replay.await.is_err() {
+                    let replay = async {
+                        while self.replayed.get() < link {
+                            self.fenced.notified().await;
+                        }
+                    };
+                    if tokio::time::timeout(long(REPLAY), replay).await.is_err() {
                         return "no end of the replay".to_string();
                     }
                     self.resend(&mut out);
@@ -268,10 +279,10 @@
     }
 
     fn load(&mut self, tag: &str, values: &[f64]) {
-        if tag == FENCE {
+        if let Some(link) = tag.strip_prefix(REPLAYED).and_then(|link| link.parse().ok()) {
+            self.0.replayed.set(link);
             self.0.fenced.notify_one();
-        }
-        if tag.parse() == Ok(self.0.beat.get()) {
+        } else if tag.parse() == Ok(self.0.beat.get()) {
             self.0.gauges.replace(Some(values.to_vec()));
             self.0.gauges_came.notify_one();
         }
--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -144,14 +144,14 @@
         String::from_utf8(body).expect("text")
     }
 
-    /// Notes the next message; gauges are answered and passed over, and so is what `load` itself waits for.
+    /// Notes the next message; gauges are answered and passed over, but for those that end a replay.
     fn hear(&mut self, trace: &mut String) -> String {
         let until = Instant::now() + PATIENCE;
         loop {
             let mut line = if Instant::now() < until { self.line() } else { "(nothing)".into() };
             if let Some(tag) = line.strip_prefix("gauges ") {
                 self.say(&format!("load {tag} 0.5 1\r\n"));
-                if tag == "replayed" {
+                if tag.starts_with("link") {
                     return line;
                 }
                 continue;
