--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -309,6 +309,7 @@
     link.hear(&mut town.trace);
     link.hear(&mut town.trace);
     drop(link);
+    town.link(); // and this one breaks before it has replayed anything
     let mut link = town.link();
     link.say(&format!("ready hot 2000\r\nend 1 {} complete 5 3\r\none\r\n", id(1)));
     gateway.hear(&mut town.trace);
@@ -329,6 +330,7 @@
         runtime < start 0000000000000001 view 5 hello
         runtime < start 0000000000000002 view 5 hello
         runtime < sync 0
+        runtime < sync 0
         gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"b25l"}}
         runtime < start 0000000000000002 view 5 hello
         gateway < {"jsonrpc":"2.0","id":2,"result":{"data":"dHdv"}}
