--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -391,6 +391,28 @@
     .assert_eq(&town.trace);
 }
 
+#[test]
+fn a_gateway_that_reads_nothing_holds_up_only_itself() {
+    let (mut town, mut link) = Town::new("slow", "");
+    let slow = town.gateway();
+    slow.stream.get_ref().set_write_timeout(Some(Duration::from_millis(300))).expect("a time limit");
+    let checks = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n".repeat(20_000);
+    let taken = (0..60).take_while(|_| slow.stream.get_ref().write_all(checks.as_bytes()).is_ok()).count();
+    let _ = writeln!(town.trace, "all taken {}", taken == 60);
+    let mut gateway = town.gateway();
+    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
+    link.hear(&mut town.trace);
+    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    gateway.hear(&mut town.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        all taken false
+        runtime < start 0000000000000001 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
+    "#]]
+    .assert_eq(&town.trace);
+}
+
 #[test]
 fn a_run_that_never_ends_is_answered_in_time_without_gauges() {
     let (mut town, mut link) = Town::new("mute", "");
