--- a/crates/hazelspur-server/src/desk.rs
+++ b/crates/hazelspur-server/src/desk.rs
@@ -79,7 +79,7 @@
 
     /// Tells those that wait for this try how it ended.
     pub fn try_ended(&self, op: OpId, outcome: Outcome, result: &[u8]) {
-        let waiting = self.repeats.borrow_mut().ended(op, outcome, result);
+        let waiting = self.repeats.borrow_mut().ended(self.clock.now(), op, outcome, result);
         waiting.into_iter().for_each(|op| self.hand(op, News::Ended(outcome, result.to_vec())));
     }
 
--- a/crates/hazelspur-server/src/gateways.rs
+++ b/crates/hazelspur-server/src/gateways.rs
@@ -282,8 +282,10 @@
         let due = timeout.map(|ms| arrived + Span::from_secs(ms / 1000.0));
         let user = subject.as_deref().map(UserKey::of);
         let key = opkey.as_deref().map(UserKey::of).or(user);
-        let repeat_of = key
-            .and_then(|key| desk.repeats.borrow_mut().read(desk.clock.now(), op, (OpTypeId(op_type), key)));
+        let repeat_of = key.and_then(|key| {
+            let (now, key) = (desk.clock.now(), (OpTypeId(op_type), key));
+            desk.repeats.borrow_mut().read(now, op, key, opkey.is_some())
+        });
         let owed = Owed::new(answers.clone(), id, op);
         let class = self.op_types[op_type].clone();
         let life = Life { means: self.means.clone(), op, class, body: body.into(), repeat_of, owed, news };
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -70,6 +70,7 @@
     let link = Rc::new(Link::new(desk.clone(), gauge_names.take_while(|name| !name.is_empty()).collect()));
     let means = Means { desk: desk.clone(), link: link.clone(), ledger: Rc::new(Ledger::new(ledger)) };
     let gateways = Rc::new(Gateways::new(Rc::new(means), phases.clone(), &facts, sockets));
+    desk.repeats.borrow_mut().share = Span::from_us(facts.num("server.share_reads_us", 0.0) as u64);
     let grace = Span::from_us(facts.num("rules.drain_grace_us", 0.0) as u64);
     log::info!("start name={name} listen={listen} stop_ms={}", stop.us() / 1000);
 
--- a/crates/hazelspur-server/src/repeats.rs
+++ b/crates/hazelspur-server/src/repeats.rs
@@ -1,6 +1,6 @@
 //! Keys kept for a while, the try that holds each, and the results that repeats are served from.
 
-use hazelspur::{Moment, OpId, OpTypeId, Outcome, UserKey};
+use hazelspur::{Moment, OpId, OpTypeId, Outcome, Span, UserKey};
 use std::collections::BTreeMap;
 
 /// Results kept for repeats; past this number a new one is not kept, and its repeats fail.
@@ -10,6 +10,8 @@
 
 struct Try {
     key: Key,
+    /// A keyed op keeps its key however it ends; a read shares only a good result, and only while it is fresh.
+    keyed: bool,
     until: Option<Moment>,
     end: Option<(Outcome, Vec<u8>)>,
     waiting: Vec<OpId>,
@@ -17,20 +19,22 @@
 
 #[derive(Default)]
 pub struct Repeats {
+    /// How long the result of a read may serve others.
+    pub share: Span,
     holders: BTreeMap<Key, OpId>,
     tries: BTreeMap<OpId, Try>,
 }
 
 impl Repeats {
     /// Notes a try that is read; says which kept one it repeats.
-    pub fn read(&mut self, now: Moment, op: OpId, key: Key) -> Option<OpId> {
-        let Self { holders, tries } = self;
+    pub fn read(&mut self, now: Moment, op: OpId, key: Key, keyed: bool) -> Option<OpId> {
+        let Self { holders, tries, .. } = self;
         let live = |first: &Try| first.until.is_some_and(|until| until > now);
         holders.retain(|_, holder| tries.get(holder).is_some_and(live));
         tries.retain(|op, first| {
             first.end.is_none() || !first.waiting.is_empty() || holders.get(&first.key) == Some(op)
         });
-        tries.insert(op, Try { key, until: None, end: None, waiting: Vec::new() });
+        tries.insert(op, Try { key, keyed, until: None, end: None, waiting: Vec::new() });
         holders.get(&key).copied()
     }
 
@@ -55,10 +59,14 @@
     }
 
     /// A try is over for good; returns who waits to hear of it. Only the first end counts.
-    pub fn ended(&mut self, op: OpId, outcome: Outcome, result: &[u8]) -> Vec<OpId> {
+    pub fn ended(&mut self, now: Moment, op: OpId, outcome: Outcome, result: &[u8]) -> Vec<OpId> {
         let results = self.tries.values().filter(|t| t.end.is_some()).count();
         let Some(this) = self.tries.get_mut(&op).filter(|this| this.end.is_none()) else { return Vec::new() };
         let waiting = std::mem::take(&mut this.waiting);
+        if !this.keyed {
+            let fresh = if outcome == Outcome::Ok { now + self.share } else { now };
+            this.until = this.until.map(|until| until.min(fresh));
+        }
         if self.holders.get(&this.key) != Some(&op) {
             self.tries.remove(&op);
         } else {
--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const SETTINGS: &str = r#"{"family-info":{"n-cores":2,"mem-limit-kb":100000,"run-factor":8,"stop-mode":"drop",
- "meters":["core_use","on_cores"],"calls-out":50,"calls-over-us":5000000,"passes-deadline":true},
+ "meters":["core_use","on_cores"],"calls-out":50,"calls-over-us":5000000,"passes-deadline":true,"share-for-us":500000},
  "lanes":[{"name":"view","aim-us":3000000,"deadline-us":4000000,"semantics":"safe","importance":1},
  {"name":"book","aim-us":3000000,"deadline-us":4000000,"semantics":"keyed","memory-span-us":5000000}],
  "rules":{"fall-multiple":8,"cold-share":0.2,"cold-us":10000000,"drain-grace-us":300000},
@@ -484,6 +484,43 @@
     .assert_eq(&town.trace);
 }
 
+#[test]
+fn a_read_is_shared_while_its_good_result_is_fresh() {
+    let (mut town, mut link) = Town::new("share", "");
+    let mut gateway = town.gateway();
+    let mut ask = |n: u32| {
+        gateway.say(&format!("{}\n", op(n, n, "view", r#","subject":"s""#)));
+        std::thread::sleep(Duration::from_millis(30));
+    };
+    ask(1);
+    ask(2);
+    link.hear(&mut town.trace);
+    link.say(&format!("end 1 {} error 5 0\r\n\r\n", id(1)));
+    std::thread::sleep(Duration::from_millis(30));
+    ask(3);
+    link.hear(&mut town.trace);
+    link.say(&format!("end 2 {} complete 5 4\r\ndone\r\n", id(3)));
+    std::thread::sleep(Duration::from_millis(30));
+    ask(4);
+    std::thread::sleep(Duration::from_millis(600));
+    ask(5);
+    link.hear(&mut town.trace);
+    for _ in 0..4 {
+        gateway.hear(&mut town.trace);
+    }
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        runtime < start 0000000000000003 view 5 hello
+        runtime < start 0000000000000005 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"failed"}}
+        gateway < {"jsonrpc":"2.0","id":2,"error":{"code":-32000,"message":"failed"}}
+        gateway < {"jsonrpc":"2.0","id":3,"result":{"data":"ZG9uZQ=="}}
+        gateway < {"jsonrpc":"2.0","id":4,"result":{"data":"ZG9uZQ=="}}
+    "#]]
+    .assert_eq(&town.trace);
+}
+
 #[test]
 fn leaving_answers_what_is_read_and_says_farewell() {
     let (mut town, mut link) = Town::new("leave", "");
