Fold what the server wrote twice: HTTP exchange, text writer, lists of names; behaviour as before

Found by reading the whole change: ledger.rs and control.rs each sent a call and read its reply (now exchange.rs); three parsers each had a writer of formatted text (now one in lib.rs); names and spans of the settings were read in gateways.rs and main.rs beside startup.rs, the one place for it; reads were noted for repeats where none are shared; waits in phases.rs and runtime.rs guarded against changes that one thread can't see.

--- a/crates/hazelspur-parsers/src/http.rs
+++ b/crates/hazelspur-parsers/src/http.rs
@@ -1,12 +1,11 @@
 //! HTTP/1.1 as a client speaks it: one call at a time on a connection.
 
-use std::io::Write;
+use crate::put;
 
 const LONGEST_HEAD: usize = 16 * 1024;
 const LONGEST_BODY: usize = 1024 * 1024;
 
 pub fn write_call(out: &mut Vec<u8>, verb: &str, path: &str, host: &str, more: &[(&str, &str)], body: &[u8]) {
-    let put = |out: &mut Vec<u8>, text: std::fmt::Arguments| out.write_fmt(text).expect("a vector");
     put(out, format_args!("{verb} {path} HTTP/1.1\r\nHost: {host}\r\n"));
     for (name, value) in more {
         put(out, format_args!("{name}: {value}\r\n"));
--- a/crates/hazelspur-parsers/src/rpc.rs
+++ b/crates/hazelspur-parsers/src/rpc.rs
@@ -1,9 +1,9 @@
 //! What goes out to gateways: JSON-RPC 2.0, one message a line. What comes in is read with `Json`.
 
 use crate::json::write_text;
+use crate::put;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use std::io::Write;
 
 /// A request's id on its connection.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -77,7 +77,3 @@
         put(out, format_args!(",\"{name}\":{value}"));
     }
 }
-
-fn put(out: &mut Vec<u8>, text: std::fmt::Arguments) {
-    out.write_fmt(text).expect("a vector takes any text");
-}
--- a/crates/hazelspur-parsers/src/runtime.rs
+++ b/crates/hazelspur-parsers/src/runtime.rs
@@ -1,6 +1,6 @@
 //! The runtime's lines of words; where the last word is a length, so many bytes and a line end follow.
 
-use std::io::Write;
+use crate::put;
 
 const LONGEST_LINE: usize = 8 * 1024;
 const LONGEST_BODY: usize = 1024 * 1024;
@@ -77,7 +77,3 @@
 pub fn gauges(out: &mut Vec<u8>, tag: &str) {
     put(out, format_args!("gauges {tag}\r\n"));
 }
-
-fn put(out: &mut Vec<u8>, text: std::fmt::Arguments) {
-    out.write_fmt(text).expect("a vector takes any text");
-}
--- a/crates/hazelspur-server/src/control.rs
+++ b/crates/hazelspur-server/src/control.rs
@@ -2,12 +2,12 @@
 
 use crate::clock::{long, sleep};
 use crate::desk::Desk;
+use crate::exchange::exchange;
 use crate::phases::{Phase, Phases};
 use hazelspur::Span;
-use hazelspur_parsers::{Buffer, http};
+use hazelspur_parsers::http;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// The entry lapses 3 s after the last report.
@@ -47,17 +47,10 @@
         Some(stream) => stream,
         None => TcpStream::connect(address).await.map_err(|e| e.to_string())?,
     };
-    let mut out = Vec::new();
-    http::write_call(&mut out, "PUT", path, &address.to_string(), &[], body.as_bytes());
-    stream.write_all(&out).await.map_err(|e| e.to_string())?;
-    let mut buffer = Buffer::default();
-    loop {
-        let closed = stream.read_buf(buffer.room()).await.map_err(|e| e.to_string())? == 0;
-        match http::reply(buffer.unread(), "", closed)? {
-            Some((204, _, stays, _)) => return Ok(stays.then_some(stream)),
-            Some((status, ..)) => return Err(format!("status {status}")),
-            None if closed => return Err("closed".into()),
-            None => {}
-        }
+    let mut call = Vec::new();
+    http::write_call(&mut call, "PUT", path, &address.to_string(), &[], body.as_bytes());
+    match exchange(&mut stream, &call, "").await? {
+        (204, _, stays, _) => Ok(stays.then_some(stream)),
+        (status, ..) => Err(format!("status {status}")),
     }
 }
--- a/crates/hazelspur-server/src/gateways.rs
+++ b/crates/hazelspur-server/src/gateways.rs
@@ -1,11 +1,11 @@
 //! Gateways' connections: what they ask is read, answers go out, idle connections are closed.
 
 use crate::answers::{Answers, Owed};
-use crate::clock::sleep;
+use crate::clock::{long, sleep};
 use crate::desk::News;
 use crate::ops::{Life, Means};
 use crate::phases::{Phase, Phases};
-use hazelspur::{CallerId, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
+use hazelspur::{CallerId, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
 use hazelspur_parsers::rpc::{self, RpcId};
 use hazelspur_parsers::{Buffer, Json};
 use std::cell::{Cell, RefCell};
@@ -23,6 +23,7 @@
 const CLOSING_ROUND: Span = Span::from_ms(10);
 /// How long a gateway may take to close a connection after a farewell.
 const FAREWELL: Span = Span::from_ms(400);
+const LAST_ACCEPT: Span = Span::from_ms(2);
 const HEALTH_IDLE: Span = Span::from_ms(60_000);
 const SHED: usize = 16;
 const KEPT_BACK: usize = 96;
@@ -44,15 +45,17 @@
 type Refusal = (i32, &'static str);
 
 impl Gateways {
-    pub fn new(means: Rc<Means>, phases: Rc<Phases>, facts: &Facts, sockets: usize) -> Self {
-        let names = |list: &str| -> Vec<String> {
-            let name = |i: usize| facts.text(&format!("{list}.{i}.name")).to_string();
-            (0..4096).map(name).take_while(|name| !name.is_empty()).collect()
-        };
-        let op_types = names("op_types").into_iter().map(Rc::from).collect();
+    pub fn new(
+        means: Rc<Means>,
+        phases: Rc<Phases>,
+        op_types: Vec<String>,
+        tenants: Vec<String>,
+        sockets: usize,
+    ) -> Self {
+        let op_types = op_types.into_iter().map(Rc::from).collect();
         let (connections, last) = (RefCell::default(), Cell::default());
         let most = sockets.saturating_sub(KEPT_BACK).max(sockets / 2);
-        Self { means, phases, op_types, tenants: names("tenants"), most, connections, last }
+        Self { means, phases, op_types, tenants, most, connections, last }
     }
 
     /// How many ops are owed an answer, on how many connections.
@@ -81,9 +84,7 @@
             }
         }
         // The machine has accepted what still waits to be taken here.
-        while let Ok(Ok((stream, _))) =
-            tokio::time::timeout(std::time::Duration::from_millis(2), listener.accept()).await
-        {
+        while let Ok(Ok((stream, _))) = tokio::time::timeout(long(LAST_ACCEPT), listener.accept()).await {
             self.clone().welcome(stream);
         }
     }
@@ -110,7 +111,7 @@
     /// Closes what has been idle for as long as the module says; while closing, all that is not in use.
     pub async fn keep(self: Rc<Self>) {
         loop {
-            let closing = matches!(self.phases.now(), Phase::Closing);
+            let closing = self.phases.now() == Phase::Closing;
             let now = self.means.desk.clock.now();
             let idle = self.means.desk.keep_idle.get();
             for connection in self.connections.borrow().values() {
--- a/crates/hazelspur-server/src/ledger.rs
+++ b/crates/hazelspur-server/src/ledger.rs
@@ -1,11 +1,11 @@
 //! Calls to the shared ledger, one at a time on a connection; closing a connection gives its call up.
 
 use crate::clock::{Clock, long};
+use crate::exchange::exchange;
 use hazelspur::{Moment, OpId, Outcome, Span};
-use hazelspur_parsers::{Buffer, http};
+use hazelspur_parsers::http;
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// The ledger closes connections that stood idle for 10 s.
@@ -38,12 +38,16 @@
         };
         let _ = stream.set_nodelay(true);
         let left = (until - clock.now()).max(Span::from_ms(1));
-        match tokio::time::timeout(long(left), self.exchange(&mut stream, op, patience, body)).await {
-            Ok(Ok((outcome, stays, reply))) => {
+        let (id, limit) = (op.to_string(), (patience.us() / 1000).max(1).to_string());
+        let more = [("X-Txn-Ref", id.as_str()), ("X-Limit-Ms", limit.as_str())];
+        let mut call = Vec::new();
+        http::write_call(&mut call, "POST", "/post", &self.address.to_string(), &more, body);
+        match tokio::time::timeout(long(left), exchange(&mut stream, &call, UNTOUCHED)).await {
+            Ok(Ok((status, untouched, stays, reply))) => {
                 if stays {
                     self.keep(clock.now(), stream);
                 }
-                (outcome, reply)
+                (outcome(status, untouched), reply)
             }
             Ok(Err(why)) => {
                 log::debug!("ledger call broke op={op} why={why}");
@@ -53,31 +57,6 @@
         }
     }
 
-    async fn exchange(
-        &self,
-        stream: &mut TcpStream,
-        op: OpId,
-        patience: Span,
-        body: &[u8],
-    ) -> Result<(Outcome, bool, Vec<u8>), String> {
-        let (id, limit) = (op.to_string(), (patience.us() / 1000).max(1).to_string());
-        let mut out = Vec::new();
-        let more = [("X-Txn-Ref", id.as_str()), ("X-Limit-Ms", limit.as_str())];
-        http::write_call(&mut out, "POST", "/post", &self.address.to_string(), &more, body);
-        stream.write_all(&out).await.map_err(|e| e.to_string())?;
-        let mut buffer = Buffer::default();
-        loop {
-            let closed = stream.read_buf(buffer.room()).await.map_err(|e| e.to_string())? == 0;
-            if let Some((status, untouched, stays, reply)) = http::reply(buffer.unread(), UNTOUCHED, closed)?
-            {
-                return Ok((outcome(status, untouched), stays, reply));
-            }
-            if closed {
-                return Err("closed".into());
-            }
-        }
-    }
-
     /// A kept connection that is young and silent; whatever has something to say is no use for a call.
     fn kept(&self, now: Moment) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod control;
 mod desk;
+mod exchange;
 mod gateways;
 mod ledger;
 mod logger;
@@ -52,9 +53,14 @@
 }
 
 /// Runs a task that serves all ops, and again should it fail.
-fn keep_up<F: Future<Output = ()> + 'static>(name: &'static str, task: impl Fn() -> F + 'static) {
+fn keep_up<T: 'static, F: Future<Output = ()> + 'static>(
+    name: &'static str,
+    of: &Rc<T>,
+    task: impl Fn(Rc<T>) -> F + 'static,
+) {
+    let of = of.clone();
     spawn_local(async move {
-        while spawn_local(task()).await.is_err() {
+        while spawn_local(task(of.clone())).await.is_err() {
             log::error!("task failed name={name}");
             sleep(Span::from_ms(10)).await;
         }
@@ -62,30 +68,26 @@
 }
 
 async fn serve(startup: Startup) -> std::io::Result<()> {
-    let Startup { name, listen, runtime, ledger, control, seed, stop, sockets, mut facts } = startup;
+    let Startup { name, listen, runtime, ledger, control, seed, stop, grace, mut facts, .. } = startup;
     let mut leave = signal(SignalKind::terminate())?;
-    let listener = TcpListener::bind(listen).await?;
+    let listener = Rc::new(TcpListener::bind(listen).await?);
     let (desk, phases) = (Rc::new(Desk::default()), Rc::new(Phases::default()));
-    let gauge_names = (0..64).map(|i| facts.text(&format!("server.meters.{i}")).to_string());
-    let link = Rc::new(Link::new(desk.clone(), gauge_names.take_while(|name| !name.is_empty()).collect()));
+    let link = Rc::new(Link::new(desk.clone(), startup.gauges));
     let means = Means { desk: desk.clone(), link: link.clone(), ledger: Rc::new(Ledger::new(ledger)) };
-    let gateways = Rc::new(Gateways::new(Rc::new(means), phases.clone(), &facts, sockets));
-    desk.repeats.borrow_mut().share = Span::from_us(facts.num("server.share_reads_us", 0.0) as u64);
-    let grace = Span::from_us(facts.num("rules.drain_grace_us", 0.0) as u64);
+    let (op_types, tenants) = (startup.op_types, startup.tenants);
+    let gateways = Rc::new(Gateways::new(Rc::new(means), phases.clone(), op_types, tenants, startup.sockets));
+    desk.repeats.borrow_mut().share = startup.share_reads;
     log::info!("start name={name} listen={listen} stop_ms={}", stop.us() / 1000);
 
-    let listener = Rc::new(listener);
-    let (of_gateways, of_link) = (gateways.clone(), link.clone());
-    keep_up("accept", move || of_gateways.clone().accept(listener.clone()));
-    let of_gateways = gateways.clone();
-    keep_up("connections", move || of_gateways.clone().keep());
-    keep_up("runtime", move || of_link.clone().run(runtime));
-    let of_link = link.clone();
-    keep_up("beat", move || of_link.clone().beat());
-    let (of_desk, of_phases) = (desk.clone(), phases.clone());
-    keep_up("control", move || control::report(name.clone(), control, of_desk.clone(), of_phases.clone()));
-    let of_desk = desk.clone();
-    keep_up("desk", move || of_desk.clone().run());
+    keep_up("accept", &gateways, move |gateways| gateways.accept(listener.clone()));
+    keep_up("connections", &gateways, Gateways::keep);
+    keep_up("runtime", &link, move |link| link.run(runtime));
+    keep_up("beat", &link, Link::beat);
+    keep_up("desk", &desk, Desk::run);
+    let reporting = desk.clone();
+    keep_up("control", &phases, move |phases| {
+        control::report(name.clone(), control, reporting.clone(), phases)
+    });
 
     let (hot, up) = tokio::select! {
         state = link.ready() => state,
--- a/crates/hazelspur-server/src/phases.rs
+++ b/crates/hazelspur-server/src/phases.rs
@@ -52,14 +52,9 @@
 
     /// Comes back once `wanted` holds.
     pub async fn reached(&self, wanted: impl Fn(Phase) -> bool) {
-        loop {
-            let changed = self.changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            if wanted(self.phase.get()) {
-                return;
-            }
-            changed.await;
+        // One thread: nothing changes between the look and the wait.
+        while !wanted(self.phase.get()) {
+            self.changed.notified().await;
         }
     }
 }
--- a/crates/hazelspur-server/src/repeats.rs
+++ b/crates/hazelspur-server/src/repeats.rs
@@ -28,6 +28,9 @@
 impl Repeats {
     /// Notes a try that is read; says which kept one it repeats.
     pub fn read(&mut self, now: Moment, op: OpId, key: Key, keyed: bool) -> Option<OpId> {
+        if !keyed && self.share == Span::ZERO {
+            return None;
+        }
         let Self { holders, tries, .. } = self;
         let live = |first: &Try| first.until.is_some_and(|until| until > now);
         holders.retain(|_, holder| tries.get(holder).is_some_and(live));
--- a/crates/hazelspur-server/src/runtime.rs
+++ b/crates/hazelspur-server/src/runtime.rs
@@ -254,7 +254,6 @@
             log::info!("runtime ready hot={hot} up_ms={since_ms}");
         }
         link.state_known.notify_waiters();
-        link.state_known.notify_one();
     }
 
     fn end(&mut self, number: u64, id: &str, end: &str, result: &[u8]) {
--- a/crates/hazelspur-server/src/startup.rs
+++ b/crates/hazelspur-server/src/startup.rs
@@ -17,6 +17,13 @@
     /// From the leave notice to the end of the process.
     pub stop: Span,
     pub sockets: usize,
+    pub op_types: Vec<String>,
+    pub tenants: Vec<String>,
+    pub gauges: Vec<String>,
+    /// What arrives later than this after the leave notice does not run.
+    pub grace: Span,
+    /// How long the result of a read may serve others.
+    pub share_reads: Span,
     pub facts: Facts,
 }
 
@@ -51,6 +58,11 @@
         return Err("settings.lanes: missing or empty".into());
     }
     hazelspur::Logic::new(facts.clone(), 0, Moment::default()).map_err(|e| format!("settings: {e}"))?;
+    let names = |before: &str, after: &str| -> Vec<String> {
+        let name = |i: usize| facts.text(&format!("{before}.{i}{after}")).to_string();
+        (0..4096).map(name).take_while(|name| !name.is_empty()).collect()
+    };
+    let span = |name: &str| Span::from_us(facts.num(name, 0.0) as u64);
     let seed = match all.get("seed") {
         None => 0,
         Some(seed) => seed
@@ -67,6 +79,11 @@
         seed,
         stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
         sockets: number(limit("sockets"), "limits.sockets", 1024.0, 32.0..=1e7)? as usize,
+        op_types: names("op_types", ".name"),
+        tenants: names("tenants", ".name"),
+        gauges: names("server.meters", ""),
+        grace: span("rules.drain_grace_us"),
+        share_reads: span("server.share_reads_us"),
         facts,
     })
 }
