SIGHUP has the configuration read again and moves runtime, ledger and control plane

Cause: main.rs listened for SIGTERM only, so SIGHUP's default ended the process, and the addresses were handed to the tasks of runtime.rs, ledger.rs and control.rs for life. Nothing else was involved: the log stops at the signal with no line of ours.

Now both signals are listened for before the configuration is even read; reload.rs reads the file with the code of the start and moves the three addresses (peers.rs). The link goes over at once with sync of the last notice, idle ledger connections to the old address are closed, the next report goes to the new control plane. A bad file is one line that names the key. Each report has a connection of its own and only three missed in a row are told, since a report counts without its answer.

The test waits for the moved link in vain when the task is taken out.

--- a/crates/hazelspur-server/src/control.rs
+++ b/crates/hazelspur-server/src/control.rs
@@ -3,6 +3,7 @@
 use crate::clock::{long, sleep};
 use crate::desk::Desk;
 use crate::exchange::exchange;
+use crate::peers::Peers;
 use crate::phases::{Phase, Phases};
 use hazelspur::Span;
 use hazelspur_parsers::http;
@@ -14,43 +15,47 @@
 const EVERY: Span = Span::from_ms(800);
 const AGAIN: Span = Span::from_ms(250);
 const WITHIN: Span = Span::from_ms(700);
+/// A report may count though its answer is missing; only so many in a row are told.
+const MISSED_TO_TELL: u32 = 3;
 
 /// Reports until the leave notice, after which the entry is to lapse.
-pub async fn report(name: String, address: SocketAddr, desk: Rc<Desk>, phases: Rc<Phases>) {
-    let (mut kept, mut reached) = (None, true);
+pub async fn report(name: String, peers: Rc<Peers>, desk: Rc<Desk>, phases: Rc<Phases>) {
+    let mut missed = 0;
     let path = format!("/v2/endpoints/{name}");
     phases.reached(|phase| phase != Phase::Waiting).await;
     while phases.now() == Phase::Serving {
+        let address = peers.now().control;
         let condition = if desk.good.get() { "Ready" } else { "NotReady" };
         let body = format!("{{\"condition\":\"{condition}\"}}");
-        let sent = tokio::time::timeout(long(WITHIN), put(kept.take(), address, &path, &body)).await;
-        let sent = sent.unwrap_or_else(|_| Err("no answer in time".into()));
-        match &sent {
-            Ok(_) if !reached => log::info!("control reached again"),
-            Err(why) if reached => log::warn!("control not reached why={why}"),
-            _ => {}
+        let sent = tokio::time::timeout(long(WITHIN), put(address, &path, &body)).await;
+        match sent.unwrap_or_else(|_| Err("no answer in time".into())) {
+            Ok(()) => {
+                if missed >= MISSED_TO_TELL {
+                    log::info!("control reached again missed={missed}");
+                }
+                missed = 0;
+            }
+            Err(why) => {
+                missed += 1;
+                if missed == MISSED_TO_TELL {
+                    log::warn!("control not reached missed={missed} why={why}");
+                }
+            }
+        }
+        tokio::select! {
+            () = sleep(if missed == 0 { EVERY } else { AGAIN }) => {}
+            () = peers.left(|at| at.control, address) => {}
         }
-        reached = sent.is_ok();
-        kept = sent.ok().flatten();
-        sleep(if reached { EVERY } else { AGAIN }).await;
     }
 }
 
-/// Sends one report; the connection comes back if it may be used again.
-async fn put(
-    kept: Option<TcpStream>,
-    address: SocketAddr,
-    path: &str,
-    body: &str,
-) -> Result<Option<TcpStream>, String> {
-    let mut stream = match kept {
-        Some(stream) => stream,
-        None => TcpStream::connect(address).await.map_err(|e| e.to_string())?,
-    };
+/// Sends one report, on a connection of its own: nothing that an earlier one left behind can spoil it.
+async fn put(address: SocketAddr, path: &str, body: &str) -> Result<(), String> {
+    let mut stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
     let mut call = Vec::new();
     http::write_call(&mut call, "PUT", path, &address.to_string(), &[], body.as_bytes());
     match exchange(&mut stream, &call, "").await? {
-        (204, _, stays, _) => Ok(stays.then_some(stream)),
+        (204, ..) => Ok(()),
         (status, ..) => Err(format!("status {status}")),
     }
 }
--- a/crates/hazelspur-server/src/gateways.rs
+++ b/crates/hazelspur-server/src/gateways.rs
@@ -5,6 +5,7 @@
 use crate::desk::News;
 use crate::ops::{Life, Means};
 use crate::phases::{Phase, Phases};
+use crate::startup::Startup;
 use hazelspur::{CallerId, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
 use hazelspur_parsers::rpc::{self, RpcId};
 use hazelspur_parsers::{Buffer, Json};
@@ -45,17 +46,11 @@
 type Refusal = (i32, &'static str);
 
 impl Gateways {
-    pub fn new(
-        means: Rc<Means>,
-        phases: Rc<Phases>,
-        op_types: Vec<String>,
-        tenants: Vec<String>,
-        sockets: usize,
-    ) -> Self {
-        let op_types = op_types.into_iter().map(Rc::from).collect();
+    pub fn new(means: Rc<Means>, phases: Rc<Phases>, told: &Startup) -> Self {
+        let op_types = told.op_types.iter().map(|name| Rc::from(name.as_str())).collect();
         let (connections, last) = (RefCell::default(), Cell::default());
-        let most = sockets.saturating_sub(KEPT_BACK).max(sockets / 2);
-        Self { means, phases, op_types, tenants, most, connections, last }
+        let most = told.sockets.saturating_sub(KEPT_BACK).max(told.sockets / 2);
+        Self { means, phases, op_types, tenants: told.tenants.clone(), most, connections, last }
     }
 
     /// How many ops are owed an answer, on how many connections.
--- a/crates/hazelspur-server/src/ledger.rs
+++ b/crates/hazelspur-server/src/ledger.rs
@@ -2,10 +2,12 @@
 
 use crate::clock::{Clock, long};
 use crate::exchange::exchange;
+use crate::peers::Peers;
 use hazelspur::{Moment, OpId, Outcome, Span};
 use hazelspur_parsers::http;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::net::TcpStream;
 
 /// The ledger closes connections that stood idle for 10 s.
@@ -16,22 +18,24 @@
 const UNTOUCHED: &str = "X-Untouched";
 
 pub struct Ledger {
-    address: SocketAddr,
-    idle: RefCell<Vec<(Moment, TcpStream)>>,
+    peers: Rc<Peers>,
+    /// Since when each is idle, and where it leads.
+    idle: RefCell<Vec<(Moment, SocketAddr, TcpStream)>>,
 }
 
 impl Ledger {
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: RefCell::default() }
+    pub fn new(peers: Rc<Peers>) -> Self {
+        Self { peers, idle: RefCell::default() }
     }
 
     /// Makes the call for a run; dropping the future gives it up.
     pub async fn call(&self, clock: &Clock, op: OpId, patience: Span, body: &[u8]) -> (Outcome, Vec<u8>) {
         let until = clock.now() + patience + PATIENCE_SLACK;
-        let kept = self.kept(clock.now());
+        let address = self.peers.now().ledger;
+        let kept = self.kept(clock.now(), address);
         let mut stream = match kept {
             Some(stream) => stream,
-            None => match tokio::time::timeout(long(patience), TcpStream::connect(self.address)).await {
+            None => match tokio::time::timeout(long(patience), TcpStream::connect(address)).await {
                 Ok(Ok(stream)) => stream,
                 _ => return (Outcome::Unreached, Vec::new()),
             },
@@ -41,11 +45,11 @@
         let (id, limit) = (op.to_string(), (patience.us() / 1000).max(1).to_string());
         let more = [("X-Txn-Ref", id.as_str()), ("X-Limit-Ms", limit.as_str())];
         let mut call = Vec::new();
-        http::write_call(&mut call, "POST", "/post", &self.address.to_string(), &more, body);
+        http::write_call(&mut call, "POST", "/post", &address.to_string(), &more, body);
         match tokio::time::timeout(long(left), exchange(&mut stream, &call, UNTOUCHED)).await {
             Ok(Ok((status, untouched, stays, reply))) => {
                 if stays {
-                    self.keep(clock.now(), stream);
+                    self.keep(clock.now(), address, stream);
                 }
                 (outcome(status, untouched), reply)
             }
@@ -57,11 +61,12 @@
         }
     }
 
-    /// A kept connection that is young and silent; whatever has something to say is no use for a call.
-    fn kept(&self, now: Moment) -> Option<TcpStream> {
+    /// A kept connection that is young and silent; whatever has something to say is no use for a call. What
+    /// leads to where the ledger was before is closed.
+    fn kept(&self, now: Moment, address: SocketAddr) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|(since, _)| now - *since < REUSE_WITHIN);
-        while let Some((_, stream)) = idle.pop() {
+        idle.retain(|(since, at, _)| now - *since < REUSE_WITHIN && *at == address);
+        while let Some((_, _, stream)) = idle.pop() {
             let silent = stream.try_read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
             if silent {
                 return Some(stream);
@@ -70,10 +75,10 @@
         None
     }
 
-    fn keep(&self, now: Moment, stream: TcpStream) {
+    fn keep(&self, now: Moment, address: SocketAddr, stream: TcpStream) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MOST_IDLE {
-            idle.push((now, stream));
+        if idle.len() < MOST_IDLE && address == self.peers.now().ledger {
+            idle.push((now, address, stream));
         }
     }
 }
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -10,7 +10,9 @@
 mod ledger;
 mod logger;
 mod ops;
+mod peers;
 mod phases;
+mod reload;
 mod repeats;
 mod runtime;
 mod startup;
@@ -21,13 +23,16 @@
 use hazelspur::{Fact, Logic, Span};
 use ledger::Ledger;
 use ops::Means;
+use peers::Peers;
 use phases::{Phase, Phases};
 use runtime::Link;
 use startup::Startup;
+use std::cell::RefCell;
+use std::io::{Error, ErrorKind};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
 /// The process ends this long before it would be killed.
@@ -35,17 +40,21 @@
 
 fn main() -> ExitCode {
     logger::begin(&std::env::var("HAZELSPUR_LOG").unwrap_or_default());
-    let startup = match startup::read(|name| std::env::var(name).ok()) {
-        Ok(startup) => startup,
-        Err(why) => {
-            log::error!("start refused: {why}");
-            return ExitCode::from(2);
+    let ended = tokio::runtime::Builder::new_current_thread().enable_all().build().and_then(|runtime| {
+        let entered = runtime.enter();
+        // Before anything else: a signal that nobody listens for ends the process.
+        let signals = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
+        drop(entered);
+        let startup = startup::read(|name| std::env::var(name).ok()).map_err(Error::other)?;
+        LocalSet::new().block_on(&runtime, serve(startup, signals))
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) if e.kind() == ErrorKind::Other => {
+            log::error!("start refused: {e}");
+            ExitCode::from(2)
         }
-    };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.map(|runtime| LocalSet::new().block_on(&runtime, serve(startup))) {
-        Ok(Ok(())) => ExitCode::SUCCESS,
-        Ok(Err(e)) | Err(e) => {
+        Err(e) => {
             log::error!("server ended: {e}");
             ExitCode::FAILURE
         }
@@ -67,35 +76,39 @@
     });
 }
 
-async fn serve(startup: Startup) -> std::io::Result<()> {
-    let Startup { name, listen, runtime, ledger, control, seed, stop, grace, mut facts, .. } = startup;
-    let mut leave = signal(SignalKind::terminate())?;
+async fn serve(startup: Startup, (hangup, mut leave): (Signal, Signal)) -> std::io::Result<()> {
+    let (startup, hangup) = (Rc::new(startup), Rc::new(RefCell::new(hangup)));
+    let Startup { listen, seed, stop, grace, .. } = *startup;
     let listener = Rc::new(TcpListener::bind(listen).await?);
     let (desk, phases) = (Rc::new(Desk::default()), Rc::new(Phases::default()));
-    let link = Rc::new(Link::new(desk.clone(), startup.gauges));
-    let means = Means { desk: desk.clone(), link: link.clone(), ledger: Rc::new(Ledger::new(ledger)) };
-    let (op_types, tenants) = (startup.op_types, startup.tenants);
-    let gateways = Rc::new(Gateways::new(Rc::new(means), phases.clone(), op_types, tenants, startup.sockets));
+    let peers = Rc::new(Peers::new(startup.addresses));
+    let link = Rc::new(Link::new(desk.clone(), peers.clone(), startup.gauges.clone()));
+    let ledger = Rc::new(Ledger::new(peers.clone()));
+    let means = Rc::new(Means { desk: desk.clone(), link: link.clone(), ledger });
+    let gateways = Rc::new(Gateways::new(means, phases.clone(), &startup));
     desk.repeats.borrow_mut().share = startup.share_reads;
-    log::info!("start name={name} listen={listen} stop_ms={}", stop.us() / 1000);
+    log::info!("start name={} listen={listen} stop_ms={}", startup.name, stop.us() / 1000);
 
+    let (moving, running) = (peers.clone(), startup.clone());
+    keep_up("reload", &hangup, move |hangup| reload::on_hangup(hangup, moving.clone(), running.clone()));
     keep_up("accept", &gateways, move |gateways| gateways.accept(listener.clone()));
     keep_up("connections", &gateways, Gateways::keep);
-    keep_up("runtime", &link, move |link| link.run(runtime));
+    keep_up("runtime", &link, Link::run);
     keep_up("beat", &link, Link::beat);
     keep_up("desk", &desk, Desk::run);
-    let reporting = desk.clone();
+    let (reporting, name) = (desk.clone(), startup.name.clone());
     keep_up("control", &phases, move |phases| {
-        control::report(name.clone(), control, reporting.clone(), phases)
+        control::report(name.clone(), peers.clone(), reporting.clone(), phases)
     });
 
     let (hot, up) = tokio::select! {
         state = link.ready() => state,
         _ = leave.recv() => return Ok(()),
     };
+    let mut facts = startup.facts.clone();
     facts.0.insert("server.cold".into(), Fact::Num(f64::from(u8::from(!hot))));
     let began = desk.clock.now().back(up);
-    desk.open(Logic::new(facts, seed, began).map_err(std::io::Error::other)?);
+    desk.open(Logic::new(facts, seed, began).map_err(Error::other)?);
     phases.enter(Phase::Serving, &format!("cold={} up_ms={}", !hot, up.us() / 1000));
 
     leave.recv().await;
--- a/crates/hazelspur-server/src/runtime.rs
+++ b/crates/hazelspur-server/src/runtime.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{long, sleep};
 use crate::desk::{Desk, News};
+use crate::peers::Peers;
 use hazelspur::{OpId, Outcome, Span};
 use hazelspur_parsers::{Buffer, runtime};
 use std::cell::{Cell, RefCell};
@@ -33,6 +34,7 @@
 
 pub struct Link {
     desk: Rc<Desk>,
+    peers: Rc<Peers>,
     gauge_names: Vec<String>,
     runs: RefCell<BTreeMap<OpId, Run>>,
     last: Cell<u64>,
@@ -53,9 +55,10 @@
 }
 
 impl Link {
-    pub fn new(desk: Rc<Desk>, gauge_names: Vec<String>) -> Self {
+    pub fn new(desk: Rc<Desk>, peers: Rc<Peers>, gauge_names: Vec<String>) -> Self {
         Self {
             desk,
+            peers,
             gauge_names,
             runs: RefCell::default(),
             last: Cell::new(0),
@@ -110,8 +113,22 @@
         }
     }
 
-    /// Keeps the link: connects, lets the runtime replay, re-sends, and again after each break.
-    pub async fn run(self: Rc<Self>, address: SocketAddr) {
+    /// Keeps the link: connects, lets the runtime replay, re-sends, and again after each break. Where a new
+    /// configuration moves the runtime, the link goes over at once.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let address = self.peers.now().runtime;
+            tokio::select! {
+                () = self.keep_to(address) => {}
+                () = self.peers.left(|at| at.runtime, address) => {
+                    self.up.set(false);
+                    log::info!("runtime link moves last={} to={}", self.last.get(), self.peers.now().runtime);
+                }
+            }
+        }
+    }
+
+    async fn keep_to(&self, address: SocketAddr) {
         let mut pause = PAUSE;
         loop {
             let connecting = tokio::time::timeout(long(CONNECTING), TcpStream::connect(address));
--- a/crates/hazelspur-server/src/startup.rs
+++ b/crates/hazelspur-server/src/startup.rs
@@ -1,6 +1,7 @@
-//! What the program is told at its start: the one place where configuration is read, checked and given
-//! defaults. Every message names the key at fault.
+//! What the program is told at its start, and again on SIGHUP: the one place where configuration is read,
+//! checked and given defaults. Every message names the key at fault.
 
+use crate::peers::Addresses;
 use hazelspur::{Facts, Moment, Span};
 use hazelspur_parsers::{Json, settings};
 use std::net::SocketAddr;
@@ -10,9 +11,8 @@
 pub struct Startup {
     pub name: String,
     pub listen: SocketAddr,
-    pub runtime: SocketAddr,
-    pub ledger: SocketAddr,
-    pub control: SocketAddr,
+    /// What may change while the program runs.
+    pub addresses: Addresses,
     pub seed: u64,
     /// From the leave notice to the end of the process.
     pub stop: Span,
@@ -27,6 +27,21 @@
     pub facts: Facts,
 }
 
+impl Startup {
+    /// The keys that say something new and hold for the life of the process.
+    pub fn fixed_keys_that_differ(&self, new: &Self) -> Vec<&'static str> {
+        let fixed = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("seed", self.seed != new.seed),
+            ("stop_ms", self.stop != new.stop),
+            ("limits.sockets", self.sockets != new.sockets),
+            ("settings", self.facts.0 != new.facts.0),
+        ];
+        fixed.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+}
+
 /// Reads the file that `ROUTER_CONFIG` names; `ROUTER_NAME` and `ROUTER_LISTEN` stand in for absent keys.
 pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Startup, String> {
     let path = variable("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
@@ -73,9 +88,11 @@
     Ok(Startup {
         name: word("name", variable("ROUTER_NAME"))?,
         listen: address("listen", variable("ROUTER_LISTEN"))?,
-        runtime: address("runtime", None)?,
-        ledger: address("ledger", None)?,
-        control: address("control", None)?,
+        addresses: Addresses {
+            runtime: address("runtime", None)?,
+            ledger: address("ledger", None)?,
+            control: address("control", None)?,
+        },
         seed,
         stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
         sockets: number(limit("sockets"), "limits.sockets", 1024.0, 32.0..=1e7)? as usize,
--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -26,6 +27,7 @@
     listen: String,
     runtime: TcpListener,
     ledger: TcpListener,
+    file: PathBuf,
     trace: String,
 }
 
@@ -35,6 +37,22 @@
     (listener, address)
 }
 
+/// The next connection, or a failed test.
+fn accept(listener: &TcpListener) -> TcpStream {
+    let until = Instant::now() + PATIENCE;
+    listener.set_nonblocking(true).expect("a mode");
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).expect("a mode");
+                return stream;
+            }
+            Err(e) => assert!(Instant::now() < until, "no connection came: {e}"),
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 fn now_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis()
 }
@@ -46,9 +64,13 @@
     )
 }
 
+fn file(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("hazelspur-{}-{name}.json", std::process::id()))
+}
+
 /// Starts the program with this configuration, through a shell that may set limits first.
 fn start(name: &str, config: &str, first: &str) -> Child {
-    let file = std::env::temp_dir().join(format!("hazelspur-{}-{name}.json", std::process::id()));
+    let file = file(name);
     std::fs::write(&file, config).expect("a file");
     let program = env!("CARGO_BIN_EXE_hazelspur-server");
     let mut shell = Command::new("/bin/sh");
@@ -67,9 +89,16 @@
     }
 
     fn started(name: &str, first: &str) -> Self {
+        let (_, listen) = listener();
+        let (runtime, ledger, config) = Self::parties(&listen);
+        let server = start(name, &config, first);
+        Self { server, listen, runtime, ledger, file: file(name), trace: String::new() }
+    }
+
+    /// New stand-ins, and the configuration that leads to them.
+    fn parties(listen: &str) -> (TcpListener, TcpListener, String) {
         let ((runtime, at_runtime), (ledger, at_ledger)) = (listener(), listener());
         let (control, at_control) = listener();
-        let (_, listen) = listener();
         std::thread::spawn(move || {
             for stream in control.incoming().flatten() {
                 std::thread::spawn(move || {
@@ -83,13 +112,20 @@
         let config = format!(
             r#"{{"name":"n1","listen":"{listen}","runtime":"{at_runtime}","ledger":"{at_ledger}","control":"{at_control}","seed":"000000000000002a","stop_ms":1500,"settings":{SETTINGS}}}"#
         );
-        let server = start(name, &config, first);
-        Self { server, listen, runtime, ledger, trace: String::new() }
+        (runtime, ledger, config)
+    }
+
+    /// Replaces the configuration, its file too, and says so.
+    fn reload(&mut self, config: &str) {
+        let aside = self.file.with_extension("new");
+        std::fs::write(&aside, config).expect("a file");
+        std::fs::rename(&aside, &self.file).expect("one file system");
+        self.signal("-HUP");
     }
 
     /// The server's next link to the runtime.
     fn link(&mut self) -> End {
-        let mut link = End::over("runtime", self.runtime.accept().expect("a link").0);
+        let mut link = End::over("runtime", accept(&self.runtime));
         link.hear(&mut self.trace);
         link
     }
@@ -99,7 +135,7 @@
     }
 
     fn ledger(&self) -> End {
-        End::over("ledger", self.ledger.accept().expect("a call").0)
+        End::over("ledger", accept(&self.ledger))
     }
 
     fn signal(&self, name: &str) {
@@ -598,6 +634,43 @@
     .assert_eq(&town.trace);
 }
 
+#[test]
+fn a_new_configuration_moves_the_parties_and_keeps_what_is_in_hand() {
+    let (mut town, mut link) = Town::new("reload", "");
+    let mut gateway = town.gateway();
+    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
+    link.hear(&mut town.trace);
+    link.say(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
+    let mut old_ledger = town.ledger();
+    old_ledger.hear_call(&mut town.trace);
+    town.reload("{\"name\":\"n1\",\"list");
+    town.reload("");
+    let (runtime, ledger, config) = Town::parties(&town.listen);
+    (town.runtime, town.ledger) = (runtime, ledger);
+    town.reload(&config);
+    let mut moved = town.link();
+    let _ = writeln!(town.trace, "old {}", link.line());
+    moved.say("ready hot 2000\r\n");
+    moved.hear(&mut town.trace);
+    old_ledger.say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    moved.hear(&mut town.trace);
+    moved.say(&format!("wants 2 {} 3\r\ntwo\r\n", id(1)));
+    town.ledger().hear_call(&mut town.trace);
+    moved.say(&format!("end 3 {} complete 5 4\r\ndone\r\n", id(1)));
+    gateway.hear(&mut town.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        ledger < POST /post HTTP/1.1 0000000000000001 ask
+        runtime < sync 1
+        old (closed)
+        runtime < give 0000000000000001 2 ok
+        ledger < POST /post HTTP/1.1 0000000000000001 two
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
+    "#]]
+    .assert_eq(&town.trace);
+}
+
 #[test]
 fn a_bad_configuration_names_its_key() {
     let good = format!(
