A call's first tries wait a few usual calls; what broke or never came is made again at once

Tested: p50 of acked ops 13 ms, runs and cores free, no descriptor or memory short, so neither runtime nor sockets; CPU 0.22 of a core was the effect of the ops held. Cause, make_calls in logic.rs: patience reached to the op's due time, so each lost reply held its run and a place among the calls for seconds until the time at calls was used up for all; and call_ended counted a broken or refused call as a quick one and waited 50 ms before what had only lost its connection.

Now a retryable op's tries but the last wait 8 times the middle of what calls took; only acked and timed out calls count to that; only a refusal makes the next try wait. Guards against replies lost or links hung of any cause; does harm where calls suddenly take over 8 times as long, until half the samples say so; the last try then waits for all there is. Non-retryable ops wait as before. note() moves to book.rs and is bounded: names that are always new took ever more room, and a pass over all for each.

--- a/src/book.rs
+++ b/src/book.rs
@@ -1,8 +1,8 @@
 //! What is written down about ops and op types, and samples with the figures worked out from them.
 
-use crate::logic::{SAMPLES, WAITS};
+use crate::logic::{SAMPLES, SEEN_KEPT, WAITS};
 use crate::{CallerId, Facts, Moment, OpId, Span, UserKey};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// The last few samples of something; figures are worked out when asked for.
 #[derive(Clone, Debug)]
@@ -176,6 +176,22 @@
     pub fn ran_for(&self, now: Moment) -> f64 {
         (now - self.began - self.at_calls).secs()
     }
+
+    pub fn call_over(&mut self, now: Moment) {
+        self.at_calls = self.at_calls + (now - self.call_began);
+        self.state = State::Running;
+    }
+}
+
+/// Writes down who was seen now and says when before. Past a number those not seen for `idle` are dropped, and
+/// then ever later ones until half are gone, so that names which are always new take no more room nor time.
+pub fn note<K: Ord>(seen: &mut BTreeMap<K, Moment>, who: K, now: Moment, mut idle: Span) -> Option<Moment> {
+    let most = if seen.len() < SEEN_KEPT { SEEN_KEPT } else { SEEN_KEPT / 2 };
+    while seen.len() > most {
+        seen.retain(|_, last| now - *last < idle);
+        idle = idle.scaled(0.5);
+    }
+    seen.insert(who, now)
 }
 
 /// An op read: when and from whom, how long after the caller's one before, and the run expected in seconds.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! `leave_notice`), which only update what is known, then pull `next_decision(now)` until it is `None`.
 //! The interface is this type's `pub fn`s and `Decision` in decision.rs; docs/design.md says why.
 
-use crate::book::{Cycle, Op, OpType, Outcome, Read, Recent, Repeats, State, mean, middle, parts};
+use crate::book::{Cycle, Op, OpType, Outcome, Read, Recent, Repeats, State, mean, middle, note, parts};
 use crate::pcg::Pcg;
 use crate::{CallerId, Decision, Fact, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
 use std::cmp::Ordering;
@@ -17,7 +17,7 @@
 const CYCLE_MIN: Span = Span::from_ms(500);
 const CYCLE_MAX: Span = Span::from_ms(4000);
 const CYCLES_KEPT: usize = 16;
-const SEEN_KEPT: usize = 4096;
+pub const SEEN_KEPT: usize = 4096;
 const USER_IDLE: Span = Span::from_ms(20_000);
 
 /// Ours, where the design is silent.
@@ -29,6 +29,7 @@
 const CALLS_PART: f64 = 0.45;
 const CALLS_SAVED: f64 = 0.3;
 const CALL_TRIES: u32 = 3;
+const CALL_PATIENCE: f64 = 8.0;
 const STOP_AGAIN: Span = Span::from_ms(200);
 const EARLY_SHARE: f64 = 0.09;
 const CROWDED: f64 = 0.3;
@@ -262,19 +263,23 @@
         self.refill(now);
         let linger = self.span("server.lingers_us").secs();
         let Some(op) = self.ops.get_mut(&id).filter(|op| op.state == State::Calling) else { return };
-        let censored = if outcome == Outcome::TimedOut { 2.0 } else { 1.0 };
-        self.call_times.push((now - op.call_after).secs() * censored);
-        if outcome == Outcome::Ok {
-            op.at_calls = op.at_calls + (now - op.call_began);
-            op.state = State::Running;
-            return;
-        }
-        if outcome == Outcome::TimedOut {
-            self.call_budget -= linger;
+        let took = (now - op.call_after).secs();
+        match outcome {
+            Outcome::Ok => {
+                self.call_times.push(took);
+                return op.call_over(now);
+            }
+            Outcome::TimedOut => {
+                self.call_times.push(2.0 * took);
+                self.call_budget -= linger;
+            }
+            _ => {} // says nothing of how long calls take
         }
         op.state = State::WantsCall;
-        op.call_after = now + Span::from_ms(50).scaled(f64::from(op.call_tries));
         let never_ran = matches!(outcome, Outcome::Full | Outcome::Unreached | Outcome::Moot);
+        // Only a refusal speaks of load: what broke or never came is made again at once.
+        let wait = if never_ran { op.call_tries } else { 0 };
+        op.call_after = now + Span::from_ms(50).scaled(f64::from(wait));
         if !never_ran && self.op_types[op.op_type].repeats != Repeats::Retryable {
             op.call_tries = CALL_TRIES;
         }
@@ -405,12 +410,10 @@
     /// survives. Guards against slow spells; gives up calls for which others may have left room.
     fn make_calls(&mut self, now: Moment) -> Option<Decision> {
         let ready = |op: &Op| op.state == State::WantsCall && op.owed && op.call_after <= now;
-        let tired = |op: &Op| op.call_tries >= CALL_TRIES;
-        if let Some(id) = self.first_by_seq(|op| ready(op) && tired(op)) {
+        if let Some(id) = self.first_by_seq(|op| ready(op) && op.call_tries >= CALL_TRIES) {
             let op = self.ops.get_mut(&id)?;
             if self.op_types[op.op_type].skip_worth > 0.0 {
-                op.at_calls = op.at_calls + (now - op.call_began);
-                op.state = State::Running;
+                op.call_over(now);
                 return Some(Decision::SkipCall(id));
             }
             return Some(self.give_up(now, id));
@@ -423,11 +426,15 @@
         let lasts = Span::from_secs(if drain > 0.0 { self.call_budget / drain } else { 1e6 });
         let ready = self.ops.iter().filter(|(_, op)| ready(op));
         let id = *ready.min_by(|a, b| self.order(a.1, b.1))?.0;
+        let usual = middle(self.call_times.samples.iter().copied()).unwrap_or(f64::INFINITY);
         let op = self.ops.get_mut(&id)?;
         op.state = State::Calling;
         op.call_after = now;
         op.call_tries += 1;
-        Some(Decision::Call { op: id, patience: (op.due - now).min(lasts).max(BEAT) })
+        // A reply that never comes must not hold its run: only the last try waits for as long as there is.
+        let last = op.call_tries >= CALL_TRIES || self.op_types[op.op_type].repeats != Repeats::Retryable;
+        let usual = Span::from_secs(if last { f64::INFINITY } else { usual * CALL_PATIENCE });
+        Some(Decision::Call { op: id, patience: (op.due - now).min(lasts).min(usual).max(BEAT) })
     }
 
     /// The design: listed users pass, openings of unlisted users meet R, and all admitted ops count to it.
@@ -811,11 +818,3 @@
         self.ops.remove(&id);
     }
 }
-
-/// Writes down who was seen now and says when before; past a number, those not seen for `idle` are dropped.
-fn note<K: Ord>(seen: &mut BTreeMap<K, Moment>, who: K, now: Moment, idle: Span) -> Option<Moment> {
-    if seen.len() >= SEEN_KEPT {
-        seen.retain(|_, last| now - *last < idle);
-    }
-    seen.insert(who, now)
-}
