Replies are read strictly, bad clients told and closed in time, mute links made anew

Now: http::Reply looks at bytes once, with a bound on each part, and only a connection with nothing behind the reply that rested 5 ms is used again; a repeat gets its own. Gauges that came back show which replies were read. A link mute for 2.5 s is made anew. Connections that bring nothing good within 1.8 s, a line not whole in 2.5 s, a line of over 16 KiB, or 4 faults are told and closed, with a bounded drain; reading rests 50 ms after a fault. Where descriptors run short those without a good word go first; ops the runtime does not know count against their connection. An interrupt frees its place at once.

Tests: the table of bad input, silent and half connections, noise behind replies, the reply read before a break, the mute link, who goes first.

--- a/crates/hazelspur-parsers/src/buffer.rs
+++ b/crates/hazelspur-parsers/src/buffer.rs
@@ -7,6 +7,8 @@
 pub struct Buffer {
     bytes: Vec<u8>,
     start: usize,
+    /// So much of what is unread holds no line end.
+    looked_at: usize,
 }
 
 impl Buffer {
@@ -16,10 +18,11 @@
 
     pub fn take(&mut self, count: usize) {
         self.start = (self.start + count).min(self.bytes.len());
+        self.looked_at = 0;
         if self.start == self.bytes.len() {
             self.bytes.clear();
             self.start = 0;
-            self.bytes.shrink_to(4 * STEP);
+            self.bytes.shrink_to(STEP);
         }
     }
 
@@ -35,7 +38,10 @@
     }
 
     /// How long the first whole line is, without its end.
-    pub fn line(&self) -> Option<usize> {
-        self.unread().iter().position(|b| *b == b'\n')
+    pub fn line(&mut self) -> Option<usize> {
+        let (unread, from) = (&self.bytes[self.start..], self.looked_at);
+        let end = unread[from..].iter().position(|b| *b == b'\n').map(|at| from + at);
+        self.looked_at = end.unwrap_or(unread.len());
+        end
     }
 }
--- a/crates/hazelspur-parsers/src/runtime.rs
+++ b/crates/hazelspur-parsers/src/runtime.rs
@@ -21,7 +21,8 @@
         let text = || format!("a line of over {LONGEST_LINE} bytes");
         return if bytes.len() > LONGEST_LINE { Err(text()) } else { Ok(None) };
     };
-    let line = std::str::from_utf8(&bytes[..end]).map_err(|_| "a line that is not text")?;
+    // A remark may be any bytes; the words of the others are checked one by one.
+    let line = String::from_utf8_lossy(&bytes[..end]);
     let line = line.trim_end_matches('\r');
     let bad = || format!("an unreadable line: {}", line.chars().take(80).collect::<String>());
     let whole = |word: &str| word.parse::<u64>().map_err(|_| bad());
--- a/crates/hazelspur-parsers/tests/texts.rs
+++ b/crates/hazelspur-parsers/tests/texts.rs
@@ -140,49 +140,60 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab",
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nx-untouched: 1\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 204 Done\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 503 Full\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nX: y\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+3\r\n",
+        &format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", "0".repeat(300)),
         "HTTP/1.0 200 OK\r\n\r\nto the end",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\ncontent-length: 4\r\n\r\nabcd",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX: \u{1}\r\n\r\n",
         "SMTP 200\r\n\r\n",
         "HTTP/1.1 2",
+        &"HTTP/1.1 100 Continue\r\n\r\n".repeat(9),
+        &"x".repeat(9000),
     ];
     let mut seen = String::new();
-    for reply in replies {
-        for closed in [false, true] {
-            let read = http::reply(reply.as_bytes(), "X-Untouched", closed);
-            let text = |body: Vec<u8>| String::from_utf8(body);
-            let read = read.map(|r| r.map(|(status, mark, stays, body)| (status, mark, stays, text(body))));
-            let _ = writeln!(seen, "{read:?}");
-        }
+    for text in replies {
+        let (mut buffer, mut reply) = (Buffer::default(), http::Reply::default());
+        let mut read = |piece: &[u8]| {
+            buffer.room().extend_from_slice(piece);
+            let read = reply.read(&mut buffer, "X-Untouched");
+            read.map(|r| r.map(|(status, mark, stays, body)| (status, mark, stays, String::from_utf8(body))))
+        };
+        let read = text.as_bytes().chunks(3).map(&mut read).find(|read| !matches!(read, Ok(None)));
+        let _ = writeln!(seen, "{:?}", read.unwrap_or(Ok(None)));
     }
     let mut out = Vec::new();
     http::write_call(&mut out, "PUT", "/x", "h:1", &[("X-A", "b")], b"body");
     seen += &String::from_utf8_lossy(&out).replace("\r\n", "|");
     expect_test::expect![[r#"
-        Ok(Some((200, false, true, Ok("abc"))))
-        Ok(Some((200, false, true, Ok("abc"))))
-        Ok(None)
+        Ok(Some((200, false, false, Ok("abc"))))
         Ok(None)
         Ok(Some((503, true, true, Ok(""))))
-        Ok(Some((503, true, true, Ok(""))))
         Ok(Some((204, false, false, Ok(""))))
-        Ok(Some((204, false, false, Ok(""))))
-        Ok(None)
-        Ok(Some((200, false, false, Ok("to the end"))))
+        Ok(Some((503, false, false, Ok(""))))
         Ok(Some((200, false, true, Ok("abcd"))))
-        Ok(Some((200, false, true, Ok("abcd"))))
-        Err("an unreadable chunk")
+        Err("an unreadable number")
         Err("an unreadable chunk")
-        Err("an unreadable length")
-        Err("an unreadable length")
-        Err("the body is too long")
-        Err("the body is too long")
+        Err("no length")
+        Err("an unreadable number")
+        Err("an unreadable number")
+        Err("a number out of range")
+        Err("two lengths")
+        Err("two lengths")
+        Err("a number out of range")
+        Err("an unreadable header")
+        Err("an unreadable head")
         Err("not HTTP/1")
-        Err("not HTTP/1")
-        Ok(None)
         Ok(None)
+        Err("too many interim replies")
+        Err("the head is too long")
         PUT /x HTTP/1.1|Host: h:1|X-A: b|Content-Length: 4||body"#]]
     .assert_eq(&seen);
 }
--- a/crates/hazelspur-server/src/answers.rs
+++ b/crates/hazelspur-server/src/answers.rs
@@ -1,5 +1,6 @@
 //! What one connection is owed and what waits to be written on it.
 
+use crate::clock::long;
 use crate::desk::Desk;
 use hazelspur::{Moment, OpId, Span};
 use hazelspur_parsers::rpc::{self, RpcId};
@@ -18,8 +19,19 @@
     pub quiet_since: Cell<Moment>,
     pub said_farewell: Cell<Option<Moment>>,
     pub for_health: Cell<bool>,
+    pub since: Moment,
+    /// Whether it has carried something good: an op that could be read, or a health check.
+    pub proven: Cell<bool>,
+    /// Since when a line on it is not whole.
+    pub half_since: Cell<Option<Moment>>,
+    /// Found late once, by a look that may only have been the first after the machine stood still.
+    pub found_late: Cell<bool>,
+    /// How often what came on it was no good, and why the last time.
+    pub faults: Cell<(u32, &'static str)>,
     /// Ends the connection's task.
     pub close: Notify,
+    /// The task is ending.
+    pub closing: Cell<bool>,
     out: RefCell<Vec<u8>>,
     more: Notify,
     being_written: Cell<bool>,
@@ -29,13 +41,20 @@
 
 impl Answers {
     pub fn new(desk: Rc<Desk>) -> Self {
+        let now = desk.clock.now();
         Self {
-            quiet_since: Cell::new(desk.clock.now()),
+            quiet_since: Cell::new(now),
             desk,
             open: RefCell::default(),
             said_farewell: Cell::new(None),
             for_health: Cell::new(false),
+            since: now,
+            proven: Cell::new(false),
+            half_since: Cell::new(None),
+            found_late: Cell::new(false),
+            faults: Cell::default(),
             close: Notify::new(),
+            closing: Cell::new(false),
             out: RefCell::default(),
             more: Notify::new(),
             being_written: Cell::new(false),
@@ -70,11 +89,31 @@
         self.taken.notify_one();
     }
 
-    /// Comes back once nothing is open any more and all is written.
-    pub async fn all_out(&self) {
-        while !self.open.borrow().is_empty() || !self.out.borrow().is_empty() || self.being_written.get() {
+    /// Comes back once nothing is open any more and all is written, or has not been taken for this long.
+    pub async fn all_out(&self, most: Span) {
+        while !self.open.borrow().is_empty() {
             self.settled.notified().await;
         }
+        let written = async {
+            while !self.out.borrow().is_empty() || self.being_written.get() {
+                self.settled.notified().await;
+            }
+        };
+        let _ = tokio::time::timeout(long(most), written).await;
+    }
+
+    /// An error answer to what was no good.
+    pub fn fault(&self, id: Option<RpcId>, code: i32, why: &'static str) {
+        self.faults.set((self.faults.get().0 + 1, why));
+        self.put(|out| rpc::error(out, id, code, why, None, false, None));
+    }
+
+    /// Says why and ends the connection's task; what is open is answered first.
+    pub fn dismiss(&self, why: &'static str) {
+        if !self.closing.replace(true) {
+            self.fault(None, rpc::NOT_VALID, why);
+            self.close.notify_one();
+        }
     }
 
     pub fn farewell(&self) {
@@ -87,13 +126,14 @@
 pub struct Owed {
     answers: Rc<Answers>,
     id: RpcId,
+    op: OpId,
     pending: bool,
 }
 
 impl Owed {
     pub fn new(answers: Rc<Answers>, id: RpcId, op: OpId) -> Self {
         answers.open.borrow_mut().insert(id, op);
-        Self { answers, id, pending: true }
+        Self { answers, id, op, pending: true }
     }
 
     pub fn pending(&self) -> bool {
@@ -118,11 +158,22 @@
         });
     }
 
+    /// No worker knows this op: what its connection brings is not to be relied on.
+    pub fn unknown(&mut self) {
+        self.answers.proven.set(false);
+        self.answers.faults.set((self.answers.faults.get().0 + 1, "the runtime does not know the op"));
+        self.failed();
+    }
+
     /// Its caller is gone: no answer.
     pub fn release(&mut self) {
         if std::mem::replace(&mut self.pending, false) {
             let answers = &self.answers;
-            answers.open.borrow_mut().remove(&self.id);
+            let mut open = answers.open.borrow_mut();
+            if open.get(&self.id) == Some(&self.op) {
+                open.remove(&self.id);
+            }
+            drop(open);
             answers.quiet_since.set(answers.desk.clock.now());
             answers.settled.notify_one();
         }
--- a/crates/hazelspur-server/src/desk.rs
+++ b/crates/hazelspur-server/src/desk.rs
@@ -16,6 +16,8 @@
     Decided(Decision),
     Wants(Vec<u8>),
     Ended(Outcome, Vec<u8>),
+    /// The runtime knows no such op.
+    Unknown,
     /// Nobody waits for it any more.
     Gone,
 }
--- a/crates/hazelspur-server/src/gateways.rs
+++ b/crates/hazelspur-server/src/gateways.rs
@@ -13,11 +13,17 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::ReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 
 const MOST_OPEN: usize = 32;
 const LONGEST_LINE: usize = 16 * 1024;
 const LONGEST_BODY: usize = 2048;
+/// A caller that says it waits this much longer than the settings allow is not believed.
+const TIMEOUT_SLACK: f64 = 1.5;
+/// Nor an op that came so long from now; one whose time was over so long ago runs for nobody.
+const AHEAD: Span = Span::from_ms(2000);
+const LONG_PAST: Span = Span::from_ms(1000);
 /// From a gateway that does not read this much, nothing more is read either.
 const MOST_UNWRITTEN: usize = 64 * 1024;
 const ROUND: Span = Span::from_ms(100);
@@ -27,16 +33,39 @@
 const LAST_ACCEPT: Span = Span::from_ms(2);
 const HEALTH_IDLE: Span = Span::from_ms(60_000);
 const SHED: usize = 16;
-const KEPT_BACK: usize = 96;
+/// Descriptors not for gateways' connections, and how many of those may be on their way out.
+const KEPT_BACK: usize = 128;
+const GOING: usize = 64;
+/// Within this a connection has to bring something good; it is told and closed well before 3 s.
+const FIRST_GOOD: Span = Span::from_ms(1800);
+/// Within this a line that has begun has to be whole.
+const WHOLE_LINE: Span = Span::from_ms(2500);
+/// After an error nothing more is read for a while, so that errors at full speed don't take up the core; after
+/// so many the connection is closed.
+const FAULT_PAUSE: Span = Span::from_ms(50);
+const MOST_FAULTS: u32 = 4;
+/// What still comes after the last word is read and dropped, so that a reset does not swallow that word; so
+/// much of it, for so long, on so many connections at once.
+const DRAINED: usize = 256 * 1024;
+const DRAINED_FOR: Span = Span::from_ms(300);
+const MOST_DRAINING: usize = 32;
+/// A caller that does not take its last answers is left after this.
+const LAST_WRITE: Span = Span::from_ms(1000);
+/// Lines on bad connections in a round; more are told as a number.
+const MOST_TOLD: u32 = 4;
 
 pub struct Gateways {
     means: Rc<Means>,
     phases: Rc<Phases>,
     op_types: Vec<Rc<str>>,
+    op_timeouts: Vec<Span>,
     tenants: Vec<String>,
     most: usize,
     connections: RefCell<BTreeMap<ConnectionId, Rc<Answers>>>,
     last: Cell<ConnectionId>,
+    draining: Cell<usize>,
+    /// Connections with bad input that ended in this round.
+    bad: Cell<u32>,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -50,7 +79,9 @@
         let op_types = told.op_types.iter().map(|name| Rc::from(name.as_str())).collect();
         let (connections, last) = (RefCell::default(), Cell::default());
         let most = told.sockets.saturating_sub(KEPT_BACK).max(told.sockets / 2);
-        Self { means, phases, op_types, tenants: told.tenants.clone(), most, connections, last }
+        let (draining, bad) = (Cell::default(), Cell::default());
+        let (op_timeouts, tenants) = (told.op_timeouts.clone(), told.tenants.clone());
+        Self { means, phases, op_types, op_timeouts, tenants, most, connections, last, draining, bad }
     }
 
     /// How many ops are owed an answer, on how many connections.
@@ -72,7 +103,7 @@
                     Ok((stream, _)) => self.clone().welcome(stream),
                     Err(e) => {
                         log::warn!("accept failed connections={} why={e}", self.connected());
-                        self.shed();
+                        self.shed(true);
                         sleep(CLOSING_ROUND).await;
                     }
                 },
@@ -85,32 +116,48 @@
     }
 
     fn welcome(self: Rc<Self>, stream: TcpStream) {
-        if self.connected() >= self.most {
-            self.shed();
-        }
+        self.shed(false);
         tokio::task::spawn_local(self.converse(stream));
     }
 
-    /// Descriptors run short: the connections that are idle longest go.
-    fn shed(&self) {
+    /// Descriptors run short: what has brought nothing good yet goes first, then what is idle longest. Once
+    /// even those that are going are too many, or `now`, nothing more is waited for on them.
+    fn shed(&self, now: bool) {
         let connections = self.connections.borrow();
-        let mut idle: Vec<&Rc<Answers>> =
-            connections.values().filter(|c| c.open.borrow().is_empty()).collect();
-        idle.sort_by_key(|c| c.quiet_since.get());
+        let going = |c: &&Rc<Answers>| c.closing.get() || c.said_farewell.get().is_some();
+        let idle = |c: &&Rc<Answers>| c.open.borrow().is_empty();
+        if now || connections.len() >= self.most + GOING {
+            connections.values().filter(going).filter(idle).for_each(|c| c.close.notify_one());
+        }
+        if !now && connections.len() < self.most + connections.values().filter(going).count() {
+            return;
+        }
+        let mut idle: Vec<&Rc<Answers>> = connections.values().filter(idle).filter(|c| !going(c)).collect();
+        idle.sort_by_key(|c| (c.proven.get(), c.quiet_since.get()));
         for connection in idle.iter().take(SHED) {
-            connection.farewell();
-            connection.close.notify_one();
+            if connection.proven.get() {
+                connection.farewell();
+            } else {
+                connection.dismiss("too many connections");
+            }
         }
     }
 
-    /// Closes what has been idle for as long as the module says; while closing, all that is not in use.
+    /// Closes what has been idle for as long as the module says, and what brings nothing good in time; while
+    /// closing, all that is not in use.
     pub async fn keep(self: Rc<Self>) {
         loop {
             let closing = self.phases.now() == Phase::Closing;
             let now = self.means.desk.clock.now();
             let idle = self.means.desk.keep_idle.get();
             for connection in self.connections.borrow().values() {
-                if !connection.open.borrow().is_empty() {
+                let open = !connection.open.borrow().is_empty();
+                let half = connection.half_since.get().is_some_and(|since| now - since >= WHOLE_LINE);
+                let idler = !open && !connection.proven.get() && now - connection.since >= FIRST_GOOD;
+                if connection.found_late.replace(half || idler) && (half || idler) {
+                    connection.dismiss("nothing good came in time");
+                }
+                if open || connection.closing.get() {
                     continue;
                 }
                 let quiet = now - connection.quiet_since.get();
@@ -121,6 +168,10 @@
                     _ => {}
                 }
             }
+            let untold = self.bad.take().saturating_sub(MOST_TOLD);
+            if untold > 0 {
+                log::warn!("bad input connections_not_told={untold} connections={}", self.connected());
+            }
             sleep(if closing { CLOSING_ROUND } else { ROUND }).await;
         }
     }
@@ -132,10 +183,17 @@
         self.connections.borrow_mut().insert(connection, answers.clone());
         let _ = stream.set_nodelay(true);
         let (mut read, mut write) = stream.split();
+        let mut buffer = Buffer::default();
         let reading = async {
-            let (mut buffer, mut skipping) = (Buffer::default(), false);
             while read.read_buf(buffer.room()).await? > 0 {
-                self.take_lines(&answers, &mut buffer, &mut skipping);
+                let faults = answers.faults.get().0;
+                self.take_lines(&answers, &mut buffer);
+                let faults_now = answers.faults.get().0;
+                if faults_now >= MOST_FAULTS {
+                    break;
+                } else if faults_now > faults {
+                    sleep(FAULT_PAUSE).await;
+                }
                 answers.written_below(MOST_UNWRITTEN).await;
             }
             std::io::Result::Ok(())
@@ -149,17 +207,36 @@
                 }
             }
         };
-        tokio::pin!(writing);
-        let ended = tokio::select! {
-            read = reading => read.is_ok(),
-            () = &mut writing => false,
-            () = answers.close.notified() => true,
-        };
-        if ended {
-            // The gateway writes nothing more, but may still read.
-            tokio::select! {
-                () = &mut writing => {}
-                () = answers.all_out() => {}
+        {
+            tokio::pin!(writing);
+            let ended = tokio::select! {
+                read = reading => read.is_ok(),
+                () = &mut writing => false,
+                () = answers.close.notified() => true,
+            };
+            answers.closing.set(true);
+            if ended {
+                // The caller writes nothing more, or is not read any more, but may still read.
+                tokio::select! {
+                    () = &mut writing => {}
+                    () = answers.all_out(LAST_WRITE) => {}
+                }
+            }
+        }
+        let (faults, why) = answers.faults.get();
+        if faults > 0 {
+            self.bad.set(self.bad.get() + 1);
+            if self.bad.get() <= MOST_TOLD {
+                log::warn!("bad input faults={faults} last={why}");
+            }
+            if self.draining.get() < MOST_DRAINING && write.shutdown().await.is_ok() {
+                self.draining.set(self.draining.get() + 1);
+                tokio::select! {
+                    () = drain(&mut read, &mut buffer) => {}
+                    () = sleep(DRAINED_FOR) => {}
+                    () = answers.close.notified() => {}
+                }
+                self.draining.set(self.draining.get() - 1);
             }
         }
         self.connections.borrow_mut().remove(&connection);
@@ -170,23 +247,22 @@
         left.into_iter().for_each(|op| self.means.desk.hand(op, News::Gone));
     }
 
-    fn take_lines(&self, answers: &Rc<Answers>, buffer: &mut Buffer, skipping: &mut bool) {
-        while let Some(length) = buffer.line() {
-            if std::mem::take(skipping) {
-                // the rest of a line that was too long
-            } else if length > LONGEST_LINE {
-                complain(answers, None, (rpc::NOT_VALID, "the line is too long"));
-            } else {
-                self.take_line(answers, buffer.unread()[..length].trim_ascii_end());
+    fn take_lines(&self, answers: &Rc<Answers>, buffer: &mut Buffer) {
+        while answers.faults.get().0 < MOST_FAULTS {
+            let length = buffer.line();
+            if length.unwrap_or(buffer.unread().len()) > LONGEST_LINE {
+                // Its rest may be any length: nothing more is read here.
+                answers.dismiss("the line is too long");
+                answers.half_since.set(None);
+                return buffer.take(buffer.unread().len());
             }
+            let Some(length) = length else { break };
+            self.take_line(answers, buffer.unread()[..length].trim_ascii_end());
             buffer.take(length + 1);
+            answers.half_since.set(None);
         }
-        if *skipping {
-            buffer.take(buffer.unread().len());
-        } else if buffer.unread().len() > LONGEST_LINE {
-            *skipping = true;
-            buffer.take(buffer.unread().len());
-            complain(answers, None, (rpc::NOT_VALID, "the line is too long"));
+        if !buffer.unread().is_empty() && answers.half_since.get().is_none() {
+            answers.half_since.set(Some(self.means.desk.clock.now()));
         }
     }
 
@@ -195,25 +271,35 @@
             return;
         }
         let Some(message) = Json::parse(line).filter(|message| message.is_object()) else {
-            return complain(answers, None, (rpc::NOT_JSON, "not a JSON object"));
+            return answers.fault(None, rpc::NOT_JSON, "not a JSON object");
         };
+        if message.get("jsonrpc").and_then(Json::text).as_deref() != Some("2.0") {
+            return answers.fault(None, rpc::NOT_VALID, "not JSON-RPC 2.0");
+        }
         let id = message.get("id").and_then(Json::whole).filter(|id| *id > 0).map(RpcId);
         let params = message.get("params");
         let Some(method) = message.get("method").and_then(Json::text) else {
-            return complain(answers, id, (rpc::NOT_VALID, "no method"));
+            return answers.fault(id, rpc::NOT_VALID, "no method");
         };
         match (&*method, id) {
             ("interrupt", _) => self.interrupt(answers, id, params),
-            (_, None) => complain(answers, None, (rpc::NOT_VALID, "no id from 1 up")),
+            (_, None) => answers.fault(None, rpc::NOT_VALID, "no id from 1 up"),
             ("check", Some(id)) => {
                 answers.for_health.set(true);
+                answers.proven.set(true);
                 answers.quiet_since.set(self.means.desk.clock.now());
                 let desk = &self.means.desk;
                 answers.put(|out| rpc::check(out, id, desk.good.get(), desk.signal.get()));
             }
             (class, Some(id)) => {
-                if let Err(refusal) = self.read_op(answers, id, class, params) {
-                    complain(answers, Some(id), refusal);
+                // What is open under this id has its own answer.
+                let own = (!answers.open.borrow().contains_key(&id)).then_some(id);
+                match self.read_op(answers, id, class, params) {
+                    Ok(()) => answers.proven.set(true),
+                    Err((rpc::NACKED, why)) => {
+                        answers.put(|out| rpc::error(out, own, rpc::NACKED, why, None, false, None));
+                    }
+                    Err((code, why)) => answers.fault(own, code, why),
                 }
             }
         }
@@ -221,13 +307,15 @@
 
     fn interrupt(&self, answers: &Answers, id: Option<RpcId>, params: Option<Json>) {
         let field = |name: &str| params.and_then(|params| params.get(name));
-        let open = answers.open.borrow();
+        let mut open = answers.open.borrow_mut();
         let named = field("req").and_then(Json::text).and_then(|req| OpId::padded(&req));
         let numbered =
             field("id").and_then(Json::whole).map(RpcId).or(id).and_then(|id| open.get(&id).copied());
         let op = named.filter(|op| open.values().any(|other| other == op)).or(numbered);
-        drop(open);
         if let Some(op) = op {
+            open.retain(|_, other| *other != op); // its place is free for the next line already
+            drop(open);
+            answers.quiet_since.set(self.means.desk.clock.now());
             self.means.desk.hand(op, News::Gone);
         }
     }
@@ -264,8 +352,11 @@
         let opkey = params.get("opkey").map(|k| k.text().ok_or(bad("opkey is no string"))).transpose()?;
         let body = params.get("data").map_or(Some(Vec::new()), |data| rpc::body(&data.text()?));
         let body = body.filter(|body| body.len() <= LONGEST_BODY).ok_or(bad("data is no body"))?;
-        if !level || ts > u64::MAX / 2000 {
-            return Err(bad("level or ts is out of range"));
+        let now = desk.clock.now();
+        let arrived = Moment::from_us(ts.saturating_mul(1000));
+        let longest = self.op_timeouts[op_type].scaled(TIMEOUT_SLACK).us() as f64 / 1000.0;
+        if !level || arrived > now + AHEAD || timeout.is_some_and(|ms| ms > longest) {
+            return Err(bad("level, ts or timeout is out of range"));
         }
         if answers.open.borrow().len() >= MOST_OPEN || answers.open.borrow().contains_key(&id) {
             return Err((rpc::NOT_VALID, "too many open, or this id is"));
@@ -273,13 +364,15 @@
         if !desk.is_open() {
             return Err((rpc::NACKED, "not serving yet"));
         }
-        let news = desk.enroll(op).ok_or(bad("this req is in hand"))?;
-        let arrived = Moment::from_us(ts * 1000);
         let due = timeout.map(|ms| arrived + Span::from_secs(ms / 1000.0));
+        if due.unwrap_or(arrived + self.op_timeouts[op_type]) + LONG_PAST <= now {
+            return Err((rpc::NACKED, "its time was over long ago"));
+        }
+        let news = desk.enroll(op).ok_or(bad("this req is in hand"))?;
         let user = subject.as_deref().map(UserKey::of);
         let key = opkey.as_deref().map(UserKey::of).or(user);
         let repeat_of = key.and_then(|key| {
-            let (now, key) = (desk.clock.now(), (OpTypeId(op_type), key));
+            let key = (OpTypeId(op_type), key);
             desk.repeats.borrow_mut().read(now, op, key, opkey.is_some())
         });
         let owed = Owed::new(answers.clone(), id, op);
@@ -291,8 +384,13 @@
     }
 }
 
-/// An error answer and one line.
-fn complain(answers: &Answers, id: Option<RpcId>, (code, message): Refusal) {
-    log::warn!("bad input id={} why={message}", id.map_or(0, |id| id.0));
-    answers.put(|out| rpc::error(out, id, code, message, None, false, None));
+/// Reads and drops what still comes, for a while.
+async fn drain(read: &mut ReadHalf<'_>, buffer: &mut Buffer) {
+    let mut left = DRAINED;
+    while let Ok(count @ 1..) = read.read_buf(buffer.room()).await
+        && left > 0
+    {
+        buffer.take(count);
+        left = left.saturating_sub(count);
+    }
 }
--- a/crates/hazelspur-server/src/ledger.rs
+++ b/crates/hazelspur-server/src/ledger.rs
@@ -13,6 +13,8 @@
 /// The ledger closes connections that stood idle for 10 s.
 const REUSE_WITHIN: Span = Span::from_ms(5000);
 const MOST_IDLE: usize = 16;
+/// What comes unasked after a reply has come within this.
+const REST: Span = Span::from_ms(5);
 /// The ledger ends a call in time by itself; only past this is it given up from here.
 const PATIENCE_SLACK: Span = Span::from_ms(15);
 const UNTOUCHED: &str = "X-Untouched";
@@ -28,11 +30,20 @@
         Self { peers, idle: RefCell::default() }
     }
 
-    /// Makes the call for a run; dropping the future gives it up.
-    pub async fn call(&self, clock: &Clock, op: OpId, patience: Span, body: &[u8]) -> (Outcome, Vec<u8>) {
+    /// Makes the call for a run; dropping the future gives it up. One that is made `again` gets a connection
+    /// of its own: where a kept one was forgotten at the other end, the next may be too.
+    pub async fn call(
+        &self,
+        clock: &Clock,
+        op: OpId,
+        patience: Span,
+        body: &[u8],
+        again: bool,
+    ) -> (Outcome, Vec<u8>) {
         let until = clock.now() + patience + PATIENCE_SLACK;
         let address = self.peers.now().ledger;
-        let kept = self.kept(clock.now(), address);
+        let kept = if again { None } else { self.kept(clock.now(), address) };
+        let reused = kept.is_some();
         let mut stream = match kept {
             Some(stream) => stream,
             None => match tokio::time::timeout(long(patience), TcpStream::connect(address)).await {
@@ -54,25 +65,23 @@
                 (outcome(status, untouched), reply)
             }
             Ok(Err(why)) => {
-                log::debug!("ledger call broke op={op} why={why}");
+                log::debug!("ledger call broke op={op} reused={reused} why={why}");
                 (Outcome::Broken, Vec::new())
             }
             Err(_) => (Outcome::TimedOut, Vec::new()),
         }
     }
 
-    /// A kept connection that is young and silent; whatever has something to say is no use for a call. What
-    /// leads to where the ledger was before is closed.
+    /// A kept connection that is young and silent; whatever has something to say is no use for a call, and
+    /// what has only just come to rest may still have. What leads to where the ledger was before is closed.
     fn kept(&self, now: Moment, address: SocketAddr) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|(since, at, _)| now - *since < REUSE_WITHIN && *at == address);
-        while let Some((_, _, stream)) = idle.pop() {
-            let silent = stream.try_read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
-            if silent {
-                return Some(stream);
-            }
-        }
-        None
+        let silent = |stream: &TcpStream| {
+            stream.try_read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+        };
+        idle.retain(|(since, at, stream)| now - *since < REUSE_WITHIN && *at == address && silent(stream));
+        let rested = idle.iter().rposition(|(since, ..)| now - *since >= REST)?;
+        Some(idle.remove(rested).2)
     }
 
     fn keep(&self, now: Moment, address: SocketAddr, stream: TcpStream) {
--- a/crates/hazelspur-server/src/ops.rs
+++ b/crates/hazelspur-server/src/ops.rs
@@ -78,11 +78,11 @@
                         self.owed.failed()
                     };
                 }
-                News::Wants(_) | News::Ended(..) => continue,
+                News::Wants(_) | News::Ended(..) | News::Unknown => continue,
             }
             // run
             link.start(self.op, self.class.clone(), self.body.clone());
-            let mut wanted: Rc<[u8]> = Rc::from([]);
+            let (mut wanted, mut repeated): (Rc<[u8]>, bool) = (Rc::from([]), false);
             let mut call: CallUnderWay = Box::pin(pending());
             loop {
                 let news = tokio::select! {
@@ -100,14 +100,15 @@
                 match news {
                     // calls
                     Some(News::Wants(body)) => {
-                        wanted = body.into();
+                        (wanted, repeated) = (body.into(), false);
                         desk.tell(|logic, now| logic.call_wanted(now, self.op));
                     }
                     Some(News::Decided(Decision::Call { patience, .. })) => {
-                        let (means, op, wanted) = (means.clone(), self.op, wanted.clone());
+                        let (means, op, wanted, again) = (means.clone(), self.op, wanted.clone(), repeated);
                         call = Box::pin(async move {
-                            means.ledger.call(&means.desk.clock, op, patience, &wanted).await
+                            means.ledger.call(&means.desk.clock, op, patience, &wanted, again).await
                         });
+                        repeated = true;
                     }
                     // an answer before the run's end, or none at all: the run goes on, its call does not
                     Some(News::Decided(Decision::Stop(_))) => link.stop(self.op),
@@ -119,6 +120,10 @@
                         self.gone();
                         call = Box::pin(pending());
                     }
+                    Some(News::Unknown) => {
+                        desk.tell(|logic, now| logic.run_ended(now, self.op, Outcome::Error));
+                        return self.owed.unknown();
+                    }
                     // result
                     Some(News::Ended(outcome, result)) => {
                         desk.tell(|logic, now| logic.run_ended(now, self.op, outcome));
--- a/crates/hazelspur-server/src/runtime.rs
+++ b/crates/hazelspur-server/src/runtime.rs
@@ -19,6 +19,9 @@
 /// The replay is over when the gauges asked for behind it come; they are not waited for longer than this.
 const REPLAYED: &str = "link";
 const REPLAY: Span = Span::from_ms(2000);
+/// A link that says nothing for so long is made anew.
+const MUTE: Span = Span::from_ms(2500);
+const FOREVER: Span = Span::from_ms(1 << 40);
 /// The module compares gauges with what it knows at that moment, so they are asked for when its timer is due
 /// and used as they come; past this the timer goes without.
 const GAUGES_WITHIN: Span = Span::from_ms(2);
@@ -28,7 +31,8 @@
     class: Rc<str>,
     body: Rc<[u8]>,
     started: bool,
-    given: Option<Vec<u8>>,
+    /// The reply given last, and the beat in which it was.
+    given: Option<(Vec<u8>, u64)>,
     stopped: bool,
 }
 
@@ -48,6 +52,8 @@
     more: Notify,
     /// The beat for which gauges are asked, and what has come for it.
     beat: Cell<u64>,
+    /// The last beat whose gauges came: what went out before they were asked for has been read.
+    heard: Cell<u64>,
     gauges: RefCell<Option<Vec<f64>>>,
     gauges_came: Notify,
     state: Cell<Option<(bool, Span)>>,
@@ -69,6 +75,7 @@
             out: RefCell::default(),
             more: Notify::new(),
             beat: Cell::new(0),
+            heard: Cell::new(0),
             gauges: RefCell::default(),
             gauges_came: Notify::new(),
             state: Cell::new(None),
@@ -102,7 +109,7 @@
     pub fn give(&self, op: OpId, reply: Vec<u8>) {
         self.send(|out| runtime::give(out, &op.to_string(), &reply));
         if let Some(run) = self.runs.borrow_mut().get_mut(&op) {
-            run.given = Some(reply);
+            run.given = Some((reply, self.beat.get()));
         }
     }
 
@@ -160,7 +167,10 @@
         let mut buffer = Buffer::default();
         let reading = async {
             loop {
-                match read.read_buf(buffer.room()).await {
+                // While it is up, gauges are asked for at every beat, so something comes.
+                let silent = if self.up.get() { MUTE } else { FOREVER };
+                let came = tokio::time::timeout(long(silent), read.read_buf(buffer.room())).await;
+                match came.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
                     Ok(0) => return "closed".to_string(),
                     Ok(_) => {}
                     Err(e) => return e.to_string(),
@@ -212,7 +222,10 @@
             if run.started {
                 runtime::start(out, &id, &run.class, &run.body);
             }
-            if let Some(reply) = &run.given {
+            // A reply that has been read must not be given once more: the run may want another by now.
+            if let Some((reply, beat)) = &run.given
+                && *beat >= self.heard.get()
+            {
                 runtime::give(out, &id, reply);
             }
             if run.stopped {
@@ -299,16 +312,18 @@
             self.0.replayed.set(link);
             self.0.fenced.notify_one();
         } else if tag.parse() == Ok(self.0.beat.get()) {
+            self.0.heard.set(self.0.beat.get());
             self.0.gauges.replace(Some(values.to_vec()));
             self.0.gauges_came.notify_one();
         }
     }
 
     fn nack(&mut self, command: &str, id: &str) {
-        log::warn!("runtime nack command={command} id={id}");
+        // Anybody may send ops that the runtime does not know: no line for each.
+        log::debug!("runtime nack command={command} id={id}");
         let Some(op) = OpId::padded(id) else { return };
         if command == "start" && self.0.runs.borrow_mut().remove(&op).is_some() {
-            self.0.desk.hand(op, News::Ended(Outcome::Error, Vec::new()));
+            self.0.desk.hand(op, News::Unknown);
         }
     }
 
--- a/crates/hazelspur-server/src/startup.rs
+++ b/crates/hazelspur-server/src/startup.rs
@@ -18,6 +18,7 @@
     pub stop: Span,
     pub sockets: usize,
     pub op_types: Vec<String>,
+    pub op_timeouts: Vec<Span>,
     pub tenants: Vec<String>,
     pub gauges: Vec<String>,
     /// What arrives later than this after the leave notice does not run.
@@ -78,6 +79,11 @@
         (0..4096).map(name).take_while(|name| !name.is_empty()).collect()
     };
     let span = |name: &str| Span::from_us(facts.num(name, 0.0) as u64);
+    let op_types = names("op_types", ".name");
+    let op_timeout = |i| {
+        let target = facts.num(&format!("op_types.{i}.target_latency_us"), 0.0);
+        Span::from_us(facts.num(&format!("op_types.{i}.op_timeout_us"), 2.0 * target) as u64)
+    };
     let seed = match all.get("seed") {
         None => 0,
         Some(seed) => seed
@@ -96,7 +102,8 @@
         seed,
         stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
         sockets: number(limit("sockets"), "limits.sockets", 1024.0, 32.0..=1e7)? as usize,
-        op_types: names("op_types", ".name"),
+        op_timeouts: (0..op_types.len()).map(op_timeout).collect(),
+        op_types,
         tenants: names("tenants", ".name"),
         gauges: names("server.meters", ""),
         grace: span("rules.drain_grace_us"),
--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -310,12 +310,14 @@
     drop(ledger);
     let mut ledger = town.ledger();
     ledger.hear_call(&mut town.trace);
-    ledger.say("HTTP/1.1 503 Full\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n");
+    ledger.say("HTTP/1.1 503 Full\r\nX-Untouched: 1\r\nConnection: close\r\n\r\n");
+    let mut ledger = town.ledger();
     ledger.hear_call(&mut town.trace);
     ledger.say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     link.hear(&mut town.trace);
     link.say(&format!("end 2 {} error 5 0\r\n\r\n", id(1)));
     gateway.hear(&mut town.trace);
+    std::thread::sleep(Duration::from_millis(20)); // the connection rests before it is used again
     gateway.say(&format!("{}\n", op(2, 2, "book", r#","opkey":"k""#)));
     link.hear(&mut town.trace);
     link.say(&format!("wants 3 {} 3\r\nask\r\n", id(2)));
@@ -376,53 +378,195 @@
     .assert_eq(&town.trace);
 }
 
+#[test]
+fn a_reply_that_was_read_is_not_given_again_and_a_mute_link_is_made_anew() {
+    let (mut town, mut link) = Town::new("given", "");
+    let mut gateway = town.gateway();
+    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
+    link.hear(&mut town.trace);
+    link.say(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
+    let mut ledger = town.ledger();
+    ledger.hear_call(&mut town.trace);
+    ledger.say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    link.hear(&mut town.trace);
+    for _ in 0..4 {
+        let gauges = link.line();
+        link.say(&gauges.replace("gauges", "load"));
+        link.say(" 0.5 1\r\n");
+    }
+    let mut link = town.link(); // the old one is open and mute
+    link.say("ready hot 9000\r\n");
+    link.hear(&mut town.trace);
+    gateway.say(&format!("{}\n", op(2, 2, "view", "")));
+    link.hear(&mut town.trace);
+    link.say(&format!("end 2 {} complete 5 3\r\none\r\n", id(1)));
+    gateway.hear(&mut town.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        ledger < POST /post HTTP/1.1 0000000000000001 ask
+        runtime < give 0000000000000001 2 ok
+        runtime < sync 1
+        runtime < start 0000000000000002 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"b25l"}}
+    "#]]
+    .assert_eq(&town.trace);
+}
+
+#[test]
+fn what_comes_with_a_reply_unasked_spoils_no_other_call() {
+    let (mut town, mut link) = Town::new("noise", "");
+    let mut gateway = town.gateway();
+    let reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let replies = [
+        format!("HTTP/1.1 100 Continue\r\n\r\n{reply}{reply}"),
+        format!("{reply}\0\0noise"),
+        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nok".into(),
+        reply.into(),
+    ];
+    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
+    link.hear(&mut town.trace);
+    for (i, reply) in replies.iter().enumerate() {
+        if i < 3 {
+            link.say(&format!("wants {} {} 2\r\nc{i}\r\n", i + 1, id(1)));
+        }
+        let mut ledger = town.ledger();
+        ledger.hear_call(&mut town.trace);
+        ledger.say(reply);
+        if i != 2 {
+            link.hear(&mut town.trace);
+        }
+    }
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        ledger < POST /post HTTP/1.1 0000000000000001 c0
+        runtime < give 0000000000000001 2 ok
+        ledger < POST /post HTTP/1.1 0000000000000001 c1
+        runtime < give 0000000000000001 2 ok
+        ledger < POST /post HTTP/1.1 0000000000000001 c2
+        ledger < POST /post HTTP/1.1 0000000000000001 c2
+        runtime < give 0000000000000001 2 ok
+    "#]]
+    .assert_eq(&town.trace);
+}
+
 #[test]
 fn bad_input_gets_an_error_and_the_rest_goes_on() {
     let (mut town, mut link) = Town::new("input", "");
-    let mut gateway = town.gateway();
+    let mut other = town.gateway();
+    other.say(&format!("{}\n", op(1, 1, "view", "")));
+    link.hear(&mut town.trace);
     let good = op(9, 9, "view", "");
     let lines = [
         "{".into(),
         "[]".into(),
+        "\u{7f}\0".into(),
         r#"{"jsonrpc":"2.0","id":1}"#.into(),
         r#"{"jsonrpc":"2.0","id":2,"method":"view"}"#.into(),
+        good.replace("\"2.0\"", "2"),
+        good.replace("\"id\":9,", ""),
+        good.replace("\"id\":9,", "\"id\":-9,"),
         op(3, 3, "nothing", ""),
         op(4, 4, "view", r#","owner":7"#),
+        op(5, 1, "view", ""),
         good.replace("aGVsbG8=", "a*"),
         good.replace("aGVsbG8=", &"QUJD".repeat(683)),
         good.replace("20.5", "2000"),
+        good.replace("20.5", "1e999"),
+        good.replace(":0.5,", ":1.5,"),
+        good.replace(":4000,", ":-1,"),
+        good.replace(":4000,", ":4000000,"),
+        good.replace("\"ts\":1", "\"ts\":9"),
+        good.replace("\"ts\":1", "\"ts\":"),
         good.replace(&id(9), ""),
         format!("\"{}", "x".repeat(20_000)),
-        "\u{7f}\0".into(),
+        "x".repeat(3_000_000),
     ];
     for line in &lines {
-        gateway.say(&format!("{line}\r\n"));
-        gateway.hear(&mut town.trace);
+        let mut bad = town.gateway();
+        let _ = bad.stream.get_mut().write_all(format!("{line}\r\n").as_bytes()); // which may be cut short
+        bad.hear(&mut town.trace);
     }
-    gateway.say(&format!("{}\n", op(50, 50, "view", "")));
+    let mut bad = town.gateway();
+    bad.say(&format!("{}\n", op(50, 50, "view", "")));
     link.hear(&mut town.trace);
     link.say(&format!("nack start {}\r\n", id(50)));
-    gateway.hear(&mut town.trace);
-    let many: String = (1..=33).map(|n| format!("{}\n", op(100 + n, n, "view", ""))).collect();
-    gateway.say(&many);
-    gateway.hear(&mut town.trace);
+    bad.hear(&mut town.trace);
+    other.say(&format!("{}\n", op(1, 2, "view", "")));
+    other.hear(&mut town.trace);
+    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    other.hear(&mut town.trace);
+    bad.say(&(1..=60).map(|n| format!("{}\n", op(100 + n, 100 + n, "view", ""))).collect::<String>());
+    let answers = (0..60).map(|_| bad.line()).take_while(|line| line != "(closed)").count();
+    let _ = writeln!(town.trace, "of 60 at once {answers} answered, then closed");
     expect_test::expect![[r#"
         runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"not a JSON object"}}
         gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"not a JSON object"}}
         gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"not a JSON object"}}
         gateway < {"jsonrpc":"2.0","id":1,"error":{"code":-32600,"message":"no method"}}
         gateway < {"jsonrpc":"2.0","id":2,"error":{"code":-32602,"message":"params is no object"}}
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"not JSON-RPC 2.0"}}
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"no id from 1 up"}}
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"no id from 1 up"}}
         gateway < {"jsonrpc":"2.0","id":3,"error":{"code":-32601,"message":"no such method"}}
         gateway < {"jsonrpc":"2.0","id":4,"error":{"code":-32602,"message":"owner is not known"}}
+        gateway < {"jsonrpc":"2.0","id":5,"error":{"code":-32602,"message":"this req is in hand"}}
         gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"data is no body"}}
         gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"data is no body"}}
         gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"need is out of range"}}
+        gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"need is out of range"}}
+        gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"level, ts or timeout is out of range"}}
+        gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"timeout is no time"}}
+        gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"level, ts or timeout is out of range"}}
+        gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"level, ts or timeout is out of range"}}
+        gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32011,"message":"its time was over long ago"}}
         gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"req is no id"}}
         gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"the line is too long"}}
-        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"not a JSON object"}}
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"the line is too long"}}
         runtime < start 0000000000000032 view 5 hello
         gateway < {"jsonrpc":"2.0","id":50,"error":{"code":-32000,"message":"failed"}}
-        gateway < {"jsonrpc":"2.0","id":133,"error":{"code":-32600,"message":"too many open, or this id is"}}
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"too many open, or this id is"}}
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
+        of 60 at once 35 answered, then closed
+    "#]].assert_eq(&town.trace);
+}
+
+#[test]
+fn connections_that_bring_nothing_good_are_told_and_closed_in_time() {
+    let (mut town, mut link) = Town::new("silent", "");
+    let mut good = town.gateway();
+    let mut silent: Vec<End> = (0..3).map(|_| town.gateway()).collect();
+    let begun = Instant::now();
+    silent[1].say("{\"jsonrpc\":");
+    silent[2].say(&format!("{}\n", op(9, 9, "nothing", "")));
+    silent[2].hear(&mut town.trace);
+    good.say(&format!("{}\n", op(1, 1, "view", "")));
+    link.hear(&mut town.trace);
+    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    good.hear(&mut town.trace);
+    for end in &mut silent {
+        end.hear(&mut town.trace);
+        end.hear(&mut town.trace);
+    }
+    let _ = writeln!(town.trace, "in time {}", begun.elapsed() < Duration::from_millis(2900));
+    good.say(&format!("{}\n", op(2, 2, "view", "")));
+    link.hear(&mut town.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32601,"message":"no such method"}}
+        runtime < start 0000000000000001 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"nothing good came in time"}}
+        gateway < (closed)
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"nothing good came in time"}}
+        gateway < (closed)
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"nothing good came in time"}}
+        gateway < (closed)
+        in time true
+        runtime < start 0000000000000002 view 5 hello
     "#]]
     .assert_eq(&town.trace);
 }
@@ -597,19 +741,25 @@
 }
 
 #[test]
-fn idle_connections_go_when_descriptors_run_short() {
+fn connections_without_a_good_word_go_first_when_descriptors_run_short() {
     let (mut town, mut link) = Town::new("descriptors", "ulimit -n 48;");
+    let (mut first, mut gateway) = (town.gateway(), town.gateway());
+    first.say("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n");
+    first.hear(&mut town.trace);
     let mut crowd: Vec<End> = (0..80).map(|_| town.gateway()).collect();
-    let mut gateway = town.gateway();
     gateway.say(&format!("{}\n", op(1, 1, "view", "")));
     link.hear(&mut town.trace);
     link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
     gateway.hear(&mut town.trace);
     crowd[0].hear(&mut town.trace);
+    first.say("{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"check\"}\n");
+    first.hear(&mut town.trace);
     expect_test::expect![[r#"
         runtime < sync 0
-        runtime < start 0000000000000001 view 5 hello
-        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"ready":true}}
+        runtime < (nothing)
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"too many connections"}}
+        gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"too many connections"}}
         gateway < {"jsonrpc":"2.0","method":"farewell"}
     "#]]
     .assert_eq(&town.trace);
