An op's fields are gone through once; calls that may not repeat get a fresh connection

Cause: Json::get in read_op and take_line went through the whole object, body and all, for each of fourteen fields.

A kept connection's reset can't be told from that of a call that ran, so a call of an op type that may not be repeated now always gets a connection of its own; the socket test of broken calls waits for it in vain without.

--- a/crates/hazelspur-parsers/src/json.rs
+++ b/crates/hazelspur-parsers/src/json.rs
@@ -7,6 +7,15 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Json<'a>(&'a str);
 
+#[derive(Default)]
+pub struct Table<'a>(Vec<(Cow<'a, str>, Json<'a>)>);
+
+impl<'a> Table<'a> {
+    pub fn get(&self, name: &str) -> Option<Json<'a>> {
+        self.0.iter().find(|(key, _)| key == name).map(|(_, value)| *value)
+    }
+}
+
 impl<'a> Json<'a> {
     /// All of `bytes` must be one value.
     pub fn parse(bytes: &'a [u8]) -> Option<Self> {
@@ -30,6 +39,11 @@
         self.fields().find(|(key, _)| key == name).map(|(_, value)| value)
     }
 
+    /// All fields of an object, for those who ask for many of them: the text is gone through once.
+    pub fn table(self) -> Table<'a> {
+        Table(self.fields().collect())
+    }
+
     pub fn is_object(self) -> bool {
         self.0.starts_with('{')
     }
--- a/crates/hazelspur-parsers/tests/texts.rs
+++ b/crates/hazelspur-parsers/tests/texts.rs
@@ -23,7 +23,7 @@
     let mut seen = String::new();
     for text in texts {
         let json = Json::parse(text.as_bytes());
-        let a = json.and_then(|json| json.get("a"));
+        let a = json.and_then(|json| json.table().get("a"));
         let items = json.and_then(|json| json.get("b")).map_or(0, |b| b.items().count());
         let last = json.and_then(|json| json.get("b")?.items().last()?.text());
         let _ = writeln!(
--- a/crates/hazelspur-server/src/gateways.rs
+++ b/crates/hazelspur-server/src/gateways.rs
@@ -59,6 +59,7 @@
     phases: Rc<Phases>,
     op_types: Vec<Rc<str>>,
     op_timeouts: Vec<Span>,
+    retryable: Vec<bool>,
     tenants: Vec<String>,
     most: usize,
     connections: RefCell<BTreeMap<ConnectionId, Rc<Answers>>>,
@@ -80,8 +81,21 @@
         let (connections, last) = (RefCell::default(), Cell::default());
         let most = told.sockets.saturating_sub(KEPT_BACK).max(told.sockets / 2);
         let (draining, bad) = (Cell::default(), Cell::default());
-        let (op_timeouts, tenants) = (told.op_timeouts.clone(), told.tenants.clone());
-        Self { means, phases, op_types, op_timeouts, tenants, most, connections, last, draining, bad }
+        let (op_timeouts, retryable) = (told.op_timeouts.clone(), told.retryable.clone());
+        let tenants = told.tenants.clone();
+        Self {
+            means,
+            phases,
+            op_types,
+            op_timeouts,
+            retryable,
+            tenants,
+            most,
+            connections,
+            last,
+            draining,
+            bad,
+        }
     }
 
     /// How many ops are owed an answer, on how many connections.
@@ -273,6 +287,7 @@
         let Some(message) = Json::parse(line).filter(|message| message.is_object()) else {
             return answers.fault(None, rpc::NOT_JSON, "not a JSON object");
         };
+        let message = message.table();
         if message.get("jsonrpc").and_then(Json::text).as_deref() != Some("2.0") {
             return answers.fault(None, rpc::NOT_VALID, "not JSON-RPC 2.0");
         }
@@ -332,7 +347,7 @@
         let desk = &self.means.desk;
         let op_type = self.op_types.iter().position(|name| **name == *class);
         let op_type = op_type.ok_or((rpc::NO_METHOD, "no such method"))?;
-        let params = params.filter(|p| p.is_object()).ok_or(bad("params is no object"))?;
+        let params = params.filter(|p| p.is_object()).ok_or(bad("params is no object"))?.table();
         let req = params.get("req").and_then(Json::text);
         let op = req.and_then(|req| OpId::padded(&req)).ok_or(bad("req is no id"))?;
         let ts = params.get("ts").and_then(Json::whole).ok_or(bad("ts is no time"))?;
@@ -377,7 +392,8 @@
         });
         let owed = Owed::new(answers.clone(), id, op);
         let class = self.op_types[op_type].clone();
-        let life = Life { means: self.means.clone(), op, class, body: body.into(), repeat_of, owed, news };
+        let (means, body, may_repeat) = (self.means.clone(), body.into(), self.retryable[op_type]);
+        let life = Life { means, op, class, body, may_repeat, repeat_of, owed, news };
         let (op_type, tenant, caller) = (OpTypeId(op_type), TenantId(tenant), CallerId(via));
         tokio::task::spawn_local(life.live(op_type, tenant, user, caller, due, need, arrived));
         Ok(())
--- a/crates/hazelspur-server/src/ledger.rs
+++ b/crates/hazelspur-server/src/ledger.rs
@@ -30,19 +30,20 @@
         Self { peers, idle: RefCell::default() }
     }
 
-    /// Makes the call for a run; dropping the future gives it up. One that is made `again` gets a connection
-    /// of its own: where a kept one was forgotten at the other end, the next may be too.
+    /// Makes the call for a run; dropping the future gives it up. A kept connection may have been forgotten at
+    /// the other end, and its reset can't be told from that of a call that ran: where that matters, or where
+    /// one has just broken, the call gets a `fresh` one.
     pub async fn call(
         &self,
         clock: &Clock,
         op: OpId,
         patience: Span,
         body: &[u8],
-        again: bool,
+        fresh: bool,
     ) -> (Outcome, Vec<u8>) {
         let until = clock.now() + patience + PATIENCE_SLACK;
         let address = self.peers.now().ledger;
-        let kept = if again { None } else { self.kept(clock.now(), address) };
+        let kept = if fresh { None } else { self.kept(clock.now(), address) };
         let reused = kept.is_some();
         let mut stream = match kept {
             Some(stream) => stream,
--- a/crates/hazelspur-server/src/ops.rs
+++ b/crates/hazelspur-server/src/ops.rs
@@ -23,6 +23,8 @@
     pub op: OpId,
     pub class: Rc<str>,
     pub body: Rc<[u8]>,
+    /// Whether its calls may be made again though they may have run.
+    pub may_repeat: bool,
     pub repeat_of: Option<OpId>,
     pub owed: Owed,
     pub news: UnboundedReceiver<News>,
@@ -104,9 +106,10 @@
                         desk.tell(|logic, now| logic.call_wanted(now, self.op));
                     }
                     Some(News::Decided(Decision::Call { patience, .. })) => {
-                        let (means, op, wanted, again) = (means.clone(), self.op, wanted.clone(), repeated);
+                        let (means, op, wanted) = (means.clone(), self.op, wanted.clone());
+                        let fresh = repeated || !self.may_repeat;
                         call = Box::pin(async move {
-                            means.ledger.call(&means.desk.clock, op, patience, &wanted, again).await
+                            means.ledger.call(&means.desk.clock, op, patience, &wanted, fresh).await
                         });
                         repeated = true;
                     }
--- a/crates/hazelspur-server/src/startup.rs
+++ b/crates/hazelspur-server/src/startup.rs
@@ -19,6 +19,7 @@
     pub sockets: usize,
     pub op_types: Vec<String>,
     pub op_timeouts: Vec<Span>,
+    pub retryable: Vec<bool>,
     pub tenants: Vec<String>,
     pub gauges: Vec<String>,
     /// What arrives later than this after the leave notice does not run.
@@ -102,6 +103,9 @@
         seed,
         stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
         sockets: number(limit("sockets"), "limits.sockets", 1024.0, 32.0..=1e7)? as usize,
+        retryable: (0..op_types.len())
+            .map(|i| facts.text(&format!("op_types.{i}.repeats")) == "retryable")
+            .collect(),
         op_timeouts: (0..op_types.len()).map(op_timeout).collect(),
         op_types,
         tenants: names("tenants", ".name"),
--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -317,12 +317,13 @@
     link.hear(&mut town.trace);
     link.say(&format!("end 2 {} error 5 0\r\n\r\n", id(1)));
     gateway.hear(&mut town.trace);
-    std::thread::sleep(Duration::from_millis(20)); // the connection rests before it is used again
+    std::thread::sleep(Duration::from_millis(20)); // the kept connection could be used again
     gateway.say(&format!("{}\n", op(2, 2, "book", r#","opkey":"k""#)));
     link.hear(&mut town.trace);
     link.say(&format!("wants 3 {} 3\r\nask\r\n", id(2)));
-    ledger.hear_call(&mut town.trace);
-    drop(ledger);
+    let mut fresh = town.ledger();
+    fresh.hear_call(&mut town.trace);
+    drop(fresh);
     gateway.hear(&mut town.trace);
     expect_test::expect![[r#"
         runtime < sync 0
