--- a/crates/hazelspur-parsers/src/http.rs
+++ b/crates/hazelspur-parsers/src/http.rs
@@ -26,7 +26,7 @@
     body: Vec<u8>,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy)]
 enum Length {
     Told(usize),
     Chunked,
--- a/crates/hazelspur-server/src/answers.rs
+++ b/crates/hazelspur-server/src/answers.rs
@@ -102,9 +102,13 @@
         let _ = tokio::time::timeout(long(most), written).await;
     }
 
+    fn blame(&self, why: &'static str) {
+        self.faults.set((self.faults.get().0 + 1, why));
+    }
+
     /// An error answer to what was no good.
     pub fn fault(&self, id: Option<RpcId>, code: i32, why: &'static str) {
-        self.faults.set((self.faults.get().0 + 1, why));
+        self.blame(why);
         self.put(|out| rpc::error(out, id, code, why, None, false, None));
     }
 
@@ -161,7 +165,7 @@
     /// No worker knows this op: what its connection brings is not to be relied on.
     pub fn unknown(&mut self) {
         self.answers.proven.set(false);
-        self.answers.faults.set((self.answers.faults.get().0 + 1, "the runtime does not know the op"));
+        self.answers.blame("the runtime does not know the op");
         self.failed();
     }
 
--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -120,6 +120,12 @@
         (runtime, ledger, config)
     }
 
+    /// Sends an op and notes the command that it brings.
+    fn run(&mut self, gateway: &mut End, link: &mut End, op: &str) {
+        gateway.say(&format!("{op}\n"));
+        link.hear(&mut self.trace);
+    }
+
     /// Replaces the configuration, its file too, and says so.
     fn reload(&mut self, config: &str) {
         let aside = self.file.with_extension("new");
@@ -225,6 +231,11 @@
     }
 }
 
+/// The notice of a good end.
+fn done(number: u32, req: u32) -> String {
+    format!("end {number} {} complete 5 4\r\ndone\r\n", id(req))
+}
+
 fn id(req: u32) -> String {
     format!("{req:016x}")
 }
@@ -286,13 +297,11 @@
     let (mut town, mut link) = Town::new("refused", "");
     town.ledger = listener().0;
     let mut gateway = town.gateway();
-    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
     link.say(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
     gateway.hear(&mut town.trace);
     link.say(&format!("end 2 {} cancelled 300 0\r\n\r\n", id(1)));
-    gateway.say(&format!("{}\n", op(2, 2, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(2, 2, "view", ""));
     expect_test::expect![[r#"
         runtime < sync 0
         runtime < start 0000000000000001 view 5 hello
@@ -306,8 +315,7 @@
 fn a_broken_call_is_made_again_only_where_that_does_no_harm() {
     let (mut town, mut link) = Town::new("calls", "");
     let mut gateway = town.gateway();
-    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
     link.say(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
     let mut ledger = town.ledger();
     ledger.hear_call(&mut town.trace);
@@ -323,8 +331,7 @@
     link.say(&format!("end 2 {} error 5 0\r\n\r\n", id(1)));
     gateway.hear(&mut town.trace);
     std::thread::sleep(Duration::from_millis(20)); // the kept connection could be used again
-    gateway.say(&format!("{}\n", op(2, 2, "book", r#","opkey":"k""#)));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(2, 2, "book", r#","opkey":"k""#));
     link.say(&format!("wants 3 {} 3\r\nask\r\n", id(2)));
     let mut fresh = town.ledger();
     fresh.hear_call(&mut town.trace);
@@ -388,8 +395,7 @@
 fn a_reply_that_was_read_is_not_given_again_and_a_mute_link_is_made_anew() {
     let (mut town, mut link) = Town::new("given", "");
     let mut gateway = town.gateway();
-    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
     link.say(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
     let mut ledger = town.ledger();
     ledger.hear_call(&mut town.trace);
@@ -404,8 +410,7 @@
     let mut link = town.link();
     link.say("ready hot 9000\r\n");
     link.hear(&mut town.trace);
-    gateway.say(&format!("{}\n", op(2, 2, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(2, 2, "view", ""));
     link.say(&format!("end 2 {} complete 5 3\r\none\r\n", id(1)));
     gateway.hear(&mut town.trace);
     town.link(); // the old one is open and mute
@@ -433,8 +438,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nok".into(),
         reply.into(),
     ];
-    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
     for (i, reply) in replies.iter().enumerate() {
         if i < 3 {
             link.say(&format!("wants {} {} 2\r\nc{i}\r\n", i + 1, id(1)));
@@ -464,8 +468,7 @@
 fn bad_input_gets_an_error_and_the_rest_goes_on() {
     let (mut town, mut link) = Town::new("input", "");
     let mut other = town.gateway();
-    other.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut other, &mut link, &op(1, 1, "view", ""));
     let good = op(9, 9, "view", "");
     let lines = [
         "{".into(),
@@ -498,13 +501,12 @@
         bad.hear(&mut town.trace);
     }
     let mut bad = town.gateway();
-    bad.say(&format!("{}\n", op(50, 50, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut bad, &mut link, &op(50, 50, "view", ""));
     link.say(&format!("nack start {}\r\n", id(50)));
     bad.hear(&mut town.trace);
     other.say(&format!("{}\n", op(1, 2, "view", "")));
     other.hear(&mut town.trace);
-    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    link.say(&done(1, 1));
     other.hear(&mut town.trace);
     bad.say(&(1..=60).map(|n| format!("{}\n", op(100 + n, 100 + n, "view", ""))).collect::<String>());
     let answers = (0..60).map(|_| bad.line()).take_while(|line| line != "(closed)").count();
@@ -552,18 +554,16 @@
     silent[1].say("{\"jsonrpc\":");
     silent[2].say(&format!("{}\n", op(9, 9, "nothing", "")));
     silent[2].hear(&mut town.trace);
-    good.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
-    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    town.run(&mut good, &mut link, &op(1, 1, "view", ""));
+    link.say(&done(1, 1));
     good.hear(&mut town.trace);
     for end in &mut silent {
         end.hear(&mut town.trace);
         end.hear(&mut town.trace);
     }
     let _ = writeln!(town.trace, "in time {}", begun.elapsed() < Duration::from_millis(2900));
-    good.say(&format!("{}\n", op(2, 2, "view", "")));
-    link.hear(&mut town.trace);
-    link.say(&format!("end 2 {} complete 5 4\r\ndone\r\n", id(2)));
+    town.run(&mut good, &mut link, &op(2, 2, "view", ""));
+    link.say(&done(2, 2));
     good.hear(&mut town.trace);
     good.say("{\"jsonrpc\":");
     good.hear(&mut town.trace);
@@ -595,9 +595,8 @@
     let taken = (0..60).take_while(|_| slow.stream.get_ref().write_all(checks.as_bytes()).is_ok()).count();
     let _ = writeln!(town.trace, "all taken {}", taken == 60);
     let mut gateway = town.gateway();
-    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
-    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
+    link.say(&done(1, 1));
     gateway.hear(&mut town.trace);
     expect_test::expect![[r#"
         runtime < sync 0
@@ -633,16 +632,14 @@
 fn a_gateway_that_is_gone_is_told_and_one_that_only_stopped_writing_is_answered() {
     let (mut town, mut link) = Town::new("gone", "");
     let (mut gateway, mut half) = (town.gateway(), town.gateway());
-    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
     gateway.say("{\"jsonrpc\":\"2.0\",\"method\":\"interrupt\",\"params\":{\"id\":1}}\n");
     link.hear(&mut town.trace);
     link.say(&format!("end 1 {} cancelled 5 0\r\n\r\n", id(1)));
-    half.say(&format!("{}\n", op(2, 2, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut half, &mut link, &op(2, 2, "view", ""));
     half.stream.get_ref().shutdown(std::net::Shutdown::Write).expect("half a close");
     std::thread::sleep(Duration::from_millis(30));
-    link.say(&format!("end 2 {} complete 5 4\r\ndone\r\n", id(2)));
+    link.say(&done(2, 2));
     half.hear(&mut town.trace);
     half.hear(&mut town.trace);
     expect_test::expect![[r#"
@@ -660,11 +657,10 @@
 fn a_repeat_of_a_kept_op_is_answered_from_the_first() {
     let (mut town, mut link) = Town::new("repeat", "");
     let mut gateway = town.gateway();
-    gateway.say(&format!("{}\n", op(1, 1, "book", r#","opkey":"k""#)));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(1, 1, "book", r#","opkey":"k""#));
     gateway.say(&format!("{}\n", op(2, 2, "book", r#","opkey":"k""#)));
     std::thread::sleep(Duration::from_millis(30));
-    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    link.say(&done(1, 1));
     gateway.hear(&mut town.trace);
     gateway.hear(&mut town.trace);
     gateway.say(&format!("{}\n", op(3, 3, "book", r#","opkey":"k""#)));
@@ -694,7 +690,7 @@
     std::thread::sleep(Duration::from_millis(30));
     ask(3);
     link.hear(&mut town.trace);
-    link.say(&format!("end 2 {} complete 5 4\r\ndone\r\n", id(3)));
+    link.say(&done(2, 3));
     std::thread::sleep(Duration::from_millis(30));
     ask(4);
     std::thread::sleep(Duration::from_millis(600));
@@ -720,12 +716,10 @@
 fn leaving_answers_what_is_read_and_says_farewell() {
     let (mut town, mut link) = Town::new("leave", "");
     let (mut gateway, mut idle) = (town.gateway(), town.gateway());
-    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
     town.signal("-TERM");
     std::thread::sleep(Duration::from_millis(100));
-    gateway.say(&format!("{}\n", op(2, 2, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(2, 2, "view", ""));
     idle.hear(&mut town.trace);
     std::thread::sleep(Duration::from_millis(50));
     let refused = TcpStream::connect(&town.listen).is_err();
@@ -733,7 +727,7 @@
     gateway.say(&format!("{}\n", op(3, 3, "view", "")));
     let late = gateway.hear(&mut String::new());
     let _ = writeln!(town.trace, "late one {}", &late[..47]);
-    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    link.say(&done(1, 1));
     gateway.hear(&mut town.trace);
     for _ in 0..3 {
         gateway.hear(&mut town.trace);
@@ -768,9 +762,8 @@
     }
     let mut crowd: Vec<End> = (0..80).map(|_| town.gateway()).collect();
     crowd[0].hear(&mut town.trace);
-    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
-    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
+    link.say(&done(1, 1));
     gateway.hear(&mut town.trace);
     first.say(&check.replace(":1,", ":2,"));
     first.hear(&mut town.trace);
@@ -791,7 +784,7 @@
     gateway.say(&format!("{}\n", op(1, 1, "view", "").replace(":4000,", ":1500,")));
     link.hear(&mut town.trace);
     town.signal("-STOP");
-    link.say(&format!("end 1 {} complete 5 4\r\ndone\r\n", id(1)));
+    link.say(&done(1, 1));
     std::thread::sleep(Duration::from_millis(1700));
     town.signal("-CONT");
     gateway.hear(&mut town.trace);
@@ -807,8 +800,7 @@
 fn a_new_configuration_moves_the_parties_and_keeps_what_is_in_hand() {
     let (mut town, mut link) = Town::new("reload", "");
     let mut gateway = town.gateway();
-    gateway.say(&format!("{}\n", op(1, 1, "view", "")));
-    link.hear(&mut town.trace);
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
     link.say(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
     let mut old_ledger = town.ledger();
     old_ledger.hear_call(&mut town.trace);
@@ -825,7 +817,7 @@
     moved.hear(&mut town.trace);
     moved.say(&format!("wants 2 {} 3\r\ntwo\r\n", id(1)));
     town.ledger().hear_call(&mut town.trace);
-    moved.say(&format!("end 3 {} complete 5 4\r\ndone\r\n", id(1)));
+    moved.say(&done(3, 1));
     gateway.hear(&mut town.trace);
     expect_test::expect![[r#"
         runtime < sync 0
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -426,7 +426,7 @@
         let lasts = Span::from_secs(if drain > 0.0 { self.call_budget / drain } else { 1e6 });
         let ready = self.ops.iter().filter(|(_, op)| ready(op));
         let id = *ready.min_by(|a, b| self.order(a.1, b.1))?.0;
-        let usual = middle(self.call_times.samples.iter().copied()).unwrap_or(f64::INFINITY);
+        let usual = self.call_secs().unwrap_or(f64::INFINITY);
         let op = self.ops.get_mut(&id)?;
         op.state = State::Calling;
         op.call_after = now;
@@ -462,7 +462,7 @@
         let mut before = self.count(|op| op.state == State::Running) as f64;
         let slots = self.run_bound(now).max(1.0);
         let waiting = self.count(|op| op.state == State::WantsCall) as f64;
-        let (call_secs, calls_bound) = (self.call_secs(), self.calls_bound());
+        let (call_secs, calls_bound) = (self.call_secs().unwrap_or(0.0), self.calls_bound());
         let mut ids: Vec<OpId> = self.lines.concat();
         ids.sort_by(|a, b| self.order(&self.ops[a], &self.ops[b]));
         for id in ids {
@@ -722,12 +722,12 @@
         self.calls_bound() * self.facts.num("server.calls_over_us", 5e6) / 1e6 * CALLS_SAVED
     }
 
-    fn call_secs(&self) -> f64 {
-        middle(self.call_times.samples.iter().copied()).unwrap_or(0.0)
+    fn call_secs(&self) -> Option<f64> {
+        middle(self.call_times.samples.iter().copied())
     }
 
     fn calls_short(&self) -> bool {
-        self.call_budget <= (2.0 * self.call_secs()).min(0.8 * self.calls_saved())
+        self.call_budget <= (2.0 * self.call_secs().unwrap_or(0.0)).min(0.8 * self.calls_saved())
     }
 
     /// The crowd on the cores that is survived, with a margin: less while cold. A ceiling, not a target.
