Op timeouts and what may be repeated come from OpType::told, with the module's own defaults

startup.rs read op_timeout_us and repeats a second time, with its own defaults beside those in book.rs. The figures are the same for every op type that the settings give a target latency; one with a name alone, which the module refuses, is now nacked by it instead of turned away for its timeout.

--- a/crates/hazelspur-server/src/startup.rs
+++ b/crates/hazelspur-server/src/startup.rs
@@ -2,6 +2,7 @@
 //! checked and given defaults. Every message names the key at fault.
 
 use crate::peers::Addresses;
+use hazelspur::book::{OpType, Repeats};
 use hazelspur::{Facts, Moment, Span};
 use hazelspur_parsers::{Json, settings};
 use std::net::SocketAddr;
@@ -81,10 +82,7 @@
     };
     let span = |name: &str| Span::from_us(facts.num(name, 0.0) as u64);
     let op_types = names("op_types", ".name");
-    let op_timeout = |i| {
-        let target = facts.num(&format!("op_types.{i}.target_latency_us"), 0.0);
-        Span::from_us(facts.num(&format!("op_types.{i}.op_timeout_us"), 2.0 * target) as u64)
-    };
+    let told: Vec<OpType> = (0..op_types.len()).map(|i| OpType::told(&facts, i)).collect();
     let seed = match all.get("seed") {
         None => 0,
         Some(seed) => seed
@@ -103,10 +101,8 @@
         seed,
         stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
         sockets: number(limit("sockets"), "limits.sockets", 1024.0, 32.0..=1e7)? as usize,
-        retryable: (0..op_types.len())
-            .map(|i| facts.text(&format!("op_types.{i}.repeats")) == "retryable")
-            .collect(),
-        op_timeouts: (0..op_types.len()).map(op_timeout).collect(),
+        retryable: told.iter().map(|kind| kind.repeats == Repeats::Retryable).collect(),
+        op_timeouts: told.iter().map(|kind| kind.op_timeout).collect(),
         op_types,
         tenants: names("tenants", ".name"),
         gauges: names("server.meters", ""),
