--- /dev/null
+++ b/crates/hazelspur-deliveries/src/brokers.rs
@@ -0,0 +1,119 @@
+//! Which broker to go to and when. All instances of a fleet lose a broker in the same moment, so even the first
+//! try waits by chance; the spread is what keeps any second from seeing more than its share of them.
+
+use hazelspur::pcg::Pcg;
+use hazelspur::{Moment, Span};
+use std::net::SocketAddr;
+
+/// Tries without success before a broker is given up for a while.
+const TRIES: u32 = 3;
+/// How long a broker that was given up is passed over, doubled each time up to a bound.
+const SHUN: Span = Span::from_ms(15_000);
+const LONGEST_SHUN: Span = Span::from_ms(240_000);
+/// The longest wait of one that is leaving and has results to bring.
+const HURRY: Span = Span::from_ms(200);
+/// A connection that lasted so long counts as good: what was held against its broker is forgotten.
+const GOOD: Span = Span::from_ms(5000);
+
+#[derive(Clone, Debug)]
+struct Broker {
+    address: SocketAddr,
+    failures: u32,
+    shun: Span,
+    shunned_until: Moment,
+}
+
+#[derive(Clone, Debug)]
+pub struct Brokers {
+    brokers: Vec<Broker>,
+    at: usize,
+    chance: Pcg,
+    spread: Span,
+    next_try: Moment,
+    up_since: Option<Moment>,
+}
+
+impl Brokers {
+    /// In the order of preference. `spread` is the longest wait before a try, and so how fast a fleet comes back:
+    /// in each second about its inverse of all instances.
+    pub fn new(addresses: &[SocketAddr], spread: Span, seed: u64, now: Moment) -> Self {
+        let mut this = Self {
+            brokers: Vec::new(),
+            at: 0,
+            chance: Pcg::new(seed),
+            spread,
+            next_try: now,
+            up_since: None,
+        };
+        this.set(addresses);
+        this
+    }
+
+    fn set(&mut self, addresses: &[SocketAddr]) {
+        let fresh = |address: &SocketAddr| Broker {
+            address: *address,
+            failures: 0,
+            shun: Span::ZERO,
+            shunned_until: Moment::default(),
+        };
+        let known = std::mem::take(&mut self.brokers);
+        let kept = |address: &SocketAddr| known.iter().find(|b| b.address == *address).cloned();
+        self.brokers =
+            addresses.iter().map(|address| kept(address).unwrap_or_else(|| fresh(address))).collect();
+    }
+
+    /// Other addresses hold from now on; true where the present one is no longer among them.
+    pub fn move_to(&mut self, now: Moment, addresses: &[SocketAddr]) -> bool {
+        let present = self.address();
+        self.set(addresses);
+        self.at = self.brokers.iter().position(|b| b.address == present).unwrap_or(0);
+        let left = self.address() != present;
+        if left {
+            (self.up_since, self.next_try) = (None, now);
+        }
+        left
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.brokers[self.at].address
+    }
+
+    /// When `address` is to be tried.
+    pub fn next_try(&self) -> Moment {
+        self.next_try
+    }
+
+    /// There is little time left: the next try is at once, or nearly.
+    pub fn hurry(&mut self, now: Moment) {
+        self.next_try = self.next_try.min(now + HURRY.scaled(self.chance.unit()));
+    }
+
+    pub fn up(&mut self, now: Moment) {
+        self.up_since = Some(now);
+    }
+
+    /// A try failed, or a connection ended. `refused`: the broker said that it won't have us, so that more tries
+    /// are no use for now. Says whether another broker's turn has come.
+    pub fn lost(&mut self, now: Moment, refused: bool) -> bool {
+        let lasted = self.up_since.take().is_some_and(|since| now - since >= GOOD);
+        let broker = &mut self.brokers[self.at];
+        if lasted && !refused {
+            (broker.failures, broker.shun) = (0, Span::ZERO);
+        } else {
+            broker.failures += 1;
+        }
+        if refused || broker.failures >= TRIES {
+            broker.failures = 0;
+            broker.shun = (broker.shun + broker.shun).clamp(SHUN, LONGEST_SHUN);
+            broker.shunned_until = now + broker.shun;
+        }
+        let before = self.at;
+        let open = self.brokers.iter().position(|b| b.shunned_until <= now);
+        let soonest = || (0..self.brokers.len()).min_by_key(|i| self.brokers[*i].shunned_until);
+        self.at = open.or_else(soonest).unwrap_or(0);
+        let wait = self.spread.scaled(self.chance.unit());
+        // All are given up: the first to be open again is tried then, not all instances at one moment.
+        self.next_try = now.max(self.brokers[self.at].shunned_until) + wait;
+        self.at != before
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-deliveries/src/memory.rs
@@ -0,0 +1,97 @@
+//! Message-ids seen lately: which delivery holds each, and how what ran has ended. Bounded in entries, bytes and
+//! age; what is forgotten under pressure is the oldest that ended.
+
+use crate::book::DeliveryId;
+use crate::settlement::Ending;
+use hazelspur::{Moment, Span};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+#[derive(Clone, Debug)]
+enum Kept {
+    Open(DeliveryId),
+    Ended(Ending, Rc<[u8]>),
+}
+
+#[derive(Clone, Debug)]
+pub struct Memory {
+    span: Span,
+    most_entries: usize,
+    most_bytes: usize,
+    bytes: usize,
+    by_message: BTreeMap<Rc<str>, Kept>,
+    /// Ended ones, oldest first.
+    ages: VecDeque<(Moment, Rc<str>)>,
+    /// Ended ones that had to go before their time.
+    pub pressed_out: u64,
+}
+
+/// What is known of a message that comes.
+pub enum Known {
+    Not,
+    Open(DeliveryId),
+    Ended(Ending, Rc<[u8]>),
+}
+
+impl Memory {
+    pub fn new(span: Span, most_entries: usize, most_bytes: usize) -> Self {
+        let (by_message, ages) = (BTreeMap::new(), VecDeque::new());
+        Self { span, most_entries, most_bytes, bytes: 0, by_message, ages, pressed_out: 0 }
+    }
+
+    pub fn known(&mut self, now: Moment, message: &str) -> Known {
+        self.age(now);
+        match self.by_message.get(message) {
+            None => Known::Not,
+            Some(Kept::Open(id)) => Known::Open(*id),
+            Some(Kept::Ended(ending, result)) => Known::Ended(*ending, result.clone()),
+        }
+    }
+
+    /// Held by this delivery from now on.
+    pub fn open(&mut self, message: &Rc<str>, id: DeliveryId) {
+        self.by_message.insert(message.clone(), Kept::Open(id));
+    }
+
+    /// Never ran: whoever brings it next may run it.
+    pub fn release(&mut self, message: &str, id: DeliveryId) {
+        if matches!(self.by_message.get(message), Some(Kept::Open(holder)) if *holder == id) {
+            self.by_message.remove(message);
+        }
+    }
+
+    /// It ran, or may have: repeats are settled alike.
+    pub fn ended(&mut self, now: Moment, message: &Rc<str>, ending: Ending, result: Rc<[u8]>) {
+        if matches!(self.by_message.get(message), Some(Kept::Ended(..))) {
+            return;
+        }
+        self.bytes += message.len() + result.len();
+        self.by_message.insert(message.clone(), Kept::Ended(ending, result));
+        self.ages.push_back((now, message.clone()));
+        while self.ages.len() > self.most_entries || self.bytes > self.most_bytes {
+            self.pressed_out += 1;
+            self.drop_oldest();
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_message.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.by_message.is_empty()
+    }
+
+    fn age(&mut self, now: Moment) {
+        while self.ages.front().is_some_and(|(ended, _)| now - *ended >= self.span) {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((_, message)) = self.ages.pop_front() else { return };
+        if let Some(Kept::Ended(_, result)) = self.by_message.remove(&message) {
+            self.bytes -= message.len() + result.len();
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-deliveries/src/window.rs
@@ -0,0 +1,75 @@
+//! How many deliveries may be unsettled here. What is not taken waits in the queue at no cost, so a pull front
+//! takes little when ops are turned away, on whichever front.
+
+use hazelspur::{Moment, Span};
+
+/// A cycle is at least so long and holds an outcome.
+const CYCLE: Span = Span::from_ms(500);
+/// The window rises by this after a cycle without nacks in which it was used up.
+const STEP: f64 = 2.0;
+/// A share nacked up to this is no sign of pressure.
+const SOME: f64 = 0.02;
+/// How hard the share nacked divides: all nacked leave a quarter.
+const DIVIDES: f64 = 3.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// Always the most.
+    Fixed,
+    /// What the module has room for beside what is in hand.
+    Room,
+    /// Rises by a step, is divided by the share nacked.
+    Step,
+}
+
+#[derive(Clone, Debug)]
+pub struct Window {
+    rule: Rule,
+    most: u16,
+    size: f64,
+    began: Moment,
+    acked: u32,
+    nacked: u32,
+    used_up: bool,
+}
+
+impl Window {
+    pub fn new(rule: Rule, most: u16, now: Moment) -> Self {
+        let size = if rule == Rule::Fixed { f64::from(most) } else { STEP.min(f64::from(most)) };
+        Self { rule, most, size, began: now, acked: 0, nacked: 0, used_up: false }
+    }
+
+    /// An op of any front was answered.
+    pub fn outcomes(&mut self, acked: u32, nacked: u32) {
+        self.acked += acked;
+        self.nacked += nacked;
+    }
+
+    /// So many deliveries are unsettled now.
+    pub fn open(&mut self, count: usize) {
+        self.used_up |= count as f64 >= self.size.floor();
+    }
+
+    /// The window, where it differs from before. `room` is how many more ops the module could take.
+    pub fn next(&mut self, now: Moment, room: f64) -> Option<u16> {
+        if now - self.began < CYCLE || (self.acked + self.nacked == 0 && self.rule == Rule::Step) {
+            return None;
+        }
+        let before = self.size();
+        let nacked = f64::from(self.nacked) / f64::from((self.acked + self.nacked).max(1));
+        self.size = match self.rule {
+            Rule::Fixed => self.size,
+            Rule::Room => room.floor(),
+            Rule::Step if nacked > SOME => self.size / (1.0 + DIVIDES * nacked),
+            Rule::Step if self.used_up => self.size + STEP,
+            Rule::Step => self.size,
+        }
+        .clamp(1.0, f64::from(self.most));
+        (self.began, self.acked, self.nacked, self.used_up) = (now, 0, 0, false);
+        (self.size() != before).then(|| self.size())
+    }
+
+    pub fn size(&self) -> u16 {
+        self.size as u16
+    }
+}
--- a/crates/hazelspur-server/src/control.rs
+++ b/crates/hazelspur-server/src/back/control.rs
@@ -1,10 +1,10 @@
 //! Reports to the control plane, on which a server's place in the gateways' list rests.
 
+use crate::back::exchange::exchange;
+use crate::back::peers::Peers;
 use crate::clock::{long, sleep};
-use crate::desk::Desk;
-use crate::exchange::exchange;
-use crate::peers::Peers;
-use crate::phases::{Phase, Phases};
+use crate::ops::desk::Desk;
+use crate::start::phases::{Phase, Phases};
 use hazelspur::Span;
 use hazelspur_parsers::http;
 use std::net::SocketAddr;
@@ -31,14 +31,14 @@
         match sent.unwrap_or_else(|_| Err("no answer in time".into())) {
             Ok(()) => {
                 if missed >= MISSED_TO_TELL {
-                    log::info!("control reached again missed={missed}");
+                    log::info!(missed; "control reached again");
                 }
                 missed = 0;
             }
             Err(why) => {
                 missed += 1;
                 if missed == MISSED_TO_TELL {
-                    log::warn!("control not reached missed={missed} why={why}");
+                    log::warn!(missed, why; "control not reached");
                 }
             }
         }
--- a/crates/hazelspur-server/src/ledger.rs
+++ b/crates/hazelspur-server/src/back/ledger.rs
@@ -1,8 +1,8 @@
 //! Calls to the shared ledger, one at a time on a connection; closing a connection gives its call up.
 
+use crate::back::exchange::exchange;
+use crate::back::peers::Peers;
 use crate::clock::{Clock, long};
-use crate::exchange::exchange;
-use crate::peers::Peers;
 use hazelspur::{Moment, OpId, Outcome, Span};
 use hazelspur_parsers::http;
 use std::cell::RefCell;
@@ -66,7 +66,7 @@
                 (outcome(status, untouched), reply)
             }
             Ok(Err(why)) => {
-                log::debug!("ledger call broke op={op} reused={reused} why={why}");
+                log::debug!(op:%, reused, why; "ledger call broke");
                 (Outcome::Broken, Vec::new())
             }
             Err(_) => (Outcome::TimedOut, Vec::new()),
--- a/crates/hazelspur-server/src/runtime.rs
+++ b/crates/hazelspur-server/src/back/runtime.rs
@@ -1,8 +1,8 @@
 //! The link to the runtime: commands out, notices in, and what is still unanswered when the link breaks.
 
+use crate::back::peers::Peers;
 use crate::clock::{long, sleep};
-use crate::desk::{Desk, News};
-use crate::peers::Peers;
+use crate::ops::desk::{Desk, News};
 use hazelspur::{OpId, Outcome, Span};
 use hazelspur_parsers::{Buffer, runtime};
 use std::cell::{Cell, RefCell};
@@ -129,7 +129,7 @@
                 () = self.keep_to(address) => {}
                 () = self.peers.left(|at| at.runtime, address) => {
                     self.up.set(false);
-                    log::info!("runtime link moves last={} to={}", self.last.get(), self.peers.now().runtime);
+                    log::info!(last = self.last.get(), to:% = self.peers.now().runtime; "runtime link moves");
                 }
             }
         }
@@ -144,7 +144,7 @@
                     pause = PAUSE;
                     let why = self.serve(stream).await;
                     self.up.set(false);
-                    log::warn!("runtime link broke last={} why={why}", self.last.get());
+                    log::warn!(last = self.last.get(), why; "runtime link broke");
                 }
                 _ => log::debug!("runtime link refused"),
             }
@@ -233,11 +233,7 @@
             }
             again += usize::from(out.len() > before);
         }
-        log::info!(
-            "runtime link up last={} runs={} again={again}",
-            self.last.get(),
-            self.runs.borrow().len()
-        );
+        log::info!(last = self.last.get(), runs = self.runs.borrow().len(), again; "runtime link up");
     }
 
     /// Calls the module's timer when it asks to be woken, with gauges if fresh ones have come in time.
@@ -281,7 +277,7 @@
     fn ready(&mut self, hot: bool, since_ms: u64) {
         let link = self.0;
         if link.state.replace(Some((hot, Span::from_ms(since_ms)))).is_none() {
-            log::info!("runtime ready hot={hot} up_ms={since_ms}");
+            log::info!(hot, up_ms = since_ms; "runtime ready");
         }
         link.state_known.notify_waiters();
     }
@@ -320,7 +316,7 @@
 
     fn nack(&mut self, command: &str, id: &str) {
         // Anybody may send ops that the runtime does not know: no line for each.
-        log::debug!("runtime nack command={command} id={id}");
+        log::debug!(command, id; "runtime nack");
         let Some(op) = OpId::padded(id) else { return };
         if command == "start" && self.0.runs.borrow_mut().remove(&op).is_some() {
             self.0.desk.hand(op, News::Unknown);
--- a/crates/hazelspur-server/src/answers.rs
+++ b/crates/hazelspur-server/src/fronts/answers.rs
@@ -1,7 +1,8 @@
 //! What one connection is owed and what waits to be written on it.
 
 use crate::clock::long;
-use crate::desk::Desk;
+use crate::ops::desk::Desk;
+use crate::ops::owed::Front;
 use hazelspur::{Moment, OpId, Span};
 use hazelspur_parsers::rpc::{self, RpcId};
 use std::cell::{Cell, RefCell};
@@ -126,73 +127,58 @@
     }
 }
 
-/// The one answer that is owed to an op's caller; if nobody gives it, dropping this fails the op.
-pub struct Owed {
+/// The caller of an op on one of these connections.
+pub struct Caller {
     answers: Rc<Answers>,
     id: RpcId,
     op: OpId,
-    pending: bool,
 }
 
-impl Owed {
+impl Caller {
     pub fn new(answers: Rc<Answers>, id: RpcId, op: OpId) -> Self {
         answers.open.borrow_mut().insert(id, op);
-        Self { answers, id, op, pending: true }
+        Self { answers, id, op }
     }
 
-    pub fn pending(&self) -> bool {
-        self.pending
+    fn answer(&mut self, write: impl FnOnce(RpcId, &mut Vec<u8>, Option<f64>)) {
+        self.answers.put(|out| write(self.id, out, self.answers.desk.signal.get()));
+        self.gone();
     }
+}
 
-    pub fn acked(&mut self, data: &[u8]) {
+impl Front for Caller {
+    fn acked(&mut self, data: &[u8]) {
         self.answer(|id, out, signal| rpc::result(out, id, data, signal));
     }
 
-    /// This try never ran.
-    pub fn nacked(&mut self, come_back: Span, nowhere_else: bool) {
+    fn nacked(&mut self, come_back: Span, nowhere_else: bool) {
         let holdoff = (come_back > Span::ZERO).then(|| come_back.us().div_ceil(1000) as f64);
         self.answer(|id, out, signal| {
             rpc::error(out, Some(id), rpc::NACKED, "refused", holdoff, nowhere_else, signal);
         });
     }
 
-    pub fn failed(&mut self) {
+    fn failed(&mut self) {
         self.answer(|id, out, signal| {
             rpc::error(out, Some(id), rpc::FAILED, "failed", None, false, signal);
         });
     }
 
-    /// No worker knows this op: what its connection brings is not to be relied on.
-    pub fn unknown(&mut self) {
+    /// What its connection brings is not to be relied on.
+    fn unknown(&mut self) {
         self.answers.proven.set(false);
         self.answers.blame("the runtime does not know the op");
         self.failed();
     }
 
-    /// Its caller is gone: no answer.
-    pub fn release(&mut self) {
-        if std::mem::replace(&mut self.pending, false) {
-            let answers = &self.answers;
-            let mut open = answers.open.borrow_mut();
-            if open.get(&self.id) == Some(&self.op) {
-                open.remove(&self.id);
-            }
-            drop(open);
-            answers.quiet_since.set(answers.desk.clock.now());
-            answers.settled.notify_one();
+    fn gone(&mut self) {
+        let answers = &self.answers;
+        let mut open = answers.open.borrow_mut();
+        if open.get(&self.id) == Some(&self.op) {
+            open.remove(&self.id);
         }
-    }
-
-    fn answer(&mut self, write: impl FnOnce(RpcId, &mut Vec<u8>, Option<f64>)) {
-        if self.pending {
-            self.answers.put(|out| write(self.id, out, self.answers.desk.signal.get()));
-            self.release();
-        }
-    }
-}
-
-impl Drop for Owed {
-    fn drop(&mut self) {
-        self.failed();
+        drop(open);
+        answers.quiet_since.set(answers.desk.clock.now());
+        answers.settled.notify_one();
     }
 }
--- a/crates/hazelspur-server/src/gateways.rs
+++ b/crates/hazelspur-server/src/fronts/gateways.rs
@@ -1,12 +1,14 @@
 //! Gateways' connections: what they ask is read, answers go out, idle connections are closed.
 
-use crate::answers::{Answers, Owed};
 use crate::clock::{long, sleep};
-use crate::desk::News;
-use crate::ops::{Life, Means};
-use crate::phases::{Phase, Phases};
-use crate::startup::Startup;
-use hazelspur::{CallerId, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
+use crate::fronts::answers::{Answers, Caller};
+use crate::fronts::kinds::{Kinds, LONGEST_BODY};
+use crate::ops::desk::News;
+use crate::ops::life::{Life, Means};
+use crate::ops::owed::Owed;
+use crate::start::phases::{Phase, Phases};
+use crate::start::startup::Startup;
+use hazelspur::{CallerId, Moment, OpId, Span, UserKey};
 use hazelspur_parsers::rpc::{self, RpcId};
 use hazelspur_parsers::{Buffer, Json};
 use std::cell::{Cell, RefCell};
@@ -18,7 +20,6 @@
 
 const MOST_OPEN: usize = 32;
 const LONGEST_LINE: usize = 16 * 1024;
-const LONGEST_BODY: usize = 2048;
 /// A caller that says it waits this much longer than the settings allow is not believed.
 const TIMEOUT_SLACK: f64 = 1.5;
 /// Nor an op that came so long from now; one whose time was over so long ago runs for nobody.
@@ -57,10 +58,7 @@
 pub struct Gateways {
     means: Rc<Means>,
     phases: Rc<Phases>,
-    op_types: Vec<Rc<str>>,
-    op_timeouts: Vec<Span>,
-    retryable: Vec<bool>,
-    tenants: Vec<String>,
+    kinds: Rc<Kinds>,
     most: usize,
     connections: RefCell<BTreeMap<ConnectionId, Rc<Answers>>>,
     last: Cell<ConnectionId>,
@@ -76,32 +74,17 @@
 type Refusal = (i32, &'static str);
 
 impl Gateways {
-    pub fn new(means: Rc<Means>, phases: Rc<Phases>, told: &Startup) -> Self {
-        let op_types = told.op_types.iter().map(|name| Rc::from(name.as_str())).collect();
+    pub fn new(means: Rc<Means>, phases: Rc<Phases>, kinds: Rc<Kinds>, told: &Startup) -> Self {
         let (connections, last) = (RefCell::default(), Cell::default());
         let most = told.sockets.saturating_sub(KEPT_BACK).max(told.sockets / 2);
         let (draining, bad) = (Cell::default(), Cell::default());
-        let (op_timeouts, retryable) = (told.op_timeouts.clone(), told.retryable.clone());
-        let tenants = told.tenants.clone();
-        Self {
-            means,
-            phases,
-            op_types,
-            op_timeouts,
-            retryable,
-            tenants,
-            most,
-            connections,
-            last,
-            draining,
-            bad,
-        }
+        Self { means, phases, kinds, most, connections, last, draining, bad }
     }
 
     /// How many ops are owed an answer, on how many connections.
-    pub fn figures(&self) -> String {
+    pub fn figures(&self) -> (usize, usize) {
         let open: usize = self.connections.borrow().values().map(|c| c.open.borrow().len()).sum();
-        format!("open={open} connections={}", self.connected())
+        (open, self.connected())
     }
 
     pub fn connected(&self) -> usize {
@@ -116,7 +99,7 @@
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => self.clone().welcome(stream),
                     Err(e) => {
-                        log::warn!("accept failed connections={} why={e}", self.connected());
+                        log::warn!(connections = self.connected(), why:% = e; "accept failed");
                         self.shed(true);
                         sleep(CLOSING_ROUND).await;
                     }
@@ -194,7 +177,7 @@
             }
             let untold = self.bad.take().saturating_sub(MOST_TOLD);
             if untold > 0 {
-                log::warn!("bad input connections_not_told={untold} connections={}", self.connected());
+                log::warn!(connections_not_told = untold, connections = self.connected(); "bad input");
             }
             sleep(if closing { CLOSING_ROUND } else { ROUND }).await;
         }
@@ -247,7 +230,7 @@
         if faults > 0 {
             self.bad.set(self.bad.get() + 1);
             if self.bad.get() <= MOST_TOLD {
-                log::warn!("bad input faults={faults} last={why}");
+                log::warn!(faults, last = why; "bad input");
             }
             if self.draining.get() < MOST_DRAINING && write.shutdown().await.is_ok() {
                 self.draining.set(self.draining.get() + 1);
@@ -262,7 +245,7 @@
         self.connections.borrow_mut().remove(&connection);
         let left: Vec<OpId> = answers.open.borrow().values().copied().collect();
         if !left.is_empty() {
-            log::debug!("connection broke open={}", left.len());
+            log::debug!(open = left.len(); "connection broke");
         }
         left.into_iter().for_each(|op| self.means.desk.hand(op, News::Gone));
     }
@@ -351,8 +334,7 @@
     ) -> Result<(), Refusal> {
         let bad = |what: &'static str| (rpc::BAD_PARAMS, what);
         let desk = &self.means.desk;
-        let op_type = self.op_types.iter().position(|name| **name == *class);
-        let op_type = op_type.ok_or((rpc::NO_METHOD, "no such method"))?;
+        let op_type = self.kinds.find(class).ok_or((rpc::NO_METHOD, "no such method"))?;
         let params = params.filter(|p| p.is_object()).ok_or(bad("params is no object"))?.table();
         let req = params.get("req").and_then(Json::text);
         let op = req.and_then(|req| OpId::padded(&req)).ok_or(bad("req is no id"))?;
@@ -361,11 +343,8 @@
         let need = params.get("need").and_then(Json::number).filter(|kb| *kb > 0.0 && *kb < 2000.0);
         let need = need.ok_or(bad("need is out of range"))?;
         let level = params.get("level").is_none_or(|l| l.number().is_some_and(|l| (0.0..1.0).contains(&l)));
-        let tenant = match params.get("owner") {
-            None => Some(0),
-            Some(owner) => owner.text().and_then(|owner| self.tenants.iter().position(|t| **t == *owner)),
-        };
-        let tenant = tenant.ok_or(bad("owner is not known"))?;
+        let owner = params.get("owner").map(|o| o.text().ok_or(bad("owner is no string"))).transpose()?;
+        let tenant = self.kinds.tenant(owner.as_deref()).ok_or(bad("owner is not known"))?;
         let timeout = params.get("timeout").map(|t| t.number().filter(|ms| *ms >= 0.0));
         let timeout = timeout.map(|ms| ms.ok_or(bad("timeout is no time"))).transpose()?;
         let subject =
@@ -375,7 +354,7 @@
         let body = body.filter(|body| body.len() <= LONGEST_BODY).ok_or(bad("data is no body"))?;
         let now = desk.clock.now();
         let arrived = Moment::from_us(ts.saturating_mul(1000));
-        let longest = self.op_timeouts[op_type].scaled(TIMEOUT_SLACK).us() as f64 / 1000.0;
+        let longest = self.kinds.timeout(op_type).scaled(TIMEOUT_SLACK).us() as f64 / 1000.0;
         if !level || arrived > now + AHEAD || timeout.is_some_and(|ms| ms > longest) {
             return Err(bad("level, ts or timeout is out of range"));
         }
@@ -386,22 +365,21 @@
             return Err((rpc::NACKED, "not serving yet"));
         }
         let due = timeout.map(|ms| arrived + Span::from_secs(ms / 1000.0));
-        if due.unwrap_or(arrived + self.op_timeouts[op_type]) + LONG_PAST <= now {
+        if due.unwrap_or(arrived + self.kinds.timeout(op_type)) + LONG_PAST <= now {
             return Err((rpc::NACKED, "its time was over long ago"));
         }
         let news = desk.enroll(op).ok_or(bad("this req is in hand"))?;
         let user = subject.as_deref().map(UserKey::of);
         let key = opkey.as_deref().map(UserKey::of).or(user);
         let repeat_of = key.and_then(|key| {
-            let key = (OpTypeId(op_type), key);
+            let key = (op_type, key);
             desk.repeats.borrow_mut().read(now, op, key, opkey.is_some())
         });
-        let owed = Owed::new(answers.clone(), id, op);
-        let class = self.op_types[op_type].clone();
-        let (means, body, may_repeat) = (self.means.clone(), body.into(), self.retryable[op_type]);
+        let owed = Owed::new(Caller::new(answers.clone(), id, op), desk.clone());
+        let class = self.kinds.name(op_type);
+        let (means, body, may_repeat) = (self.means.clone(), body.into(), self.kinds.may_repeat(op_type));
         let life = Life { means, op, class, body, may_repeat, repeat_of, owed, news };
-        let (op_type, tenant, caller) = (OpTypeId(op_type), TenantId(tenant), CallerId(via));
-        tokio::task::spawn_local(life.live(op_type, tenant, user, caller, due, need, arrived));
+        tokio::task::spawn_local(life.live(op_type, tenant, user, CallerId(via), due, need, arrived));
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/hazelspur-server/src/fronts/mod.rs
@@ -0,0 +1,6 @@
+//! Where ops are read and answered.
+
+pub mod answers;
+pub mod gateways;
+pub mod kinds;
+pub mod queues;
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -1,32 +1,29 @@
 //! The hazelspur server: gateways on one side, the runtime, the ledger and the control plane on the other,
 //! every decision in between made by `hazelspur::Logic`.
 
-mod answers;
+mod back;
 mod clock;
-mod control;
-mod desk;
-mod exchange;
-mod gateways;
-mod ledger;
-mod logger;
+mod fronts;
 mod ops;
-mod peers;
-mod phases;
-mod reload;
-mod repeats;
-mod runtime;
-mod startup;
+mod start;
 
+use back::control;
+use back::ledger::Ledger;
+use back::peers::Peers;
+use back::runtime::Link;
+use clap::Parser;
 use clock::sleep;
-use desk::Desk;
-use gateways::Gateways;
+use fronts::gateways::Gateways;
+use fronts::kinds::Kinds;
+use fronts::queues::Queues;
 use hazelspur::{Fact, Logic, Span};
-use ledger::Ledger;
-use ops::Means;
-use peers::Peers;
-use phases::{Phase, Phases};
-use runtime::Link;
-use startup::Startup;
+use ops::desk::Desk;
+use ops::life::Means;
+use start::command::{Command, Line, Serve};
+use start::operator::{self, Operator};
+use start::phases::{Phase, Phases};
+use start::startup::{self, Startup};
+use start::{logs, reload};
 use std::cell::RefCell;
 use std::io::{Error, ErrorKind};
 use std::process::ExitCode;
@@ -39,28 +36,55 @@
 const STOP_MARGIN: Span = Span::from_ms(60);
 
 fn main() -> ExitCode {
-    logger::begin(&std::env::var("HAZELSPUR_LOG").unwrap_or_default());
+    let line = Line::parse();
+    let told = match line.command {
+        Some(Command::Check { file }) => return check(&file),
+        Some(Command::Serve(serve)) => serve,
+        None => line.serve,
+    };
+    logs::begin(&std::env::var("HAZELSPUR_LOG").unwrap_or_default(), told.log_format);
     let ended = tokio::runtime::Builder::new_current_thread().enable_all().build().and_then(|runtime| {
         let entered = runtime.enter();
         // Before anything else: a signal that nobody listens for ends the process.
         let signals = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
         drop(entered);
         let startup = startup::read(|name| std::env::var(name).ok()).map_err(Error::other)?;
-        LocalSet::new().block_on(&runtime, serve(startup, signals))
+        let operator = read_operator(&told, &startup).map_err(Error::other)?;
+        LocalSet::new().block_on(&runtime, serve(startup, operator, told.file, signals))
     });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) if e.kind() == ErrorKind::Other => {
-            log::error!("start refused: {e}");
+            log::error!(why:% = e; "start refused");
             ExitCode::from(2)
         }
         Err(e) => {
-            log::error!("server ended: {e}");
+            log::error!(why:% = e; "server ended");
             ExitCode::FAILURE
         }
     }
 }
 
+/// Says what an operator's file sets, or what is wrong with it.
+fn check(file: &str) -> ExitCode {
+    match operator::read(file, None) {
+        Ok(operator) => {
+            let brokers = operator.amqp.as_ref().map_or(0, |amqp| amqp.brokers.len());
+            println!("{file}: good: brokers={brokers} queues={}", operator.queues.len());
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn read_operator(told: &Serve, startup: &Startup) -> Result<Operator, String> {
+    let read = told.file.as_deref().map(|file| operator::read(file, Some(&startup.op_types)));
+    read.unwrap_or_else(|| Ok(Operator::default()))
+}
+
 /// Runs a task that serves all ops, and again should it fail.
 fn keep_up<T: 'static, F: Future<Output = ()> + 'static>(
     name: &'static str,
@@ -70,13 +94,18 @@
     let of = of.clone();
     spawn_local(async move {
         while spawn_local(task(of.clone())).await.is_err() {
-            log::error!("task failed name={name}");
+            log::error!(name; "task failed");
             sleep(Span::from_ms(10)).await;
         }
     });
 }
 
-async fn serve(startup: Startup, (hangup, mut leave): (Signal, Signal)) -> std::io::Result<()> {
+async fn serve(
+    startup: Startup,
+    operator: Operator,
+    file: Option<String>,
+    (hangup, mut leave): (Signal, Signal),
+) -> std::io::Result<()> {
     let (startup, hangup) = (Rc::new(startup), Rc::new(RefCell::new(hangup)));
     let Startup { listen, seed, stop, grace, .. } = *startup;
     let listener = Rc::new(TcpListener::bind(listen).await?);
@@ -85,12 +114,22 @@
     let link = Rc::new(Link::new(desk.clone(), peers.clone(), startup.gauges.clone()));
     let ledger = Rc::new(Ledger::new(peers.clone()));
     let means = Rc::new(Means { desk: desk.clone(), link: link.clone(), ledger });
-    let gateways = Rc::new(Gateways::new(means, phases.clone(), &startup));
+    let kinds = Rc::new(Kinds::new(&startup));
+    let queues = operator.amqp.as_ref().map(|amqp| {
+        let who = (startup.name.as_str(), seed);
+        Queues::new(means.clone(), phases.clone(), kinds.clone(), amqp, &operator, who)
+    });
+    let gateways = Rc::new(Gateways::new(means, phases.clone(), kinds, &startup));
     desk.repeats.borrow_mut().share = startup.share_reads;
-    log::info!("start name={} listen={listen} stop_ms={}", startup.name, stop.us() / 1000);
+    let (name, queued) = (startup.name.as_str(), operator.queues.len());
+    log::info!(name, listen:%, stop_ms = stop.us() / 1000, queues = queued; "start");
 
-    let (moving, running) = (peers.clone(), startup.clone());
-    keep_up("reload", &hangup, move |hangup| reload::on_hangup(hangup, moving.clone(), running.clone()));
+    let told = reload::Told { peers: peers.clone(), running: startup.clone(), file, queues: queues.clone() };
+    let told = Rc::new(told);
+    keep_up("reload", &hangup, move |hangup| reload::on_hangup(hangup, told.clone()));
+    if let Some(queues) = &queues {
+        keep_up("queues", queues, Queues::run);
+    }
     keep_up("accept", &gateways, move |gateways| gateways.accept(listener.clone()));
     keep_up("connections", &gateways, Gateways::keep);
     keep_up("runtime", &link, Link::run);
@@ -109,19 +148,22 @@
     facts.0.insert("server.cold".into(), Fact::Num(f64::from(u8::from(!hot))));
     let began = desk.clock.now().back(up);
     desk.open(Logic::new(facts, seed, began).map_err(Error::other)?);
-    phases.enter(Phase::Serving, &format!("cold={} up_ms={}", !hot, up.us() / 1000));
+    log::info!(cold = !hot, up_ms = up.us() / 1000; "runtime known");
+    phases.enter(Phase::Serving, gateways.figures());
 
     leave.recv().await;
     let noticed = desk.clock.now();
     let stop = noticed + stop;
     desk.tell(|logic, now| logic.leave_notice(now, stop));
-    phases.enter(Phase::Leaving, &gateways.figures());
+    phases.enter(Phase::Leaving, gateways.figures());
     desk.clock.sleep_until((noticed + grace).min(stop.back(STOP_MARGIN))).await;
 
-    phases.enter(Phase::Closing, &gateways.figures());
-    while desk.clock.now() < stop.back(STOP_MARGIN) && gateways.connected() > 0 {
+    phases.enter(Phase::Closing, gateways.figures());
+    while desk.clock.now() < stop.back(STOP_MARGIN)
+        && (gateways.connected() > 0 || queues.as_ref().is_some_and(|queues| !queues.over()))
+    {
         sleep(Span::from_ms(5)).await;
     }
-    phases.enter(Phase::Over, &gateways.figures());
+    phases.enter(Phase::Over, gateways.figures());
     Ok(())
 }
--- a/crates/hazelspur-server/src/desk.rs
+++ b/crates/hazelspur-server/src/ops/desk.rs
@@ -2,7 +2,7 @@
 //! and hands each to the op's task or to its owner.
 
 use crate::clock::Clock;
-use crate::repeats::Repeats;
+use crate::ops::repeats::Repeats;
 use hazelspur::{Decision, Logic, Moment, OpId, Outcome, Span};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -28,6 +28,8 @@
     logic: RefCell<Option<Logic>>,
     ops: RefCell<BTreeMap<OpId, UnboundedSender<News>>>,
     pub repeats: RefCell<Repeats>,
+    /// Ops acked and nacked since the start, on all fronts.
+    pub counts: Cell<(u32, u32)>,
     stirred: Notify,
     /// What the last decisions for nobody's op said, for those who go by them.
     pub good: Cell<bool>,
@@ -53,11 +55,22 @@
         if let Some(logic) = self.logic.borrow_mut().as_mut()
             && catch_unwind(AssertUnwindSafe(|| input(logic, now))).is_err()
         {
-            log::error!("module failed at=input");
+            log::error!(at = "input"; "module failed");
         }
         self.stirred.notify_one();
     }
 
+    pub fn count(&self, acked: bool) {
+        let (acks, nacks) = self.counts.get();
+        self.counts.set((acks.wrapping_add(u32::from(acked)), nacks.wrapping_add(u32::from(!acked))));
+    }
+
+    /// How many more ops the module would have room for.
+    pub fn spare(&self) -> f64 {
+        let room = self.logic.borrow().as_ref().map_or(0.0, |logic| logic.room(self.clock.now()));
+        room - self.ops.borrow().len() as f64
+    }
+
     /// From now on what concerns this op goes to the receiver; `None` where an op has this id already.
     pub fn enroll(&self, op: OpId) -> Option<UnboundedReceiver<News>> {
         let (to, from) = unbounded_channel();
@@ -101,7 +114,7 @@
         let mut logic = self.logic.borrow_mut();
         let logic = logic.as_mut()?;
         catch_unwind(AssertUnwindSafe(|| logic.next_decision(now))).unwrap_or_else(|_| {
-            log::error!("module failed at=decision");
+            log::error!(at = "decision"; "module failed");
             None
         })
     }
--- a/crates/hazelspur-server/src/ops.rs
+++ b/crates/hazelspur-server/src/ops/life.rs
@@ -1,10 +1,10 @@
 //! The life of one op: read, decided, run, calls, result, answer. Whatever path it takes, it ends with one
 //! answer or with a caller that is gone, and the module is told.
 
-use crate::answers::Owed;
-use crate::desk::{Desk, News};
-use crate::ledger::Ledger;
-use crate::runtime::Link;
+use crate::back::ledger::Ledger;
+use crate::back::runtime::Link;
+use crate::ops::desk::{Desk, News};
+use crate::ops::owed::{MayRun, Owed};
 use hazelspur::{CallerId, Decision, Moment, OpId, OpTypeId, Outcome, TenantId, UserKey};
 use std::future::{Future, pending};
 use std::pin::Pin;
@@ -82,6 +82,16 @@
                 }
                 News::Wants(_) | News::Ended(..) | News::Unknown => continue,
             }
+            if let MayRun::Once(shown) = self.owed.may_run()
+                && !shown.await.unwrap_or(false)
+            {
+                // Its front has settled it, or lost it: it never runs.
+                desk.tell(|logic, now| {
+                    logic.op_gone(op);
+                    logic.run_ended(now, op, Outcome::Moot);
+                });
+                return self.owed.release();
+            }
             // run
             link.start(self.op, self.class.clone(), self.body.clone());
             let (mut wanted, mut repeated): (Rc<[u8]>, bool) = (Rc::from([]), false);
@@ -157,7 +167,7 @@
         match decision {
             Decision::Nack { come_back, nowhere_else, .. } => self.owed.nacked(*come_back, *nowhere_else),
             Decision::Fail(_) => self.owed.failed(),
-            _ => log::warn!("not possible here: {decision:?}"),
+            _ => log::warn!(decision:?; "not possible here"),
         }
     }
 }
@@ -165,7 +175,7 @@
 impl Drop for Life {
     fn drop(&mut self) {
         if self.owed.pending() {
-            log::error!("op left without an answer op={}", self.op);
+            log::error!(op:% = self.op; "op left without an answer");
             self.owed.failed();
             self.gone();
         }
--- a/crates/hazelspur-server/src/phases.rs
+++ b/crates/hazelspur-server/src/start/phases.rs
@@ -44,8 +44,8 @@
     }
 
     /// One line for the change, with its figures.
-    pub fn enter(&self, phase: Phase, figures: &str) {
-        log::info!("phase {} {figures}", phase.name());
+    pub fn enter(&self, phase: Phase, (open, connections): (usize, usize)) {
+        log::info!(open, connections; "phase {}", phase.name());
         self.phase.set(phase);
         self.changed.notify_waiters();
     }
--- a/crates/hazelspur-server/src/startup.rs
+++ b/crates/hazelspur-server/src/start/startup.rs
@@ -1,7 +1,7 @@
 //! What the program is told at its start, and again on SIGHUP: the one place where configuration is read,
 //! checked and given defaults. Every message names the key at fault.
 
-use crate::peers::Addresses;
+use crate::back::peers::Addresses;
 use hazelspur::book::{OpType, Repeats};
 use hazelspur::{Facts, Moment, Span};
 use hazelspur_parsers::{Json, settings};
@@ -20,7 +20,7 @@
     pub sockets: usize,
     pub op_types: Vec<String>,
     pub op_timeouts: Vec<Span>,
-    pub retryable: Vec<bool>,
+    pub repeats: Vec<Repeats>,
     pub tenants: Vec<String>,
     pub gauges: Vec<String>,
     /// What arrives later than this after the leave notice does not run.
@@ -101,7 +101,7 @@
         seed,
         stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
         sockets: number(limit("sockets"), "limits.sockets", 1024.0, 32.0..=1e7)? as usize,
-        retryable: told.iter().map(|kind| kind.repeats == Repeats::Retryable).collect(),
+        repeats: told.iter().map(|kind| kind.repeats).collect(),
         op_timeouts: told.iter().map(|kind| kind.op_timeout).collect(),
         op_types,
         tenants: names("tenants", ".name"),
--- a/crates/hazelspur-server/tests/sockets.rs
+++ b/crates/hazelspur-server/tests/sockets.rs
@@ -523,7 +523,7 @@
         gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"no id from 1 up"}}
         gateway < {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"no id from 1 up"}}
         gateway < {"jsonrpc":"2.0","id":3,"error":{"code":-32601,"message":"no such method"}}
-        gateway < {"jsonrpc":"2.0","id":4,"error":{"code":-32602,"message":"owner is not known"}}
+        gateway < {"jsonrpc":"2.0","id":4,"error":{"code":-32602,"message":"owner is no string"}}
         gateway < {"jsonrpc":"2.0","id":5,"error":{"code":-32602,"message":"this req is in hand"}}
         gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"data is no body"}}
         gateway < {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"data is no body"}}
@@ -856,14 +856,14 @@
         let _ = writeln!(seen, "{text}, exit {:?}", out.status.code());
     }
     expect_test::expect![[r#"
-        error start refused: listen: not an address and port: here, exit Some(2)
-        error start refused: runtime: missing, exit Some(2)
-        error start refused: seed: not 16 hexadecimal digits, exit Some(2)
-        error start refused: stop_ms: not a number from 1 to 600000, exit Some(2)
-        error start refused: limits.sockets: not a number from 32 to 10000000, exit Some(2)
-        error start refused: settings: setting server.cores is absurd: 0, exit Some(2)
-        error start refused: settings.lanes: missing or empty, exit Some(2)
-        error start refused: the configuration is no JSON object, exit Some(2)
+        error start refused why="listen: not an address and port: here", exit Some(2)
+        error start refused why="runtime: missing", exit Some(2)
+        error start refused why="seed: not 16 hexadecimal digits", exit Some(2)
+        error start refused why="stop_ms: not a number from 1 to 600000", exit Some(2)
+        error start refused why="limits.sockets: not a number from 32 to 10000000", exit Some(2)
+        error start refused why="settings: setting server.cores is absurd: 0", exit Some(2)
+        error start refused why="settings.lanes: missing or empty", exit Some(2)
+        error start refused why="the configuration is no JSON object", exit Some(2)
     "#]]
     .assert_eq(&seen);
 }
--- /dev/null
+++ b/crates/hazelspur-standins/src/checker.rs
@@ -0,0 +1,70 @@
+//! The rules, checked from what the stand-ins counted: independent of the server.
+
+use crate::broker::{End, State};
+use crate::runtime::Town;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What is known of a message that was published, by its body.
+#[derive(Clone, Debug, Default)]
+pub struct Expected {
+    /// More than one run is a breach.
+    pub once: bool,
+    /// A run that began after this is a breach.
+    pub until_ms: Option<u64>,
+}
+
+/// All breaches: a settlement of a tag that was not open, messages that vanished, a run too many, a run too late,
+/// a message acked that never ran (of which `may_lose` are allowed where acks go before runs).
+pub fn breaches(
+    state: &State,
+    town: &Town,
+    expected: &BTreeMap<Vec<u8>, Expected>,
+    may_lose: usize,
+) -> Vec<String> {
+    let mut found = state.faults.clone();
+    let ready: BTreeSet<u64> =
+        state.queues.values().flat_map(|queue| queue.ready.iter().map(|message| message.serial)).collect();
+    let there = ready.len() + state.unsettled();
+    let open = state.open();
+    if there != open {
+        found.push(format!("{open} messages have no end, {there} are in queues or unsettled"));
+    }
+    let mut settled: BTreeMap<u64, usize> = BTreeMap::new();
+    for delivered in &state.deliveries {
+        if matches!(delivered.settled, Some("ack" | "reject")) {
+            *settled.entry(delivered.serial).or_default() += 1;
+        }
+    }
+    for (serial, times) in settled.iter().filter(|(_, times)| **times > 1) {
+        found.push(format!("message {serial} settled for good {times} times"));
+    }
+    for (body, terms) in expected {
+        let name = String::from_utf8_lossy(body);
+        let runs = town.runs.get(body).map_or(&[][..], |runs| runs);
+        if terms.once && runs.len() > 1 {
+            found.push(format!("{name} ran {} times", runs.len()));
+        }
+        if let Some(until) = terms.until_ms
+            && let Some(late) = runs.iter().find(|began| **began > until)
+        {
+            found.push(format!("{name} began {} ms after its time", late - until));
+        }
+    }
+    let lost = lost(state, town, expected.keys());
+    if lost.len() > may_lose {
+        let names: Vec<_> = lost.iter().map(|body| String::from_utf8_lossy(body)).collect();
+        found.push(format!("acked and never run: {}; {may_lose} may be lost", names.join(" ")));
+    }
+    found
+}
+
+/// Bodies of which every copy was acked, though none ran.
+fn lost<'a>(state: &State, town: &Town, bodies: impl Iterator<Item = &'a Vec<u8>>) -> Vec<&'a Vec<u8>> {
+    let mut ends: BTreeMap<&Vec<u8>, BTreeSet<Option<End>>> = BTreeMap::new();
+    for (serial, body) in &state.bodies {
+        ends.entry(body).or_default().insert(state.ends.get(serial).copied().flatten());
+    }
+    let all_acked =
+        |body: &&Vec<u8>| ends.get(body).is_some_and(|ends| ends.iter().all(|e| *e == Some(End::Acked)));
+    bodies.filter(all_acked).filter(|body| !town.runs.contains_key(*body)).collect()
+}
--- /dev/null
+++ b/crates/hazelspur-standins/src/http.rs
@@ -0,0 +1,65 @@
+//! A ledger and a control plane: HTTP/1.1 that answers alike, counted by path and by reference.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread::spawn;
+
+pub struct Http {
+    pub address: SocketAddr,
+    /// Calls by their `X-Txn-Ref`, or path where there is none.
+    calls: Arc<Mutex<BTreeMap<String, u32>>>,
+}
+
+impl Http {
+    /// Answers each call with this status line and body.
+    pub fn start(address: &str, status: &'static str, body: &'static str) -> Self {
+        let listener = TcpListener::bind(address).expect("the address is free");
+        let address = listener.local_addr().expect("an address");
+        assert!(address.ip().is_loopback(), "stand-ins stay on loopback");
+        let calls = Arc::new(Mutex::new(BTreeMap::new()));
+        let counted = calls.clone();
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let counted = counted.clone();
+                spawn(move || answer(&stream, status, body, &counted));
+            }
+        });
+        Self { address, calls }
+    }
+
+    pub fn calls(&self) -> BTreeMap<String, u32> {
+        self.calls.lock().expect("no panic before").clone()
+    }
+}
+
+fn answer(stream: &TcpStream, status: &str, body: &str, calls: &Mutex<BTreeMap<String, u32>>) {
+    let _ = stream.set_nodelay(true);
+    let mut reader = BufReader::new(stream);
+    loop {
+        let (mut first, mut reference, mut length) = (String::new(), None, 0);
+        if reader.read_line(&mut first).map_or(true, |n| n == 0) {
+            return;
+        }
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line).map_or(true, |n| n == 0) {
+                return;
+            }
+            match line.trim_end().split_once(": ") {
+                Some(("Content-Length", n)) => length = n.parse().unwrap_or(0),
+                Some(("X-Txn-Ref", id)) => reference = Some(id.to_string()),
+                Some(_) => {}
+                None => break,
+            }
+        }
+        let skipped = std::io::copy(&mut reader.by_ref().take(length), &mut std::io::sink());
+        let path = first.split(' ').nth(1).unwrap_or_default().to_string();
+        *calls.lock().expect("no panic before").entry(reference.unwrap_or(path)).or_default() += 1;
+        let reply = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if skipped.is_err() || (&*stream).write_all(reply.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-standins/src/lib.rs
@@ -0,0 +1,19 @@
+//! Stand-ins on loopback for what a server meets, written from public specifications and the platform's pages:
+//! a broker, a runtime, a ledger and a control plane. A script makes them misbehave; they count what happened,
+//! and `checker` says which rule was broken. Bounded, without privileges, never the server's own code.
+
+pub mod broker;
+pub mod checker;
+pub mod http;
+pub mod runtime;
+pub mod script;
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Milliseconds since 1970.
+pub fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// How long a stand-in waits for a peer that does not take what is written.
+const PATIENCE: Duration = Duration::from_secs(2);
--- /dev/null
+++ b/crates/hazelspur-standins/src/runtime.rs
@@ -0,0 +1,220 @@
+//! A runtime: takes the platform's lines, runs each op for a while on so many cores, asks for one call if told to,
+//! keeps its notices for a link that comes again, and counts how often each body was run.
+
+use crate::{PATIENCE, now_ms};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::{sleep, spawn};
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(1);
+/// Notices kept for a link that is made anew.
+const KEPT: usize = 4096;
+
+/// How ops run here.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    pub run_ms: u64,
+    pub calls: bool,
+    /// Every nth run ends in an error; none for 0.
+    pub fails: u64,
+    pub cores: usize,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { run_ms: 0, calls: false, fails: 0, cores: 2 }
+    }
+}
+
+struct Run {
+    id: String,
+    body: Vec<u8>,
+    left_ms: f64,
+    calling: bool,
+    called: bool,
+}
+
+#[derive(Default)]
+pub struct Town {
+    pub pace: Pace,
+    /// For each body: when its runs began.
+    pub runs: BTreeMap<Vec<u8>, Vec<u64>>,
+    pub ended: u64,
+    started: BTreeMap<String, ()>,
+    running: Vec<Run>,
+    notices: VecDeque<(u64, Vec<u8>)>,
+    number: u64,
+    link: Option<TcpStream>,
+    /// Keeps neither runs nor ids, for long runs.
+    pub forgetful: bool,
+}
+
+pub struct Runtime {
+    pub address: SocketAddr,
+    town: Arc<Mutex<Town>>,
+}
+
+impl Runtime {
+    pub fn start(address: &str, pace: Pace) -> Self {
+        let listener = TcpListener::bind(address).expect("the address is free");
+        let address = listener.local_addr().expect("an address");
+        assert!(address.ip().is_loopback(), "stand-ins stay on loopback");
+        let town = Arc::new(Mutex::new(Town { pace, ..Town::default() }));
+        let at = town.clone();
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let at = at.clone();
+                spawn(move || serve(&at, &stream));
+            }
+        });
+        let worked = Arc::downgrade(&town);
+        spawn(move || {
+            let mut before = std::time::Instant::now();
+            while let Some(town) = worked.upgrade() {
+                let passed = std::mem::replace(&mut before, std::time::Instant::now()).elapsed();
+                town.lock().expect("no panic before").work(passed.as_secs_f64() * 1000.0);
+                drop(town);
+                sleep(TICK);
+            }
+        });
+        Self { address, town }
+    }
+
+    pub fn town(&self) -> MutexGuard<'_, Town> {
+        self.town.lock().expect("no panic before")
+    }
+}
+
+impl Town {
+    fn say(&mut self, bytes: &[u8]) {
+        if let Some(link) = &mut self.link
+            && link.write_all(bytes).is_err()
+        {
+            self.link = None;
+        }
+    }
+
+    fn notice(&mut self, write: impl FnOnce(u64) -> Vec<u8>) {
+        self.number += 1;
+        let bytes = write(self.number);
+        self.say(&bytes);
+        self.notices.push_back((self.number, bytes));
+        if self.notices.len() > KEPT {
+            self.notices.pop_front();
+        }
+    }
+
+    fn begin(&mut self, id: &str, body: Vec<u8>) {
+        // A start that is sent once more after a break is the same run.
+        if self.started.contains_key(id) {
+            return;
+        }
+        if !self.forgetful {
+            self.started.insert(id.into(), ());
+            self.runs.entry(body.clone()).or_default().push(now_ms());
+        }
+        let calls = self.pace.calls;
+        let left_ms = self.pace.run_ms as f64;
+        self.running.push(Run { id: id.into(), body, left_ms, calling: false, called: !calls });
+        if self.pace.run_ms == 0 {
+            self.work(0.0);
+        }
+    }
+
+    /// The cores work on what is running and not at a call, each on an equal share.
+    fn work(&mut self, passed_ms: f64) {
+        let busy = self.running.iter().filter(|run| !run.calling).count().max(1);
+        let share = (self.pace.cores as f64 / busy as f64).min(1.0);
+        let mut at = 0;
+        while at < self.running.len() {
+            let run = &mut self.running[at];
+            if run.calling {
+                at += 1;
+                continue;
+            }
+            run.left_ms -= passed_ms * share;
+            if run.left_ms > 0.0 {
+                at += 1;
+            } else if run.called {
+                let run = self.running.swap_remove(at);
+                self.end(&run);
+            } else {
+                (run.calling, run.called) = (true, true);
+                let id = run.id.clone();
+                self.notice(|number| format!("wants {number} {id} 4\r\nnote\r\n").into_bytes());
+                at += 1;
+            }
+        }
+    }
+
+    fn end(&mut self, run: &Run) {
+        self.ended += 1;
+        let failed = self.pace.fails > 0 && self.ended.is_multiple_of(self.pace.fails);
+        let (how, result) = if failed { ("error", Vec::new()) } else { ("complete", run.body.clone()) };
+        let (id, ms) = (run.id.clone(), self.pace.run_ms);
+        self.notice(|number| {
+            let mut line = format!("end {number} {id} {how} {ms} {}\r\n", result.len()).into_bytes();
+            line.extend_from_slice(&result);
+            line.extend_from_slice(b"\r\n");
+            line
+        });
+    }
+
+    fn stop(&mut self, id: &str) {
+        if let Some(at) = self.running.iter().position(|run| run.id == id) {
+            self.running.swap_remove(at);
+            let id = id.to_string();
+            self.notice(|number| format!("end {number} {id} cancelled 0 0\r\n\r\n").into_bytes());
+        }
+    }
+}
+
+fn serve(town: &Mutex<Town>, stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_write_timeout(Some(PATIENCE));
+    let mut lines = BufReader::new(stream);
+    let mut line = String::new();
+    while lines.read_line(&mut line).is_ok_and(|n| n > 0) {
+        let words: Vec<String> = line.split_whitespace().map(str::to_string).collect();
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        let mut body = Vec::new();
+        if let ["start" | "give", .., length] = words[..] {
+            body = vec![0; length.parse::<usize>().unwrap_or(0).min(1 << 20) + 2];
+            if lines.read_exact(&mut body).is_err() {
+                return;
+            }
+            body.truncate(body.len() - 2);
+        }
+        let mut town = town.lock().expect("no panic before");
+        match words[..] {
+            ["sync", last] => {
+                let last: u64 = last.parse().unwrap_or(0);
+                town.link = stream.try_clone().ok();
+                town.say(b"ready hot 60000\r\n");
+                let again: Vec<u8> =
+                    town.notices.iter().filter(|(n, _)| *n > last).flat_map(|(_, b)| b.clone()).collect();
+                town.say(&again);
+            }
+            ["gauges", tag] => {
+                let on_cores = town.running.iter().filter(|run| !run.calling).count();
+                let load = format!("load {tag} 0.1 {on_cores} 0.0 1\r\n");
+                town.say(load.as_bytes());
+            }
+            ["start", id, ..] => town.begin(id, body),
+            ["give", id, _] => {
+                if let Some(run) = town.running.iter_mut().find(|run| run.id == id) {
+                    run.calling = false;
+                }
+                if town.pace.run_ms == 0 {
+                    town.work(0.0);
+                }
+            }
+            ["stop", id] => town.stop(id),
+            _ => town.say(b"info 0 not understood\r\n"),
+        }
+        line.clear();
+    }
+}
--- a/src/book.rs
+++ b/src/book.rs
@@ -1,9 +1,13 @@
 //! What is written down about ops and op types, and samples with the figures worked out from them.
 
-use crate::logic::{SAMPLES, SEEN_KEPT, WAITS};
 use crate::{CallerId, Facts, Moment, OpId, Span, UserKey};
 use std::collections::{BTreeMap, VecDeque};
 
+/// How many users and callers are remembered, runs and calls of an op type, and waits of its callers.
+pub const SEEN_KEPT: usize = 4096;
+pub const SAMPLES: usize = 24;
+pub const WAITS: usize = 32;
+
 /// The last few samples of something; figures are worked out when asked for.
 #[derive(Clone, Debug)]
 pub struct Recent<T, const MOST: usize> {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,9 @@
 //! `leave_notice`), which only update what is known, then pull `next_decision(now)` until it is `None`.
 //! The interface is this type's `pub fn`s and `Decision` in decision.rs; docs/design.md says why.
 
-use crate::book::{Cycle, Op, OpType, Outcome, Read, Recent, Repeats, State, mean, middle, note, parts};
+use crate::book::{
+    Cycle, Op, OpType, Outcome, Read, Recent, Repeats, SAMPLES, State, mean, middle, note, parts,
+};
 use crate::pcg::Pcg;
 use crate::{CallerId, Decision, Fact, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
 use std::cmp::Ordering;
@@ -17,7 +19,6 @@
 const CYCLE_MIN: Span = Span::from_ms(500);
 const CYCLE_MAX: Span = Span::from_ms(4000);
 const CYCLES_KEPT: usize = 16;
-pub const SEEN_KEPT: usize = 4096;
 const USER_IDLE: Span = Span::from_ms(20_000);
 
 /// Ours, where the design is silent.
@@ -37,10 +38,8 @@
 const FIT: f64 = 0.45;
 const LISTED_BOOST: f64 = 1.5;
 const LONG_WORK: f64 = 2.0;
-pub const SAMPLES: usize = 24;
 const LAST_OPS: usize = 64;
 const TENANT_SAMPLES: usize = 32;
-pub const WAITS: usize = 32;
 const WAIT_STEP: Span = Span::from_ms(20);
 const DRAIN_MARGIN: Span = Span::from_ms(250);
 const KEEP_WORTH: f64 = 20.0;
@@ -747,7 +746,7 @@
 
     /// How many ops in hand could still be acked within their targets, by what those leave after an op's own
     /// run; only a part, since what is sent in vain costs more than the choice among more ops brings.
-    fn room(&self, now: Moment) -> f64 {
+    pub fn room(&self, now: Moment) -> f64 {
         let target = |op: &Op| self.op_types[op.op_type].target_latency.secs();
         let target = mean(self.ops.values().map(target)).unwrap_or(0.0);
         self.run_bound(now) * ((target / self.usual_run_secs().max(1e-3) - 1.0) * ROOM).clamp(1.0, 20.0)
