--- /dev/null
+++ b/crates/hazelspur-amqp/tests/codecs.rs
@@ -0,0 +1,222 @@
+//! The codec against the other one, both ways, and against bytes from nowhere.
+
+mod helpers;
+
+use amq_protocol::frame::{AMQPContentHeader, AMQPFrame, parse_frame};
+use amq_protocol::protocol::basic::AMQPProperties;
+use amq_protocol::types::{AMQPValue, DecimalValue, FieldArray, FieldTable, ShortString};
+use hazelspur::pcg::Pcg;
+use hazelspur_amqp::{Field, Properties, Session, Table, TableWriter, Wire, frames, table};
+use helpers::{Ears, at, bytes, feed, terms};
+use proptest::prelude::*;
+
+fn value() -> impl Strategy<Value = AMQPValue> {
+    let leaf = prop_oneof![
+        any::<bool>().prop_map(AMQPValue::Boolean),
+        any::<i8>().prop_map(AMQPValue::ShortShortInt),
+        any::<u8>().prop_map(AMQPValue::ShortShortUInt),
+        any::<u16>().prop_map(AMQPValue::ShortUInt),
+        any::<i32>().prop_map(AMQPValue::LongInt),
+        any::<u32>().prop_map(AMQPValue::LongUInt),
+        any::<i64>().prop_map(AMQPValue::LongLongInt),
+        any::<i16>().prop_map(|n| AMQPValue::Float(f32::from(n))),
+        any::<i32>().prop_map(|n| AMQPValue::Double(f64::from(n))),
+        (any::<u8>(), any::<u32>())
+            .prop_map(|(scale, value)| AMQPValue::DecimalValue(DecimalValue { scale, value })),
+        "[a-z]{0,40}".prop_map(|text| AMQPValue::LongString(text.into())),
+        any::<u64>().prop_map(AMQPValue::Timestamp),
+        Just(AMQPValue::Void),
+    ];
+    leaf.prop_recursive(4, 24, 4, |inner| {
+        prop_oneof![
+            proptest::collection::vec(inner.clone(), 0..4)
+                .prop_map(|items| AMQPValue::FieldArray(FieldArray::from(items))),
+            proptest::collection::btree_map("[a-z]{1,8}".prop_map(ShortString::from), inner, 0..4)
+                .prop_map(|fields| AMQPValue::FieldTable(FieldTable::from(fields))),
+        ]
+    })
+}
+
+fn headers() -> impl Strategy<Value = FieldTable> {
+    proptest::collection::btree_map("[a-z]{1,12}".prop_map(ShortString::from), value(), 0..6)
+        .prop_map(FieldTable::from)
+}
+
+/// The same value, as far as ours tells values apart.
+fn same(field: Field<'_>, value: &AMQPValue) -> bool {
+    match (field, value) {
+        (Field::Flag(a), AMQPValue::Boolean(b)) => a == *b,
+        (Field::Whole(a), AMQPValue::ShortShortInt(b)) => a == i64::from(*b),
+        (Field::Whole(a), AMQPValue::ShortShortUInt(b)) => a == i64::from(*b),
+        (Field::Whole(a), AMQPValue::ShortUInt(b)) => a == i64::from(*b),
+        (Field::Whole(a), AMQPValue::LongInt(b)) => a == i64::from(*b),
+        (Field::Whole(a), AMQPValue::LongUInt(b)) => a == i64::from(*b),
+        (Field::Whole(a), AMQPValue::LongLongInt(b)) => a == *b,
+        (Field::Number(a), AMQPValue::Float(b)) => a == f64::from(*b),
+        (Field::Number(a), AMQPValue::Double(b)) => a == *b,
+        (Field::Bytes(a), AMQPValue::LongString(b)) => a == b.as_bytes(),
+        (Field::Timestamp(a), AMQPValue::Timestamp(b)) => a == *b,
+        (Field::Table(a), AMQPValue::FieldTable(b)) => {
+            a.fields().count() == b.inner().len()
+                && b.into_iter()
+                    .all(|(name, value)| a.get(name.as_str()).is_some_and(|field| same(field, value)))
+        }
+        (Field::Other, AMQPValue::DecimalValue(_) | AMQPValue::FieldArray(_) | AMQPValue::Void) => true,
+        _ => false,
+    }
+}
+
+fn short() -> impl Strategy<Value = Option<String>> {
+    proptest::option::of("[ -~åäö]{0,60}")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn what_the_other_codec_writes_is_read(
+        headers in proptest::option::of(headers()), id in short(), reply in short(), kind in short(),
+        expiration in short(), timestamp in proptest::option::of(any::<u64>()), mode in proptest::option::of(any::<u8>()),
+    ) {
+        let mut theirs = AMQPProperties::default();
+        if let Some(headers) = &headers { theirs = theirs.with_headers(headers.clone()); }
+        if let Some(id) = &id { theirs = theirs.with_message_id(id.as_str().into()); }
+        if let Some(reply) = &reply { theirs = theirs.with_reply_to(reply.as_str().into()); }
+        if let Some(kind) = &kind { theirs = theirs.with_type(kind.as_str().into()); }
+        if let Some(expiration) = &expiration { theirs = theirs.with_expiration(expiration.as_str().into()); }
+        if let Some(timestamp) = timestamp { theirs = theirs.with_timestamp(timestamp); }
+        if let Some(mode) = mode { theirs = theirs.with_delivery_mode(mode); }
+        let frame = bytes(&AMQPFrame::Header(3, AMQPContentHeader { class_id: 60, body_size: 9, properties: theirs }));
+        let (kind_read, channel, payload, used) = frames::first(&frame, 1 << 20).unwrap().unwrap();
+        prop_assert_eq!((kind_read, channel, used), (frames::HEADER, 3, frame.len()));
+        let ours = Properties::read(&payload[12..]).unwrap();
+        prop_assert_eq!(ours.message_id, id.as_deref());
+        prop_assert_eq!(ours.reply_to, reply.as_deref());
+        prop_assert_eq!(ours.kind, kind.as_deref());
+        prop_assert_eq!(ours.expiration, expiration.as_deref());
+        prop_assert_eq!((ours.timestamp, ours.delivery_mode), (timestamp, mode));
+        let read = headers.map(|headers| same(Field::Table(ours.headers.unwrap()), &AMQPValue::FieldTable(headers)));
+        prop_assert_eq!(read.unwrap_or(true), true);
+        // Written again it is the same to the byte.
+        let mut again = Vec::new();
+        ours.put(&mut again);
+        prop_assert_eq!(&again[..], &payload[12..]);
+    }
+
+    #[test]
+    fn what_ours_writes_the_other_codec_reads(
+        id in short(), to in short(), text in "[ -~]{0,300}", n in any::<i64>(), flag in any::<bool>(), body in any::<Vec<u8>>(),
+    ) {
+        let headers = TableWriter::default().text("t", &text).whole("n", n).flag("f", flag);
+        let ours = Properties { headers: Some(headers.done()), message_id: id.as_deref(), reply_to: to.as_deref(), ..Properties::default() };
+        let mut frame = Vec::new();
+        frames::put(&mut frame, frames::HEADER, 7, |out| {
+            out.extend([0, 60, 0, 0]);
+            out.extend_from_slice(&(body.len() as u64).to_be_bytes());
+            ours.put(out);
+        });
+        frames::put(&mut frame, frames::BODY, 7, |out| out.extend_from_slice(&body));
+        let (rest, header) = parse_frame(&frame[..]).unwrap();
+        let AMQPFrame::Header(7, header) = header else { panic!("another frame") };
+        let theirs = header.properties.headers().clone().unwrap();
+        prop_assert_eq!(theirs.inner().get("t"), Some(&AMQPValue::LongString(text.into())));
+        prop_assert_eq!(theirs.inner().get("n"), Some(&AMQPValue::LongLongInt(n)));
+        prop_assert_eq!(theirs.inner().get("f"), Some(&AMQPValue::Boolean(flag)));
+        prop_assert_eq!(header.properties.message_id().as_ref().map(|t| t.as_str()), id.as_deref());
+        prop_assert_eq!(header.properties.reply_to().as_ref().map(|t| t.as_str()), to.as_deref());
+        let (rest, part) = parse_frame(rest).unwrap();
+        prop_assert_eq!(part, AMQPFrame::Body(7, body));
+        prop_assert!(rest.is_empty());
+    }
+}
+
+fn nested(depth: usize) -> Vec<u8> {
+    (0..depth).fold(Vec::new(), |inner, _| {
+        let mut outer = vec![1, b'a', b'F'];
+        outer.extend_from_slice(&(inner.len() as u32).to_be_bytes());
+        outer.extend_from_slice(&inner);
+        outer
+    })
+}
+
+#[test]
+fn tables_are_bounded_in_depth_fields_and_length() {
+    let read = |fields: &[u8]| {
+        let mut whole = (fields.len() as u32).to_be_bytes().to_vec();
+        whole.extend_from_slice(fields);
+        Table::read(&mut Wire(&whole)).map(|table| table.fields().count())
+    };
+    let many: Vec<u8> = (0..=table::MOST_FIELDS).flat_map(|_| [1, b'a', b't', 1]).collect();
+    let seen = format!(
+        "{:?}\n{:?}\n{:?}\n{:?}\n{:?}\n{:?}\n{:?}\n",
+        read(&nested(7)),
+        read(&nested(8)),
+        read(&nested(1000)),
+        read(&many),
+        read(&[1, b'a', b'S', 0xFF, 0xFF, 0xFF, 0xFF]),
+        read(&[1, b'a', b'q', 0]),
+        Table::read(&mut Wire(&[0xFF, 0xFF, 0xFF, 0xFF, 1])),
+    );
+    expect_test::expect![[r#"
+        Ok(1)
+        Err(Malformed("a table is nested too deep"))
+        Err(Malformed("a table is nested too deep"))
+        Err(Malformed("too many fields in a table"))
+        Err(Malformed("too short"))
+        Err(Malformed("a field of an unknown type"))
+        Err(Malformed("too short"))
+    "#]]
+    .assert_eq(&seen);
+}
+
+/// A fixed number of inputs from a seed: good frames with bytes changed, and bytes alone. Nothing panics, nothing
+/// grows past what came, and a session that is over stays so.
+#[test]
+fn bytes_from_nowhere_end_a_session_and_nothing_else() {
+    let mut chance = Pcg::new(11);
+    let good = helpers_frames();
+    let mut ended = 0;
+    for _ in 0..20_000 {
+        let mut input: Vec<u8> = good.iter().flatten().copied().collect();
+        for _ in 0..1 + chance.draw() % 4 {
+            let at = chance.draw() as usize % input.len().max(1);
+            match chance.draw() % 4 {
+                0 if !input.is_empty() => input[at] = chance.draw() as u8,
+                1 => input.truncate(at.max(1)),
+                2 if input.len() > 1 => drop(input.remove(at)),
+                _ => input.insert(at, chance.draw() as u8),
+            }
+        }
+        let mut session = Session::new(terms(), at(0));
+        let mut ears = Ears::default();
+        let whole = input.len();
+        feed(&mut session, &mut ears, 1, &input, 1 + chance.draw() as usize % whole);
+        if ears.0.contains("open\n") {
+            session.consume(1, "q", 4);
+            feed(&mut session, &mut ears, 1, &input, 64);
+        }
+        session.tick(at(15_000));
+        session.tick(at(40_000));
+        session.tick(at(41_000));
+        assert!(session.out(at(41_000)).len() < 8 * 1024 + whole, "a short input makes a long output");
+        ended += u32::from(session.ended().is_some());
+    }
+    assert!(ended > 15_000, "{ended} sessions ended");
+}
+
+/// What a broker sends from its first frame to the answer of `connection.open`.
+fn helpers_frames() -> Vec<Vec<u8>> {
+    use amq_protocol::protocol::AMQPClass::Connection;
+    use amq_protocol::protocol::connection::{AMQPMethod, OpenOk, Start, Tune};
+    let start = Start {
+        version_major: 0,
+        version_minor: 9,
+        server_properties: FieldTable::default(),
+        mechanisms: "PLAIN".into(),
+        locales: "en_US".into(),
+    };
+    let tune = Tune { channel_max: 100, frame_max: 8192, heartbeat: 5 };
+    [AMQPMethod::Start(start), AMQPMethod::Tune(tune), AMQPMethod::OpenOk(OpenOk {})]
+        .map(|method| bytes(&AMQPFrame::Method(0, Connection(method))))
+        .to_vec()
+}
--- a/crates/hazelspur-deliveries/src/book.rs
+++ b/crates/hazelspur-deliveries/src/book.rs
@@ -118,6 +118,7 @@
     phase: Phase,
     followers: Vec<DeliveryId>,
     ending: Ending,
+    settlement: Settlement,
     result: Rc<[u8]>,
     returned: bool,
     /// Where it stands in `times`.
@@ -203,6 +204,7 @@
             phase: Phase::Held,
             followers: Vec::new(),
             ending: Ending::Expired,
+            settlement: Settlement::Reject,
             result: [].into(),
             returned: false,
             look: None,
@@ -215,10 +217,17 @@
                 return id;
             }
         };
-        match message.as_deref().map_or(Known::Not, |message| self.memory.known(now, message)) {
-            Known::Open(first) if self.deliveries.contains_key(&first) => self.repeat_open(now, first, id),
+        let known = message.as_deref().map_or(Known::Not, |message| self.memory.known(now, message));
+        if let (Known::Tried(times), Some(delivery)) = (&known, self.deliveries.get_mut(&id)) {
+            delivery.tries = delivery.tries.max(*times);
+        }
+        match known {
+            Known::Open(first) if self.deliveries.contains_key(&first) => self.repeat_open(first, id),
             Known::Ended(ending, result) => {
                 self.figures.from_kept += 1;
+                if self.adopted_by_reply(id) {
+                    return id;
+                }
                 self.finish(now, id, ending, &result);
             }
             _ if self.leaving => {
@@ -246,25 +255,11 @@
 
     /// The same message is in hand already. Where its connection was lost, the new tag is its own; else the
     /// message is there twice and this one ends as the first does.
-    fn repeat_open(&mut self, now: Moment, first: DeliveryId, id: DeliveryId) {
+    fn repeat_open(&mut self, first: DeliveryId, id: DeliveryId) {
         let settle_first = self.settles_first(first);
         let Some(holder) = self.deliveries.get_mut(&first) else { return };
-        let ran = matches!(holder.phase, Phase::Running | Phase::Publishing { copy: None, .. });
-        if !holder.open && !settle_first && ran {
-            let tag = self.deliveries.remove(&id).map(|second| second.tag);
-            if let (Some(holder), Some(tag)) = (self.deliveries.get_mut(&first), tag) {
-                (holder.tag, holder.open) = (tag, true);
-            }
-            return self.steps.push_back(Step::Forget(id, Ending::Doubtful));
-        }
-        if let Phase::Publishing { copy: None, .. } = holder.phase {
-            // Its ending is known; only the reply is under way.
-            let (ending, message) = (holder.ending, holder.message.clone());
-            if let Some(Known::Ended(kept, result)) = message.map(|m| self.memory.known(now, &m)) {
-                self.figures.from_kept += 1;
-                return self.finish(now, id, kept, &result);
-            }
-            return self.finish(now, id, ending, &[].into());
+        if !holder.open && !settle_first && holder.phase == Phase::Running {
+            return self.adopt(first, id);
         }
         holder.followers.push(id);
         if let Some(second) = self.deliveries.get_mut(&id) {
@@ -272,6 +267,28 @@
         }
     }
 
+    /// A message that comes again while the reply of its lost delivery is still under way is settled with that one.
+    fn adopted_by_reply(&mut self, id: DeliveryId) -> bool {
+        let Some(second) = self.deliveries.get(&id) else { return false };
+        let replying = |d: &Delivery| matches!(d.phase, Phase::Publishing { copy: None, .. });
+        let same = |d: &Delivery| !d.open && replying(d) && d.message == second.message;
+        let first = self.deliveries.iter().find(|(_, d)| same(d)).map(|(first, _)| *first);
+        let first = first.filter(|first| !self.settles_first(*first));
+        first.is_some_and(|first| {
+            self.adopt(first, id);
+            true
+        })
+    }
+
+    /// The first delivery of a message gets the tag of a later one, which is not heard of again.
+    fn adopt(&mut self, first: DeliveryId, id: DeliveryId) {
+        let tag = self.deliveries.remove(&id).map(|second| second.tag);
+        if let (Some(holder), Some(tag)) = (self.deliveries.get_mut(&first), tag) {
+            (holder.tag, holder.open) = (tag, true);
+        }
+        self.steps.push_back(Step::Forget(id, Ending::Doubtful));
+    }
+
     /// The module has its run decided: `Begin` says whether it may.
     pub fn run_decided(&mut self, now: Moment, id: DeliveryId) {
         let settle_first = self.settles_first(id);
@@ -381,6 +398,11 @@
     /// A channel is gone, or with `None` all channels of a connection: tags on it are worth nothing now.
     pub fn lost(&mut self, link: Link, channel: Option<u16>) {
         let on = |tag: &Tag| tag.link == link && channel.is_none_or(|channel| channel == tag.channel);
+        // What was decided on these tags can't be done any more.
+        self.steps.retain(|step| match step {
+            Step::Ack(tag) | Step::Reject(tag) | Step::Requeue(tag) | Step::Fence(tag, _) => !on(tag),
+            _ => true,
+        });
         let hit = |d: &Delivery| (d.open || d.phase == Phase::Proving) && on(&d.tag);
         let ids: Vec<DeliveryId> =
             self.deliveries.iter().filter(|(_, d)| hit(d)).map(|(id, _)| *id).collect();
@@ -545,8 +567,13 @@
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         (delivery.ending, delivery.result) = (ending, result.clone());
         let table = &self.queues[delivery.queue.0].table;
-        let settlement = table.settle(ending, delivery.repeats, delivery.tries);
+        let mut settlement = table.settle(ending, delivery.repeats, delivery.tries);
+        if ending == Ending::Failed && settlement == Settlement::Later && delivery.message.is_none() {
+            // Nobody counts its tries: it would come back for ever.
+            settlement = table.exhausted;
+        }
         let pause = table.pause(ending);
+        delivery.settlement = settlement;
         // A failed op that may run again is not held against its message: an operator may bring it back.
         let once = delivery.repeats != Repeats::Retryable;
         let may_have_run = ending == Ending::Acked || ending == Ending::Failed && once;
@@ -554,6 +581,8 @@
         if let Some(message) = delivery.message.clone() {
             if may_have_run {
                 self.memory.ended(now, &message, ending, result.clone());
+            } else if settlement == Settlement::Later && ending == Ending::Failed {
+                self.memory.tried(now, &message, delivery.tries + 1);
             } else {
                 self.memory.release(&message, id);
             }
@@ -608,8 +637,7 @@
     /// Settles as the table says for its ending.
     fn settle_final(&mut self, id: DeliveryId) {
         let Some(delivery) = self.deliveries.get(&id) else { return };
-        let table = &self.queues[delivery.queue.0].table;
-        let settlement = table.settle(delivery.ending, delivery.repeats, delivery.tries);
+        let settlement = delivery.settlement;
         self.close(id, settlement);
     }
 
--- a/crates/hazelspur-deliveries/src/brokers.rs
+++ b/crates/hazelspur-deliveries/src/brokers.rs
@@ -34,8 +34,8 @@
 }
 
 impl Brokers {
-    /// In the order of preference. `spread` is the longest wait before a try, and so how fast a fleet comes back:
-    /// in each second about its inverse of all instances.
+    /// In the order of preference. `spread` is the longest wait after a loss, and the usual one between tries: in
+    /// each second about its inverse of all instances come.
     pub fn new(addresses: &[SocketAddr], spread: Span, seed: u64, now: Moment) -> Self {
         let mut this = Self {
             brokers: Vec::new(),
@@ -95,6 +95,7 @@
     /// A try failed, or a connection ended. `refused`: the broker said that it won't have us, so that more tries
     /// are no use for now. Says whether another broker's turn has come.
     pub fn lost(&mut self, now: Moment, refused: bool) -> bool {
+        let was_up = self.up_since.is_some();
         let lasted = self.up_since.take().is_some_and(|since| now - since >= GOOD);
         let broker = &mut self.brokers[self.at];
         if lasted && !refused {
@@ -111,9 +112,12 @@
         let open = self.brokers.iter().position(|b| b.shunned_until <= now);
         let soonest = || (0..self.brokers.len()).min_by_key(|i| self.brokers[*i].shunned_until);
         self.at = open.or_else(soonest).unwrap_or(0);
-        let wait = self.spread.scaled(self.chance.unit());
-        // All are given up: the first to be open again is tried then, not all instances at one moment.
-        self.next_try = now.max(self.brokers[self.at].shunned_until) + wait;
+        // The first try after a loss is spread from now on; those that follow are a spread apart on average, since
+        // waits from nothing on would make two waves of one.
+        let wait = self.spread.scaled(self.chance.unit() + if was_up { 0.0 } else { 0.5 });
+        // Where all are given up the one longest ago is tried all the same, but for one that won't have us.
+        let from = if refused { now.max(self.brokers[self.at].shunned_until) } else { now };
+        self.next_try = from + wait;
         self.at != before
     }
 }
--- a/crates/hazelspur-deliveries/src/memory.rs
+++ b/crates/hazelspur-deliveries/src/memory.rs
@@ -11,6 +11,8 @@
 enum Kept {
     Open(DeliveryId),
     Ended(Ending, Rc<[u8]>),
+    /// Failed so often and may come again.
+    Tried(u32),
 }
 
 #[derive(Clone, Debug)]
@@ -31,6 +33,7 @@
     Not,
     Open(DeliveryId),
     Ended(Ending, Rc<[u8]>),
+    Tried(u32),
 }
 
 impl Memory {
@@ -43,6 +46,7 @@
         self.age(now);
         match self.by_message.get(message) {
             None => Known::Not,
+            Some(Kept::Tried(times)) => Known::Tried(*times),
             Some(Kept::Open(id)) => Known::Open(*id),
             Some(Kept::Ended(ending, result)) => Known::Ended(*ending, result.clone()),
         }
@@ -60,6 +64,13 @@
         }
     }
 
+    /// It failed for the nth time and goes back to its queue, which does not count.
+    pub fn tried(&mut self, now: Moment, message: &Rc<str>, times: u32) {
+        self.by_message.insert(message.clone(), Kept::Tried(times));
+        self.ages.push_back((now, message.clone()));
+        self.press();
+    }
+
     /// It ran, or may have: repeats are settled alike.
     pub fn ended(&mut self, now: Moment, message: &Rc<str>, ending: Ending, result: Rc<[u8]>) {
         if matches!(self.by_message.get(message), Some(Kept::Ended(..))) {
@@ -68,6 +79,10 @@
         self.bytes += message.len() + result.len();
         self.by_message.insert(message.clone(), Kept::Ended(ending, result));
         self.ages.push_back((now, message.clone()));
+        self.press();
+    }
+
+    fn press(&mut self) {
         while self.ages.len() > self.most_entries || self.bytes > self.most_bytes {
             self.pressed_out += 1;
             self.drop_oldest();
@@ -90,8 +105,14 @@
 
     fn drop_oldest(&mut self) {
         let Some((_, message)) = self.ages.pop_front() else { return };
-        if let Some(Kept::Ended(_, result)) = self.by_message.remove(&message) {
-            self.bytes -= message.len() + result.len();
+        match self.by_message.get(&message) {
+            Some(Kept::Ended(_, result)) => {
+                self.bytes -= message.len() + result.len();
+                self.by_message.remove(&message);
+            }
+            Some(Kept::Tried(_)) => drop(self.by_message.remove(&message)),
+            // In hand again.
+            Some(Kept::Open(_)) | None => {}
         }
     }
 }
--- a/crates/hazelspur-server/src/fronts/queues.rs
+++ b/crates/hazelspur-server/src/fronts/queues.rs
@@ -195,13 +195,17 @@
             log::warn!(address:%, why:%, in_hand = open, read = figures.read, next:%, moved_on, wait_ms;
                 "broker lost");
         }
-        let figures = self.book.borrow().figures;
-        log::info!(read = figures.read, acked = figures.acked, rejected = figures.rejected,
-            requeued = figures.requeued, retried = figures.retried, replies_lost = figures.replies_lost;
-            "queues left");
         self.over.set(true);
     }
 
+    /// What became of all that was read, in one line.
+    pub fn tell_figures(&self) {
+        let (figures, in_hand) = (self.book.borrow().figures, self.book.borrow().in_hand());
+        log::info!(in_hand, read = figures.read, acked = figures.acked, rejected = figures.rejected,
+            requeued = figures.requeued, retried = figures.retried, replies_lost = figures.replies_lost, unproven = figures.unproven;
+            "queues left");
+    }
+
     /// Waits until a broker is to be tried; false once nothing is left to do for any.
     async fn until_next_try(&self) -> bool {
         loop {
@@ -222,14 +226,14 @@
             let wait = if wanted { at - now } else { ROUND };
             tokio::select! {
                 () = self.stirred.notified() => {}
+                () = self.phases.reached(left), if !leaving => {}
                 () = sleep(wait.min(ROUND)) => {}
             }
         }
     }
 
     fn note_leaving(&self) {
-        let serving = matches!(self.phases.now(), Phase::Waiting | Phase::Serving);
-        if !serving && !self.leaving.replace(true) {
+        if left(self.phases.now()) && !self.leaving.replace(true) {
             self.book.borrow_mut().leave_notice();
         }
     }
@@ -285,6 +289,7 @@
                     }
                 },
                 () = self.stirred.notified(), if !over => {}
+                () = self.phases.reached(left), if !over && !self.leaving.get() => {}
                 () = sleep(wait.max(Span::from_ms(1))) => {
                     if over {
                         break;
@@ -600,6 +605,10 @@
     }
 }
 
+fn left(phase: Phase) -> bool {
+    !matches!(phase, Phase::Waiting | Phase::Serving)
+}
+
 /// Does it on the connection that the tag is of; on any other the tag means nothing.
 fn on(linked: &mut Option<&mut Linked>, tag: Tag, act: impl FnOnce(&mut Session) -> bool) {
     if let Some(linked) = linked.as_deref_mut().filter(|linked| linked.link == tag.link)
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -164,6 +164,7 @@
     {
         sleep(Span::from_ms(5)).await;
     }
+    queues.iter().for_each(|queues| queues.tell_figures());
     phases.enter(Phase::Over, gateways.figures());
     Ok(())
 }
--- a/crates/hazelspur-server/src/ops/life.rs
+++ b/crates/hazelspur-server/src/ops/life.rs
@@ -71,7 +71,11 @@
                     }
                     return;
                 }
-                News::Gone => return self.gone(),
+                News::Gone => {
+                    self.gone();
+                    // Its run may just have been decided: the module must not count it as running for ever.
+                    return desk.tell(|logic, now| logic.run_ended(now, op, Outcome::Moot));
+                }
                 News::Ended(outcome, result) if awaits_first => {
                     desk.tell(|logic, now| logic.run_ended(now, self.op, outcome));
                     return if outcome == Outcome::Ok {
--- a/crates/hazelspur-server/src/start/operator.rs
+++ b/crates/hazelspur-server/src/start/operator.rs
@@ -13,15 +13,15 @@
 use starlark::syntax::{AstModule, Dialect};
 use starlark::values::Value;
 use starlark::values::none::NoneType;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// The longest file that is read, in bytes.
 const LONGEST_FILE: u64 = 64 * 1024;
 const MOST_CALLS_DEEP: usize = 32;
-/// How often the interpreter may ask whether it is to go on; it asks at loops and calls.
-const MOST_STEPS: u64 = 200_000;
+/// Steps of the interpreter, which counts loops and calls.
+const MOST_STEPS: u64 = 1_000_000;
 const MOST_MEMORY: usize = 16 * 1024 * 1024;
 pub const MOST_QUEUES: usize = 32;
 
@@ -351,16 +351,13 @@
     };
     let ast = AstModule::parse(path, text.to_owned(), &Dialect::Standard).map_err(told)?;
     let globals: Globals = GlobalsBuilder::standard().with(calls).build();
-    let (sections, steps) = (Sections::default(), Cell::new(0));
+    let sections = Sections::default();
     Module::with_temp_heap(|module| {
-        let heap = module.heap();
         let mut eval = Evaluator::new(&module);
         eval.extra = Some(&sections);
         eval.set_max_callstack_size(MOST_CALLS_DEEP).map_err(|e| e.to_string())?;
-        eval.set_check_cancelled(Box::new(|| {
-            steps.set(steps.get() + 1);
-            steps.get() > MOST_STEPS || heap.allocated_bytes() > MOST_MEMORY
-        }));
+        eval.set_max_tick_count(MOST_STEPS).map_err(|e| e.to_string())?;
+        eval.set_max_heap_size(MOST_MEMORY).map_err(|e| e.to_string())?;
         eval.eval_module(ast, &globals).map(|_| ()).map_err(told)
     })?;
     Ok(sections.0.into_inner())
--- /dev/null
+++ b/crates/hazelspur-server/tests/helpers/mod.rs
@@ -0,0 +1,233 @@
+//! A shop: the built server with an operator's file between a stand-in broker, runtime, ledger and control plane.
+
+use amq_protocol::protocol::basic::AMQPProperties;
+use amq_protocol::types::{AMQPValue, FieldTable};
+use hazelspur_standins::broker::Broker;
+use hazelspur_standins::checker::Expected;
+use hazelspur_standins::http::Http;
+use hazelspur_standins::now_ms;
+use hazelspur_standins::runtime::{Pace, Runtime};
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+pub const SOON: Duration = Duration::from_secs(10);
+const SETTINGS: &str = r#"{"family-info":{"n-cores":2,"mem-limit-kb":100000,"run-factor":8,"stop-mode":"drop",
+ "meters":["core_use","on_cores"],"calls-out":50,"calls-over-us":5000000,"passes-deadline":true},
+ "lanes":[{"name":"view","aim-us":3000000,"deadline-us":4000000,"semantics":"safe","importance":1},
+ {"name":"set-qty","aim-us":3000000,"deadline-us":4000000,"semantics":"keyed","memory-span-us":60000000},
+ {"name":"book","aim-us":3000000,"deadline-us":4000000,"semantics":"unsafe"}],
+ "rules":{"fall-multiple":8,"cold-share":0.2,"cold-us":10000000,"drain-grace-us":300000},
+ "limits":{"retry-after":true,"max-retry-after-us":1000000},"servers":1}"#;
+static SHOPS: AtomicUsize = AtomicUsize::new(0);
+
+pub struct Shop {
+    pub broker: Broker,
+    pub runtime: Runtime,
+    pub ledger: Http,
+    control: Http,
+    pub expected: BTreeMap<Vec<u8>, Expected>,
+    server: Option<Child>,
+    pub listen: String,
+    files: [PathBuf; 2],
+    queues: String,
+    brokers: Vec<String>,
+}
+
+/// What the server said until its end.
+pub struct Said {
+    pub status: Option<i32>,
+    pub text: String,
+}
+
+impl Said {
+    /// Lines that tell of a fault of the server's own.
+    pub fn errors(&self) -> usize {
+        self.text.lines().filter(|line| line.split(' ').nth(1) == Some("error")).count()
+    }
+
+    /// The sum of this figure over all lines.
+    pub fn sum(&self, key: &str) -> usize {
+        let key = format!(" {key}=");
+        let after = self.text.split(&key).skip(1);
+        after.filter_map(|rest| rest.split([' ', '\n']).next()?.parse::<usize>().ok()).sum()
+    }
+}
+
+impl Shop {
+    /// With the queues that this part of an operator's file names, declared at the broker beforehand.
+    pub fn new(queues: &str, pace: Pace) -> Self {
+        let number = SHOPS.fetch_add(1, Ordering::Relaxed);
+        let ip = format!("127.78.{}.{}", std::process::id() % 250, 1 + number % 250);
+        let free = std::net::TcpListener::bind(format!("{ip}:0")).and_then(|free| free.local_addr());
+        let listen = free.expect("a free port").to_string();
+        let broker = Broker::at(format!("{ip}:0").parse().expect("an address"));
+        let file = |end: &str| {
+            std::env::temp_dir().join(format!("hazelspur-shop-{}-{number}.{end}", std::process::id()))
+        };
+        let brokers = vec![broker.address.to_string()];
+        Self {
+            broker,
+            runtime: Runtime::start("127.0.0.1:0", pace),
+            ledger: Http::start("127.0.0.1:0", "200 OK", "noted"),
+            control: Http::start("127.0.0.1:0", "204 No Content", ""),
+            expected: BTreeMap::new(),
+            server: None,
+            listen,
+            files: [file("json"), file("star")],
+            queues: queues.into(),
+            brokers,
+        }
+    }
+
+    pub fn write_files(&self, stop_ms: u64) {
+        let (listen, runtime, ledger) = (&self.listen, self.runtime.address, self.ledger.address);
+        let config = format!(
+            r#"{{"name":"n1","listen":"{listen}","runtime":"{runtime}","ledger":"{ledger}","control":"{}","seed":"000000000000002a","stop_ms":{stop_ms},"settings":{SETTINGS}}}"#,
+            self.control.address
+        );
+        std::fs::write(&self.files[0], config).expect("a file");
+        let brokers = format!("{:?}", self.brokers);
+        let star = format!(
+            "amqp(brokers = {brokers}, user = \"u\", password = \"p\", spread_s = 0.03)\n{}",
+            self.queues
+        );
+        std::fs::write(&self.files[1], star).expect("a file");
+    }
+
+    pub fn start(&mut self) {
+        self.start_with_stop(1500);
+    }
+
+    pub fn start_with_stop(&mut self, stop_ms: u64) {
+        self.write_files(stop_ms);
+        let mut server = Command::new(env!("CARGO_BIN_EXE_hazelspur-server"));
+        server.env("ROUTER_CONFIG", &self.files[0]).arg("--file").arg(&self.files[1]);
+        self.server = Some(server.stderr(Stdio::piped()).spawn().expect("the server starts"));
+    }
+
+    /// Started, and the broker sees its consumer on this queue.
+    pub fn consuming(queues: &str, pace: Pace, queue: &str) -> Self {
+        let mut shop = Self::new(queues, pace);
+        shop.broker.declare("dead", None);
+        shop.broker.declare(queue, Some("dead"));
+        shop.start();
+        assert!(shop.broker.until(SOON, |state| state.consumed(queue)), "no consumer came");
+        shop
+    }
+
+    pub fn brokers(&mut self, brokers: &[&Broker]) {
+        self.brokers = brokers.iter().map(|broker| broker.address.to_string()).collect();
+    }
+
+    /// Publishes an op of this type under a message-id that is its body too.
+    pub fn publish(&mut self, queue: &str, op_type: &str, name: &str, more: Sent) {
+        let until_ms = more.waits_ms.map(|waits| more.sent_ms.unwrap_or_else(now_ms) + waits);
+        self.expected.insert(name.into(), Expected { once: op_type != "view", until_ms });
+        self.broker.publish(queue, more.properties(op_type, name), name.as_bytes());
+    }
+
+    /// Nothing is left for the server to do at the broker.
+    pub fn settled(&self, queues: &[&str]) -> bool {
+        let queues: Vec<String> = queues.iter().map(|name| name.to_string()).collect();
+        self.broker
+            .until(SOON, |state| state.unsettled() == 0 && queues.iter().all(|queue| state.ready(queue) == 0))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.server.as_ref().expect("it runs").id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    /// Waits for its end.
+    pub fn ended(&mut self) -> Said {
+        let mut server = self.server.take().expect("it runs");
+        let mut text = String::new();
+        server.stderr.take().expect("piped").read_to_string(&mut text).expect("text");
+        let status = server.wait().expect("it ends").code();
+        Said { status, text }
+    }
+
+    pub fn leave(&mut self) -> Said {
+        self.signal("-TERM");
+        self.ended()
+    }
+
+    pub fn kill(&mut self) -> Said {
+        self.signal("-KILL");
+        self.ended()
+    }
+
+    pub fn breaches(&self, may_lose: usize) -> Vec<String> {
+        hazelspur_standins::checker::breaches(
+            &self.broker.state(),
+            &self.runtime.town(),
+            &self.expected,
+            may_lose,
+        )
+    }
+
+    /// How often each body was run, in order of the bodies.
+    pub fn runs(&self) -> String {
+        let town = self.runtime.town();
+        let runs =
+            town.runs.iter().map(|(body, runs)| format!("{} {}", String::from_utf8_lossy(body), runs.len()));
+        runs.collect::<Vec<_>>().join(", ")
+    }
+
+    /// What is in a queue: bodies, and the outcome that a reply names.
+    pub fn waiting(&self, queue: &str) -> String {
+        let state = self.broker.state();
+        let Some(queue) = state.queues.get(queue) else { return String::new() };
+        let shown = queue.ready.iter().map(|message| {
+            let headers = message.properties.headers().clone().unwrap_or_default();
+            let outcome = match headers.inner().get("x-outcome") {
+                Some(AMQPValue::LongString(outcome)) => format!(" {outcome}"),
+                _ => String::new(),
+            };
+            format!("{}{outcome}", String::from_utf8_lossy(&message.body))
+        });
+        let mut shown: Vec<String> = shown.collect();
+        shown.sort();
+        shown.join(", ")
+    }
+}
+
+impl Drop for Shop {
+    fn drop(&mut self) {
+        if let Some(mut server) = self.server.take() {
+            let _ = server.kill();
+            let _ = server.wait();
+        }
+        self.files.iter().for_each(|file| drop(std::fs::remove_file(file)));
+    }
+}
+
+/// What a message says beside its op type and name.
+#[derive(Clone, Copy, Default)]
+pub struct Sent {
+    pub sent_ms: Option<u64>,
+    pub waits_ms: Option<u64>,
+    pub reply: bool,
+    pub nameless: bool,
+}
+
+impl Sent {
+    pub fn properties(self, op_type: &str, name: &str) -> AMQPProperties {
+        let mut headers = FieldTable::default();
+        if let Some(sent) = self.sent_ms {
+            headers.insert("x-sent-ms".into(), AMQPValue::LongLongInt(sent as i64));
+        }
+        if let Some(waits) = self.waits_ms {
+            headers.insert("x-waits-ms".into(), AMQPValue::LongLongInt(waits as i64));
+        }
+        let mut properties = AMQPProperties::default().with_type(op_type.into()).with_headers(headers);
+        if !self.nameless {
+            properties = properties.with_message_id(name.into());
+        }
+        if self.reply { properties.with_reply_to("answers".into()) } else { properties }
+    }
+}
--- a/crates/hazelspur-standins/src/broker.rs
+++ b/crates/hazelspur-standins/src/broker.rs
@@ -406,7 +406,9 @@
                 );
             }
             let connection = &self.connections[number];
-            if connection.open && connection.beat_ms > 0 && now - connection.sent_ms >= connection.beat_ms / 2
+            if connection.open
+                && connection.beat_ms > 0
+                && now.saturating_sub(connection.sent_ms) >= connection.beat_ms / 2
             {
                 self.send(number, &[AMQPFrame::Heartbeat]);
             }
--- a/crates/hazelspur-standins/src/runtime.rs
+++ b/crates/hazelspur-standins/src/runtime.rs
@@ -89,6 +89,11 @@
 }
 
 impl Town {
+    /// Whether nothing runs.
+    pub fn idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
     fn say(&mut self, bytes: &[u8]) {
         if let Some(link) = &mut self.link
             && link.write_all(bytes).is_err()
