--- a/crates/hazelspur-deliveries/src/book.rs
+++ b/crates/hazelspur-deliveries/src/book.rs
@@ -23,6 +23,8 @@
 pub const CONFIRM_WITHIN: Span = Span::from_ms(5000);
 /// Replies of lost connections that wait for the next one; past this the oldest is dropped.
 pub const MOST_ORPHANS: usize = 1024;
+/// The longest that a closed gate keeps a delivery.
+const LONGEST_GATE: Span = Span::from_ms(5000);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueId(pub usize);
@@ -88,6 +90,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
+    /// Read, and not offered to the module before its queue's gate opens.
+    Queued,
     /// With the module, which decides.
     Held,
     /// Ends as the delivery that it repeats does.
@@ -104,6 +108,12 @@
     Waiting(Moment),
 }
 
+impl Phase {
+    fn with_module(self) -> bool {
+        matches!(self, Self::Held | Self::Proving | Self::Running)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Delivery {
     queue: QueueId,
@@ -123,6 +133,7 @@
     returned: bool,
     /// Where it stands in `times`.
     look: Option<Moment>,
+    offered: Moment,
 }
 
 impl Delivery {
@@ -150,6 +161,20 @@
     pub replies_lost: u64,
 }
 
+/// While a queue's window is under 1: how long its next delivery waits for its turn.
+#[derive(Clone, Debug)]
+struct Gate {
+    duty: f64,
+    opens: Moment,
+    queued: VecDeque<DeliveryId>,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self { duty: 1.0, opens: Moment::default(), queued: VecDeque::new() }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Book {
     queues: Vec<Terms>,
@@ -164,12 +189,14 @@
     blocked: bool,
     to_publish: VecDeque<DeliveryId>,
     leaving: bool,
+    gates: Vec<Gate>,
     pub figures: Figures,
 }
 
 impl Book {
     pub fn new(queues: Vec<Terms>, memory: Memory) -> Self {
         Self {
+            gates: queues.iter().map(|_| Gate::default()).collect(),
             queues,
             memory,
             deliveries: BTreeMap::new(),
@@ -208,6 +235,7 @@
             result: [].into(),
             returned: false,
             look: None,
+            offered: now,
         };
         self.deliveries.insert(id, delivery);
         let repeats = match came.repeats {
@@ -247,7 +275,7 @@
                     self.memory.open(message, id);
                 }
                 self.look_at(id, came.due.map(|due| due.back(EXPIRY_MARGIN)));
-                self.steps.push_back(Step::Offer(id));
+                self.offer(now, id);
             }
         }
         id
@@ -289,6 +317,47 @@
         self.steps.push_back(Step::Forget(id, Ending::Doubtful));
     }
 
+    /// The part of the time in which a delivery of this queue may be in hand.
+    pub fn duty(&mut self, queue: QueueId, duty: f64) {
+        self.gates[queue.0].duty = duty;
+    }
+
+    fn offer(&mut self, now: Moment, id: DeliveryId) {
+        let Some(delivery) = self.deliveries.get_mut(&id) else { return };
+        let gate = &mut self.gates[delivery.queue.0];
+        if gate.duty < 1.0 {
+            delivery.phase = Phase::Queued;
+            return gate.queued.push_back(id);
+        }
+        (delivery.phase, delivery.offered) = (Phase::Held, now);
+        self.steps.push_back(Step::Offer(id));
+    }
+
+    /// Whether the module has a delivery of this queue.
+    fn busy(&self, queue: usize) -> bool {
+        self.deliveries.values().any(|d| d.queue.0 == queue && d.phase.with_module())
+    }
+
+    /// Offers what a gate kept, one at a time while the queue's window is under 1.
+    fn open_gates(&mut self, now: Moment) -> bool {
+        for queue in 0..self.gates.len() {
+            let busy = self.gates[queue].duty < 1.0 && self.busy(queue);
+            let gate = &mut self.gates[queue];
+            if gate.queued.is_empty() || busy || gate.duty < 1.0 && gate.opens > now {
+                continue;
+            }
+            let id = gate.queued.pop_front();
+            if let Some((id, delivery)) = id.and_then(|id| Some((id, self.deliveries.get_mut(&id)?)))
+                && delivery.phase == Phase::Queued
+            {
+                (delivery.phase, delivery.offered) = (Phase::Held, now);
+                self.steps.push_back(Step::Offer(id));
+            }
+            return true;
+        }
+        false
+    }
+
     /// The module has its run decided: `Begin` says whether it may.
     pub fn run_decided(&mut self, now: Moment, id: DeliveryId) {
         let settle_first = self.settles_first(id);
@@ -333,8 +402,7 @@
 
     /// Its op has its final answer.
     pub fn ended(&mut self, now: Moment, id: DeliveryId, ending: Ending, result: &Rc<[u8]>) {
-        let open = |phase| matches!(phase, Phase::Held | Phase::Proving | Phase::Running);
-        if self.deliveries.get(&id).is_some_and(|delivery| open(delivery.phase)) {
+        if self.deliveries.get(&id).is_some_and(|delivery| delivery.phase.with_module()) {
             self.finish(now, id, ending, result);
         }
     }
@@ -346,7 +414,17 @@
         let arrived = taken && !delivery.returned;
         match copy {
             // Not in the retry queue: it is kept here instead.
-            Some(pause) if !arrived => self.wait(now, id, pause),
+            Some(pause) if !arrived => {
+                // The copy would have carried the count of tries.
+                if delivery.ending == Ending::Failed {
+                    let Some(message) = delivery.message.clone() else {
+                        let exhausted = self.queues[delivery.queue.0].table.exhausted;
+                        return self.close(id, exhausted);
+                    };
+                    self.memory.tried(now, &message, delivery.tries + 1);
+                }
+                self.wait(now, id, pause);
+            }
             Some(_) => {
                 self.figures.retried += 1;
                 self.close(id, Settlement::Ack);
@@ -415,7 +493,10 @@
                     self.leave(id);
                 }
                 Phase::Proving => self.unfenced(id),
-                Phase::Follows(_) | Phase::Waiting(_) | Phase::Publishing { copy: Some(_), .. } => {
+                Phase::Queued
+                | Phase::Follows(_)
+                | Phase::Waiting(_)
+                | Phase::Publishing { copy: Some(_), .. } => {
                     self.leave(id);
                 }
                 Phase::Running | Phase::Publishing { .. } => {}
@@ -442,7 +523,7 @@
     /// From now on what is read goes back at once, and so does what waits here for its time.
     pub fn leave_notice(&mut self) {
         self.leaving = true;
-        let waits = |d: &Delivery| matches!(d.phase, Phase::Waiting(_));
+        let waits = |d: &Delivery| matches!(d.phase, Phase::Waiting(_) | Phase::Queued);
         let ids: Vec<DeliveryId> =
             self.deliveries.iter().filter(|(_, d)| waits(d)).map(|(id, _)| *id).collect();
         ids.into_iter().for_each(|id| self.requeue(id));
@@ -460,6 +541,9 @@
                 self.look(now, id);
                 continue;
             }
+            if self.open_gates(now) {
+                continue;
+            }
             if !self.can_publish || self.blocked {
                 return None;
             }
@@ -480,7 +564,10 @@
 
     /// When `next_step` may have something to do though nothing came.
     pub fn next_time(&self) -> Option<Moment> {
-        self.times.first().map(|(at, _)| *at)
+        let waits = |(queue, gate): &(usize, &Gate)| !gate.queued.is_empty() && !self.busy(*queue);
+        let gates = self.gates.iter().enumerate().filter(waits).map(|(_, gate)| gate.opens).min();
+        let time = self.times.first().map(|(at, _)| *at);
+        [gates, time].into_iter().flatten().min()
     }
 
     /// How many deliveries are unsettled here.
@@ -514,7 +601,7 @@
             }
             match delivery.phase {
                 Phase::Proving if delivery.open => return Err(format!("{id:?}: proving with a tag")),
-                Phase::Held | Phase::Waiting(_) if !delivery.open => {
+                Phase::Held | Phase::Queued | Phase::Waiting(_) if !delivery.open => {
                     return Err(format!("{id:?}: held for nobody"));
                 }
                 Phase::Follows(first) if !self.deliveries.contains_key(&first) => {
@@ -550,6 +637,7 @@
         let past = self.past(now, id);
         let Some(delivery) = self.deliveries.get(&id) else { return };
         match delivery.phase {
+            Phase::Queued if past => self.finish(now, id, Ending::Expired, &[].into()),
             Phase::Held if past => {
                 self.steps.push_back(Step::Withdraw(id));
                 self.finish(now, id, Ending::Expired, &[].into());
@@ -566,6 +654,11 @@
     fn finish(&mut self, now: Moment, id: DeliveryId, ending: Ending, result: &Rc<[u8]>) {
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         (delivery.ending, delivery.result) = (ending, result.clone());
+        let gate = &mut self.gates[delivery.queue.0];
+        if gate.duty < 1.0 && delivery.phase.with_module() {
+            let rest = (now - delivery.offered).scaled(1.0 / gate.duty - 1.0);
+            gate.opens = now + rest.min(LONGEST_GATE);
+        }
         let table = &self.queues[delivery.queue.0].table;
         let mut settlement = table.settle(ending, delivery.repeats, delivery.tries);
         if ending == Ending::Failed && settlement == Settlement::Later && delivery.message.is_none() {
--- a/crates/hazelspur-server/src/fronts/queues.rs
+++ b/crates/hazelspur-server/src/fronts/queues.rs
@@ -288,7 +288,8 @@
                         written = out.len();
                     }
                 },
-                () = self.stirred.notified(), if !over => {}
+                // What else is ready to end goes out with it.
+                () = self.stirred.notified(), if !over => tokio::task::yield_now().await,
                 () = self.phases.reached(left), if !over && !self.leaving.get() => {}
                 () = sleep(wait.max(Span::from_ms(1))) => {
                     if over {
@@ -397,12 +398,14 @@
         self.sampled.set(now);
         let (counts, before) = (self.means.desk.counts.get(), self.counted.get());
         self.counted.set(counts);
-        let (book, spare) = (self.book.borrow(), self.means.desk.spare());
+        let (mut book, spare) = (self.book.borrow_mut(), self.means.desk.spare());
         for (i, window) in self.windows.borrow_mut().iter_mut().enumerate() {
             window.outcomes(counts.0.wrapping_sub(before.0), counts.1.wrapping_sub(before.1));
             let open = book.open_in(QueueId(i));
             window.open(open);
-            if let Some(size) = window.next(now, spare + open as f64) {
+            let size = window.next(now, spare + open as f64);
+            book.duty(QueueId(i), window.duty());
+            if let Some(size) = size {
                 log::debug!(queue = self.queues[i].name.as_str(), size; "window");
                 linked.session.window(i as u16 + 1, size);
             }
--- a/crates/hazelspur-server/src/start/operator.rs
+++ b/crates/hazelspur-server/src/start/operator.rs
@@ -24,6 +24,8 @@
 const MOST_STEPS: u64 = 1_000_000;
 const MOST_MEMORY: usize = 16 * 1024 * 1024;
 pub const MOST_QUEUES: usize = 32;
+/// Unsettled deliveries of all queues: with 10 KiB kept of each they take 80 MiB at most.
+const MOST_UNSETTLED: usize = 8192;
 
 /// All that the file says.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Validate)]
@@ -327,6 +329,10 @@
     if operator.amqp.is_none() && !operator.queues.is_empty() {
         return Err(format!("{}: there is no amqp(...)", at("queues[0].name")));
     }
+    let all: usize = operator.queues.iter().map(|queue| usize::from(queue.most)).sum();
+    if all > MOST_UNSETTLED {
+        return Err(format!("{}: all queues together: over {MOST_UNSETTLED}", at("queues[0].most")));
+    }
     for (i, queue) in operator.queues.iter().enumerate() {
         let key = |name: &str| at(&format!("queues[{i}].{name}"));
         if operator.queues[..i].iter().any(|other| other.name == queue.name) {
--- /dev/null
+++ b/deploy/hazelspur.star
@@ -0,0 +1,18 @@
+# The operator's file. Nothing here is switched on by the run line: start with
+#   hazelspur-server --file deploy/hazelspur.star
+# and check a change with
+#   hazelspur-server check deploy/hazelspur.star
+# docs/queues.md lists every key with its unit, default and bounds.
+
+# amqp(
+#     brokers = ["127.0.0.1:5672", "127.0.0.2:5672"],   # in the order of preference
+#     user = "orders",
+#     password_file = "/run/secrets/orders",
+# )
+#
+# queue(
+#     name = "orders",
+#     op_type = "set-qty",
+#     waits_s = 36000,
+#     outcomes = {"expired": "reject"},
+# )
