The town for trying queues no longer waits for itself

Cause: its line on a published order asked for the broker's state twice in one statement, and the second guard waited for the first; a server found nobody to talk to.

Change: one guard, and a word at Broker::state.

--- a/crates/hazelspur-standins/examples/town.rs
+++ b/crates/hazelspur-standins/examples/town.rs
@@ -26,11 +26,11 @@
             .with_message_id(name.as_str().into())
             .with_reply_to("answers".into());
         broker.publish("orders", properties, format!("set 40 loaves, {name}").as_bytes());
-        println!(
-            "published {name}: {} ready, {} unsettled",
-            broker.state().ready("orders"),
-            broker.state().unsettled()
-        );
+        let (ready, unsettled) = {
+            let state = broker.state();
+            (state.ready("orders"), state.unsettled())
+        };
+        println!("published {name}: {ready} ready, {unsettled} unsettled");
         let came = broker.until(Duration::from_secs(1), |state| state.ready("answers") > 0);
         let mut state = broker.state();
         let answers = state.queues.get_mut("answers").map(|queue| std::mem::take(&mut queue.ready));
--- a/crates/hazelspur-standins/src/broker.rs
+++ b/crates/hazelspur-standins/src/broker.rs
@@ -174,6 +174,7 @@
         });
     }
 
+    /// One at a time: a second guard in one statement waits for the first for ever.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.shared.0.lock().expect("no panic before")
     }
