--- a/crates/hazelspur-amqp/src/session.rs
+++ b/crates/hazelspur-amqp/src/session.rs
@@ -704,7 +704,8 @@
                 out.extend_from_slice(&tag.to_be_bytes());
                 out.push(bits);
             });
-        } else {
+        } else if self.phase == Phase::Open {
+            // While it closes, what was decided before comes to nothing by right.
             self.stale += 1;
         }
         open
