--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -89,7 +89,7 @@
 }
 
 fn seeds() -> u64 {
-    std::env::var("HAZELSPUR_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(48)
+    std::env::var("HAZELSPUR_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(160)
 }
 
 #[test]
