--- /dev/null
+++ b/crates/hazelspur-lab/src/lib.rs
@@ -0,0 +1,35 @@
+//! Many servers in virtual time: the real decision modules, and models of what lies between them, one place each.
+//! One seed gives one run; a run is played by one thread, so the bytes don't depend on how many there are.
+//!
+//! - `kernel`: what happens when;
+//! - `network`: datagrams lost, late, doubled, cut one way;
+//! - `town`: many talkers over that network, stopped, killed and started by a script;
+//! - `ways`: the ways of knowing who is here that are compared;
+//! - `studies`: what is measured, as tables.
+
+pub mod kernel;
+pub mod network;
+pub mod studies;
+pub mod town;
+pub mod ways;
+
+/// Plays each of `inputs` on the machine's cores; results in the order of the inputs.
+pub fn on_all_cores<T: Sync, R: Send>(inputs: &[T], threads: usize, play: impl Fn(&T) -> R + Sync) -> Vec<R> {
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let done = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..threads.clamp(1, inputs.len().max(1)) {
+            scope.spawn(|| {
+                loop {
+                    let at = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    let Some(input) = inputs.get(at) else { break };
+                    let result = play(input);
+                    done.lock().expect("no panic before").push((at, result));
+                }
+            });
+        }
+    });
+    let mut done = done.into_inner().expect("no panic before");
+    done.sort_by_key(|(at, _)| *at);
+    done.into_iter().map(|(_, result)| result).collect()
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/studies.rs
@@ -0,0 +1,3 @@
+//! What is measured, as tables.
+
+pub mod who_is_here;
--- /dev/null
+++ b/crates/hazelspur-lab/src/town.rs
@@ -0,0 +1,204 @@
+//! Many talkers over one network, stopped, killed and started by a script.
+
+use crate::kernel::Kernel;
+use crate::network::Network;
+use crate::ways::{Notice, Way};
+use hazelspur::pcg::Pcg;
+use hazelspur::{Moment, Span};
+use std::collections::VecDeque;
+
+pub const START: Moment = Moment::from_us(1_700_000_000_000_000);
+/// Datagrams that a machine keeps for a process that does not read.
+const MOST_UNREAD: usize = 256;
+
+enum Event<P> {
+    Tick(usize, u64),
+    Arrives(usize, P),
+    GoesOn(usize, u64),
+}
+
+struct Node<W: Way> {
+    way: Option<W>,
+    life: u64,
+    /// Stopped until then; what came waits.
+    stopped: Option<Moment>,
+    unread: VecDeque<W::Packet>,
+    /// The tick that is set.
+    set: Moment,
+    started: Moment,
+    ended: Moment,
+    last_stop: Moment,
+}
+
+/// What was said, when, by whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Said {
+    pub at: Moment,
+    pub by: usize,
+    pub notice: Notice,
+}
+
+pub struct Town<W: Way> {
+    pub network: Network,
+    kernel: Kernel<Event<W::Packet>>,
+    nodes: Vec<Node<W>>,
+    chance: Pcg,
+    most: usize,
+    pub said: Vec<Said>,
+    pub datagrams: u64,
+    pub bytes: u64,
+}
+
+impl<W: Way> Town<W> {
+    pub fn new(network: Network, most: usize, seed: u64) -> Self {
+        Self {
+            network,
+            kernel: Kernel::new(START),
+            nodes: Vec::new(),
+            chance: Pcg::new(seed),
+            most,
+            said: Vec::new(),
+            datagrams: 0,
+            bytes: 0,
+        }
+    }
+
+    pub fn now(&self) -> Moment {
+        self.kernel.now
+    }
+
+    /// A new life of this one.
+    pub fn start(&mut self, of: usize) {
+        let now = self.now();
+        while self.nodes.len() <= of {
+            self.nodes.push(Node {
+                way: None,
+                life: 0,
+                stopped: None,
+                unread: VecDeque::new(),
+                set: Moment::default(),
+                started: now,
+                ended: now,
+                last_stop: Moment::default(),
+            });
+        }
+        let seed = u64::from(self.chance.draw()) << 32 | u64::from(self.chance.draw());
+        let node = &mut self.nodes[of];
+        node.life += 1;
+        (node.stopped, node.started) = (None, now);
+        node.unread.clear();
+        node.way = Some(W::start(of, self.most, seed, now));
+        self.served(of);
+    }
+
+    pub fn kill(&mut self, of: usize) {
+        let now = self.now();
+        let node = &mut self.nodes[of];
+        (node.way, node.ended) = (None, now);
+        node.life += 1;
+    }
+
+    pub fn stop(&mut self, of: usize, span: Span) {
+        let until = self.now() + span;
+        let node = &mut self.nodes[of];
+        if node.way.is_some() && node.stopped.is_none_or(|at| at < until) {
+            (node.stopped, node.last_stop) = (Some(until), until);
+            let life = node.life;
+            self.kernel.at(until, Event::GoesOn(of, life));
+        }
+    }
+
+    pub fn runs(&self, of: usize) -> bool {
+        self.nodes.get(of).is_some_and(|node| node.way.is_some())
+    }
+
+    pub fn running(&self) -> usize {
+        self.nodes.iter().filter(|node| node.way.is_some()).count()
+    }
+
+    pub fn ended(&self, of: usize) -> Moment {
+        self.nodes[of].ended
+    }
+
+    /// The last moment of its last stop, zero if there was none.
+    pub fn last_stop(&self, of: usize) -> Moment {
+        self.nodes[of].last_stop
+    }
+
+    pub fn ways(&self) -> impl Iterator<Item = (usize, &W)> {
+        self.nodes.iter().enumerate().filter_map(|(of, node)| Some((of, node.way.as_ref()?)))
+    }
+
+    /// Whether each holds as many others for alive as run.
+    pub fn agree(&self) -> bool {
+        let others = self.running().saturating_sub(1);
+        self.ways().all(|(_, way)| way.alive() == others)
+    }
+
+    /// Plays on for so long.
+    pub fn play(&mut self, span: Span) {
+        let end = self.now() + span;
+        while let Some(event) = self.kernel.next(end) {
+            let now = self.now();
+            match event {
+                Event::Tick(of, life) => {
+                    let node = &mut self.nodes[of];
+                    if node.life != life || node.stopped.is_some() || node.set > now {
+                        continue;
+                    }
+                    let Some(way) = &mut node.way else { continue };
+                    way.tick(now);
+                    self.served(of);
+                }
+                Event::Arrives(of, packet) => {
+                    let Some(node) = self.nodes.get_mut(of) else { continue };
+                    let Some(way) = &mut node.way else { continue };
+                    if node.stopped.is_some() {
+                        if node.unread.len() < MOST_UNREAD {
+                            node.unread.push_back(packet);
+                        }
+                        continue;
+                    }
+                    way.heard(now, &packet);
+                    self.served(of);
+                }
+                Event::GoesOn(of, life) => {
+                    let node = &mut self.nodes[of];
+                    if node.life != life || node.stopped.is_none_or(|until| until > now) {
+                        continue;
+                    }
+                    node.stopped = None;
+                    let Some(way) = &mut node.way else { continue };
+                    // Which of timer and socket comes first after a stop is chance; the timer is the worse.
+                    way.tick(now);
+                    for packet in std::mem::take(&mut node.unread) {
+                        way.heard(now, &packet);
+                    }
+                    self.served(of);
+                }
+            }
+        }
+    }
+
+    /// Takes what one has to say, and sets its next tick.
+    fn served(&mut self, of: usize) {
+        let now = self.now();
+        let Some(node) = self.nodes.get_mut(of) else { return };
+        let Some(way) = &mut node.way else { return };
+        while let Some((to, packet, bytes)) = way.next_out(now) {
+            self.datagrams += 1;
+            self.bytes += bytes as u64;
+            for after in self.network.carry(&mut self.chance, of, to) {
+                self.kernel.at(now + after, Event::Arrives(to, packet.clone()));
+            }
+        }
+        while let Some(notice) = way.next_notice() {
+            self.said.push(Said { at: now, by: of, notice });
+        }
+        let next = way.next_tick();
+        if next != node.set || next <= now {
+            node.set = next;
+            self.kernel.at(next.max(now + Span::from_us(1)), Event::Tick(of, node.life));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/ways/beats.rs
@@ -0,0 +1,150 @@
+//! Heartbeats from each to all of its site, and from site to site by two speakers each, who are the two lowest numbers
+//! alive there. A speaker says who is alive in its site; what it hears of others goes with its heartbeats at home.
+//! The plainest thing that could serve: silence for as long as the others' shortest suspicion means gone.
+
+use super::{CONTACTS, Notice, Way};
+use hazelspur::{Moment, Span};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+const EVERY: Span = Span::from_ms(1000);
+const SITES: usize = 3;
+const SPEAKERS: usize = 2;
+/// A newcomer is news for so long.
+const FRESH: Span = Span::from_ms(5000);
+/// Bytes of a datagram's head (tag, installation, sender) and of one in a list, by the own machine's encoding.
+const HEAD: usize = 60;
+const EACH: usize = 12;
+const DATAGRAM: usize = 1200;
+
+/// Who was alive how long ago, by the sender's account.
+#[derive(Clone)]
+pub struct Beat {
+    from: usize,
+    list: Rc<Vec<(usize, Span)>>,
+}
+
+pub struct Beats {
+    me: usize,
+    silence: Span,
+    next: Moment,
+    /// When each was last known to be alive, and when it was first heard of.
+    seen: BTreeMap<usize, Moment>,
+    met: BTreeMap<usize, Moment>,
+    now: Moment,
+    out: VecDeque<(usize, Beat, usize)>,
+    notices: VecDeque<Notice>,
+}
+
+impl Beats {
+    fn note(&mut self, of: usize, at: Moment) {
+        if of == self.me {
+            return;
+        }
+        match self.seen.get_mut(&of) {
+            Some(seen) => *seen = at.max(*seen),
+            None => {
+                self.seen.insert(of, at);
+                self.met.insert(of, self.now);
+                self.notices.push_back(Notice::Here(of));
+            }
+        }
+    }
+
+    fn speakers(&self, site: usize) -> Vec<usize> {
+        let here = self.seen.keys().copied().chain([self.me]).filter(|of| of % SITES == site);
+        let mut here: Vec<usize> = here.collect();
+        here.sort_unstable();
+        here.truncate(SPEAKERS);
+        here
+    }
+
+    fn send(&mut self, to: usize, list: Rc<Vec<(usize, Span)>>) {
+        let datagrams = (list.len() * EACH).div_ceil(DATAGRAM - HEAD).max(1);
+        let bytes = datagrams * HEAD + list.len() * EACH;
+        self.out.push_back((to, Beat { from: self.me, list }, bytes));
+    }
+}
+
+impl Way for Beats {
+    const NAME: &'static str = "heartbeats, two speakers a site";
+    type Packet = Beat;
+
+    fn start(me: usize, most: usize, seed: u64, now: Moment) -> Self {
+        let silence = Span::from_secs(4.0 * (most as f64 + 1.0).log10().max(1.0));
+        let next = now + Span::from_us(seed % EVERY.us());
+        let (seen, met) = (BTreeMap::new(), BTreeMap::new());
+        let (out, notices) = (VecDeque::new(), VecDeque::new());
+        Self { me, silence, next, seen, met, now, out, notices }
+    }
+
+    fn heard(&mut self, now: Moment, packet: &Beat) {
+        self.now = now;
+        self.note(packet.from, now);
+        let (list, silence) = (packet.list.clone(), self.silence);
+        for (of, age) in list.iter().filter(|(_, age)| *age < silence) {
+            self.note(*of, now.back(*age));
+        }
+    }
+
+    fn tick(&mut self, now: Moment) {
+        if now < self.next {
+            return;
+        }
+        (self.next, self.now) = (now + EVERY, now);
+        let silence = self.silence;
+        let gone: Vec<usize> =
+            self.seen.iter().filter(|(_, at)| now - **at > silence).map(|(of, _)| *of).collect();
+        for of in gone {
+            self.seen.remove(&of);
+            self.met.remove(&of);
+            self.notices.push_back(Notice::Gone(of));
+        }
+        let site = self.me % SITES;
+        let ages = |mine: bool| -> Rc<Vec<(usize, Span)>> {
+            let listed = self.seen.iter().filter(|(of, _)| (**of % SITES == site) == mine);
+            Rc::new(listed.map(|(of, at)| (*of, now - *at)).collect())
+        };
+        let (home, away) = (ages(true), ages(false));
+        let speaks = self.speakers(site).contains(&self.me);
+        let neighbours: Vec<usize> = self.seen.keys().copied().filter(|of| of % SITES == site).collect();
+        let fresh = |of: &usize| self.met.get(of).is_some_and(|met| now - *met < FRESH);
+        let new: Vec<(usize, Span)> = home.iter().filter(|(of, _)| fresh(of)).copied().collect();
+        // All hear of newcomers, and newcomers of all.
+        let rest = if speaks { away.iter() } else { [].iter() };
+        let usual: Rc<Vec<(usize, Span)>> = Rc::new(rest.chain(&new).copied().collect());
+        let all: Rc<Vec<(usize, Span)>> = Rc::new(home.iter().chain(away.iter()).copied().collect());
+        let lists: Vec<(usize, bool)> = neighbours.into_iter().map(|of| (of, fresh(&of))).collect();
+        for (of, newcomer) in lists {
+            self.send(of, if newcomer { all.clone() } else { usual.clone() });
+        }
+        if speaks {
+            let others = (0..SITES).filter(|other| *other != site);
+            let to: Vec<usize> = others.flat_map(|other| self.speakers(other)).collect();
+            to.into_iter().for_each(|of| self.send(of, home.clone()));
+        }
+        for contact in CONTACTS {
+            if contact != self.me && !self.seen.contains_key(&contact) {
+                self.send(contact, home.clone());
+            } else if self.seen.len() < 3 && contact != self.me {
+                self.send(contact, Rc::default());
+            }
+        }
+    }
+
+    fn next_tick(&self) -> Moment {
+        self.next
+    }
+
+    fn next_out(&mut self, _now: Moment) -> Option<(usize, Beat, usize)> {
+        self.out.pop_front()
+    }
+
+    fn next_notice(&mut self) -> Option<Notice> {
+        self.notices.pop_front()
+    }
+
+    fn alive(&self) -> usize {
+        self.seen.len()
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/ways/library.rs
@@ -0,0 +1,183 @@
+//! The `foca` crate: SWIM as a machine without I/O. Its suspicion lasts as long as the own machine's shortest, its
+//! probes come as often, so that the two differ by what they do and not by their figures.
+
+use super::{CONTACTS, Notice, Way};
+use foca::{
+    Config, Foca, Identity, NoCustomBroadcast, Notification, PeriodicParams, PostcardCodec, Runtime, Timer,
+};
+use hazelspur::pcg::Pcg;
+use hazelspur::{Moment, Span};
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Id {
+    number: u16,
+    generation: u64,
+}
+
+impl Identity for Id {
+    type Addr = u16;
+
+    fn renew(&self) -> Option<Self> {
+        Some(Self { generation: self.generation + 1, ..*self })
+    }
+
+    fn addr(&self) -> u16 {
+        self.number
+    }
+
+    fn win_addr_conflict(&self, adversary: &Self) -> bool {
+        self.generation > adversary.generation
+    }
+}
+
+/// The project's own chance, in the form that the library asks for.
+pub struct Chance(Pcg);
+
+impl rand::TryRng for Chance {
+    type Error = std::convert::Infallible;
+
+    fn try_next_u32(&mut self) -> Result<u32, Self::Error> {
+        Ok(self.0.draw())
+    }
+
+    fn try_next_u64(&mut self) -> Result<u64, Self::Error> {
+        Ok(u64::from(self.0.draw()) << 32 | u64::from(self.0.draw()))
+    }
+
+    fn try_fill_bytes(&mut self, to: &mut [u8]) -> Result<(), Self::Error> {
+        to.iter_mut().for_each(|byte| *byte = self.0.draw() as u8);
+        Ok(())
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    now: Moment,
+    out: VecDeque<(usize, Vec<u8>)>,
+    timers: BinaryHeap<Reverse<(Moment, u64)>>,
+    set: std::collections::BTreeMap<u64, Timer<Id>>,
+    number: u64,
+    notices: VecDeque<Notice>,
+}
+
+impl Runtime<Id> for Host {
+    fn notify(&mut self, notification: Notification<'_, Id>) {
+        match notification {
+            Notification::MemberUp(id) => self.notices.push_back(Notice::Here(id.number.into())),
+            Notification::MemberDown(id) => self.notices.push_back(Notice::Gone(id.number.into())),
+            _ => {}
+        }
+    }
+
+    fn send_to(&mut self, to: Id, data: &[u8]) {
+        self.out.push_back((to.number.into(), data.to_vec()));
+    }
+
+    fn submit_after(&mut self, event: Timer<Id>, after: Duration) {
+        self.number += 1;
+        let at = self.now + Span::from_us(after.as_micros() as u64);
+        self.timers.push(Reverse((at, self.number)));
+        self.set.insert(self.number, event);
+    }
+}
+
+pub struct Library {
+    foca: Foca<Id, PostcardCodec, Chance, NoCustomBroadcast>,
+    host: Host,
+    me: Id,
+    announce: Moment,
+    chance: Pcg,
+}
+
+impl Library {
+    fn announce_to_one(&mut self) {
+        let contact = CONTACTS[self.chance.draw() as usize % CONTACTS.len()];
+        if contact != usize::from(self.me.number) {
+            let to = Id { number: contact as u16, generation: 0 };
+            let _ = self.foca.announce(to, &mut self.host); // tried again
+        }
+        self.announce = self.host.now + Span::from_ms(if self.alive() == 0 { 1000 } else { 10_000 });
+    }
+}
+
+impl Way for Library {
+    const NAME: &'static str = "foca";
+    type Packet = Vec<u8>;
+
+    fn start(me: usize, most: usize, seed: u64, now: Moment) -> Self {
+        let id = Id { number: me as u16, generation: now.us() / 1000 };
+        let size = (most as f64 + 1.0).log10();
+        let each = |ms, members: usize| {
+            let num_members = NonZeroUsize::MIN.saturating_add(members - 1);
+            Some(PeriodicParams { frequency: Duration::from_millis(ms), num_members })
+        };
+        let config = Config {
+            probe_period: Duration::from_millis(1000),
+            probe_rtt: Duration::from_millis(400),
+            num_indirect_probes: NonZeroUsize::MIN.saturating_add(2),
+            max_transmissions: NonZeroU8::MIN.saturating_add((4.0 * size.ceil()) as u8 - 1),
+            suspect_to_down_after: Duration::from_secs_f64(4.0 * size.max(1.0)),
+            remove_down_after: Some(Duration::from_secs(900)),
+            max_packet_size: NonZeroUsize::MIN.saturating_add(1182),
+            notify_down_members: true,
+            periodic_announce: each(10_000, 1),
+            periodic_announce_to_down_members: each(1000, 1),
+            periodic_gossip: each(500, 2),
+        };
+        let foca = Foca::new(id, config, Chance(Pcg::new(seed)), PostcardCodec);
+        let mut way = Self {
+            foca,
+            host: Host { now, ..Host::default() },
+            me: id,
+            announce: now,
+            chance: Pcg::new(seed ^ 0x5eed),
+        };
+        way.announce_to_one();
+        way
+    }
+
+    fn heard(&mut self, now: Moment, packet: &Vec<u8>) {
+        self.host.now = now;
+        let _ = self.foca.handle_data(packet, &mut self.host); // what is dropped is dropped
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.host.now = now;
+        while let Some(Reverse((at, number))) = self.host.timers.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.host.timers.pop();
+            if let Some(timer) = self.host.set.remove(&number) {
+                let _ = self.foca.handle_timer(timer, &mut self.host);
+            }
+        }
+        if self.announce <= now {
+            self.announce_to_one();
+        }
+    }
+
+    fn next_tick(&self) -> Moment {
+        self.host.timers.peek().map_or(self.announce, |Reverse((at, _))| (*at).min(self.announce))
+    }
+
+    fn next_out(&mut self, _now: Moment) -> Option<(usize, Vec<u8>, usize)> {
+        let (to, data) = self.host.out.pop_front()?;
+        // The same version octet and tag as ours would go before it.
+        let bytes = data.len() + 17;
+        Some((to, data, bytes))
+    }
+
+    fn next_notice(&mut self) -> Option<Notice> {
+        self.host.notices.pop_front()
+    }
+
+    fn alive(&self) -> usize {
+        self.foca.iter_members().count()
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/ways/mod.rs
@@ -0,0 +1,34 @@
+//! Ways of knowing who is here, behind one interface, so that the same town plays them all.
+
+pub mod beats;
+pub mod library;
+pub mod own;
+
+use hazelspur::Moment;
+
+/// What a talker concludes about another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    Here(usize),
+    Gone(usize),
+}
+
+/// One server's part of a way. Servers go by their numbers from 0.
+pub trait Way: Sized {
+    const NAME: &'static str;
+    type Packet: Clone;
+
+    /// A new life; `most` is how many servers there may be.
+    fn start(me: usize, most: usize, seed: u64, now: Moment) -> Self;
+    fn heard(&mut self, now: Moment, packet: &Self::Packet);
+    fn tick(&mut self, now: Moment);
+    fn next_tick(&self) -> Moment;
+    /// To whom, what, and how many bytes that is on the wire without its UDP head.
+    fn next_out(&mut self, now: Moment) -> Option<(usize, Self::Packet, usize)>;
+    fn next_notice(&mut self) -> Option<Notice>;
+    /// How many others it holds for alive.
+    fn alive(&self) -> usize;
+}
+
+/// Contact points: these are tried first.
+pub const CONTACTS: [usize; 3] = [0, 1, 2];
--- /dev/null
+++ b/crates/hazelspur-lab/src/ways/own.rs
@@ -0,0 +1,84 @@
+//! `hazelspur_fleet::Members`, as the program runs it.
+
+use super::{CONTACTS, Notice, Way};
+use hazelspur::{Moment, Span};
+use hazelspur_fleet::{
+    Datagram, Event, Generation, Installation, MemberName, Members, SiteName, Standing, Terms, talk,
+};
+use std::net::SocketAddr;
+
+pub struct Own(pub Members);
+
+pub fn name(of: usize) -> MemberName {
+    MemberName::new(&format!("n{of}")).expect("a short name")
+}
+
+pub fn address(of: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, (of >> 8) as u8, (of & 255) as u8], 7000))
+}
+
+fn number(at: SocketAddr) -> usize {
+    match at {
+        SocketAddr::V4(at) => usize::from(at.ip().octets()[2]) << 8 | usize::from(at.ip().octets()[3]),
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
+
+fn number_of(name: MemberName) -> usize {
+    name.as_str()[1..].parse().unwrap_or(usize::MAX)
+}
+
+pub fn terms(me: usize, most: usize) -> Terms {
+    Terms {
+        installation: Installation::new("lab").expect("a short name"),
+        name: name(me),
+        site: SiteName::new(["east", "west", "north"][me % 3]).expect("a short name"),
+        at: address(me),
+        contacts: CONTACTS.iter().map(|of| address(*of)).collect(),
+        most,
+        period: Span::from_ms(1000),
+        remember: Span::from_ms(900_000),
+    }
+}
+
+impl Way for Own {
+    const NAME: &'static str = "own machine";
+    type Packet = Datagram;
+
+    fn start(me: usize, most: usize, seed: u64, now: Moment) -> Self {
+        Self(Members::new(terms(me, most), Generation(now.us() / 1000), seed, now))
+    }
+
+    fn heard(&mut self, now: Moment, packet: &Datagram) {
+        let _ = self.0.heard(now, packet); // what is dropped is dropped
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.0.tick(now);
+    }
+
+    fn next_tick(&self) -> Moment {
+        self.0.next_tick()
+    }
+
+    fn next_out(&mut self, now: Moment) -> Option<(usize, Datagram, usize)> {
+        let (to, datagram) = self.0.next_out(now)?;
+        let bytes = talk::length(&datagram);
+        Some((number(to), datagram, bytes))
+    }
+
+    fn next_notice(&mut self) -> Option<Notice> {
+        loop {
+            match self.0.next_event()? {
+                Event::Joined(name) | Event::Back(name) => return Some(Notice::Here(number_of(name))),
+                Event::Lost(name) | Event::Left(name) => return Some(Notice::Gone(number_of(name))),
+                _ => {}
+            }
+        }
+    }
+
+    fn alive(&self) -> usize {
+        let alive = |standing| matches!(standing, Standing::Alive | Standing::Suspected);
+        self.0.standings().filter(|(_, standing)| alive(*standing)).count()
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-lab/tests/runs.rs
@@ -0,0 +1,44 @@
+//! What the laboratory promises of its runs.
+
+use hazelspur::Span;
+use hazelspur_lab::on_all_cores;
+use hazelspur_lab::studies::who_is_here::{Case, Row, play};
+use hazelspur_lab::ways::Way;
+use hazelspur_lab::ways::beats::Beats;
+use hazelspur_lab::ways::library::Library;
+use hazelspur_lab::ways::own::Own;
+
+fn cases(size: usize, seeds: u64) -> Vec<Case> {
+    let trouble = Span::from_ms(120_000);
+    let stop = Span::from_ms(2000);
+    (1..=seeds).map(|seed| Case { size, seed, trouble, loss: 0.01, stop }).collect()
+}
+
+fn row<W: Way>(size: usize, seeds: u64, threads: usize) -> Row {
+    Row { way: W::NAME, size, outcomes: on_all_cores(&cases(size, seeds), threads, play::<W>) }
+}
+
+#[test]
+fn one_seed_gives_one_run_on_any_number_of_threads() {
+    let on = |threads| row::<Own>(12, 4, threads).cells().join(" | ");
+    assert_eq!(on(1), on(4));
+    let other = row::<Own>(12, 3, 2).cells().join(" | ");
+    assert_ne!(on(2), other, "seeds make no difference");
+}
+
+#[test]
+fn two_second_stops_and_lost_datagrams_kill_nobody_and_a_kill_is_noticed_by_all() {
+    for outcome in row::<Own>(40, 3, 4).outcomes {
+        assert_eq!((outcome.false_deaths, outcome.unnoticed), (0, 0));
+        assert!(outcome.notice_ms.value_at_quantile(0.99) < 40_000);
+        assert!(outcome.together_s.is_some_and(|s| s < 30.0) && outcome.storm_s.is_some());
+    }
+}
+
+#[test]
+fn the_ways_that_are_compared_do_what_they_are_for() {
+    for row in [row::<Library>(12, 2, 2), row::<Beats>(12, 2, 2)] {
+        let found = row.outcomes.iter().all(|o| o.unnoticed == 0 && o.storm_s.is_some());
+        assert!(found, "{}: {:?}", row.way, row.cells());
+    }
+}
