--- a/crates/hazelspur-deliveries/src/book.rs
+++ b/crates/hazelspur-deliveries/src/book.rs
@@ -156,7 +156,8 @@
     pub doubtful: u64,
     /// Left to the broker when a channel was lost before they ran.
     pub left: u64,
-    /// Acked, but the connection broke before the fence: never ran, and the broker may have let it go.
+    /// Acked, but the connection broke or its time ended before the fence: never ran, and the broker may have let
+    /// it go.
     pub unproven: u64,
     pub replies_lost: u64,
 }
@@ -387,6 +388,8 @@
             return;
         }
         if self.past(now, id) {
+            // Too late to be buried: its ack is out, and nobody else would tell that it never ran.
+            self.figures.unproven += 1;
             return self.never_runs(now, id);
         }
         if let Some(delivery) = self.deliveries.get_mut(&id) {
--- a/crates/hazelspur-deliveries/tests/traces.rs
+++ b/crates/hazelspur-deliveries/tests/traces.rs
@@ -150,6 +150,7 @@
     seen += &steps(&mut book, 521);
     book.fenced(at(650), fenced);
     seen += &steps(&mut book, 650);
+    seen += &format!("acked and never ran: {}\n", book.figures.unproven);
     expect_test::expect![[r#"
         0 Reject(Tag {(1), channel: 1, tag: 1 })
         0 Forget((1), Expired)
@@ -166,6 +167,7 @@
         521 Forget((3), Expired)
         650 Begin((4), false)
         650 Forget((4), Expired)
+        acked and never ran: 1
     "#]]
     .assert_eq(&seen);
 }
--- a/crates/hazelspur-fleet/src/doubt.rs
+++ b/crates/hazelspur-fleet/src/doubt.rs
@@ -3,6 +3,7 @@
 //! Local Health Awareness for More Accurate Failure Detection" (2018); that a late timer counts is ours.
 
 use hazelspur::{Moment, Span};
+use serde::{Deserialize, Serialize};
 
 /// Lifeguard's S: waits grow up to this many times.
 const WORST: u32 = 8;
@@ -12,7 +13,7 @@
 const LATE_PART: f64 = 0.5;
 
 /// How this process stands to the others, by its own judgement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Condition {
     /// It has not found anybody yet, or has not read the whole list.
     Joining,
--- a/crates/hazelspur-fleet/src/members/mod.rs
+++ b/crates/hazelspur-fleet/src/members/mod.rs
@@ -44,7 +44,7 @@
 const MOST_CALLS: usize = 7;
 /// Parts of the list and shows that are answered in a period, probes made for others at once.
 const PAGES: usize = 64;
-const SHOWS: usize = 16;
+const SHOWS: usize = 128;
 const RELAYS: usize = 64;
 /// Datagrams and events that wait; more are dropped, as a network would.
 const MOST_OUT: usize = 512;
--- a/crates/hazelspur-fleet/src/members/telling.rs
+++ b/crates/hazelspur-fleet/src/members/telling.rs
@@ -1,6 +1,7 @@
 //! What goes out: with each datagram, as a part of the list, and to an operator.
 
 use super::*;
+use crate::talk::MOST_SITES;
 
 impl Members {
     /// What is passed on about a member; the lost go as suspected, so that they can speak up.
@@ -82,12 +83,18 @@
             heard_ms: entry.heard.map(ms),
         };
         let behind = self.table.range((after.map_or(Unbounded, Excluded), Unbounded));
-        let mut rows: Vec<ShownRow> = behind.take(MOST_ROWS / 2 + 1).map(|(_, entry)| shown(entry)).collect();
-        let more = rows.len() > MOST_ROWS / 2;
-        rows.truncate(MOST_ROWS / 2);
+        let mut rows: Vec<ShownRow> = behind.take(MOST_ROWS + 1).map(|(_, entry)| shown(entry)).collect();
+        let more = rows.len() > MOST_ROWS;
+        rows.truncate(MOST_ROWS);
         let next = rows.last().filter(|_| more).map(|row| row.claim.name);
-        let (condition, fleet) = (self.condition as u8, self.size(None));
-        self.send(to, None, Body::Shown { number, condition, fleet, rows, next });
+        let mut sites = Vec::new();
+        if after.is_none() {
+            let names: BTreeSet<SiteName> = self.table.values().map(|entry| entry.claim.site).collect();
+            let names = names.into_iter().chain([self.me.site]).collect::<BTreeSet<_>>();
+            sites.extend(names.into_iter().take(MOST_SITES).map(|site| (site, self.size(Some(site)))));
+        }
+        let (condition, fleet) = (self.condition, self.size(None));
+        self.send(to, None, Body::Shown { number, condition, fleet, sites, rows, next });
     }
 }
 
--- a/crates/hazelspur-fleet/src/talk.rs
+++ b/crates/hazelspur-fleet/src/talk.rs
@@ -2,7 +2,8 @@
 //! version and content, so that only holders of the installation's key are heard. Nothing is secret on the wire.
 
 use crate::claim::Claim;
-use crate::names::{Installation, MemberName};
+use crate::doubt::Condition;
+use crate::names::{Installation, MemberName, SiteName};
 use crate::picture::{Size, Standing};
 use hazelspur::Moment;
 use serde::{Deserialize, Serialize};
@@ -14,8 +15,9 @@
 pub const LONGEST: usize = 1200;
 /// Claims in one datagram; more is not read.
 pub const MOST_CLAIMS: usize = 64;
-/// Rows in one answer to an operator.
-pub const MOST_ROWS: usize = 16;
+/// Rows and sites in one answer to an operator: with the longest names they just fit.
+pub const MOST_ROWS: usize = 4;
+pub const MOST_SITES: usize = 8;
 /// Clocks further apart than this don't talk: it is what bounds the age of a datagram played again, in ms.
 pub const MOST_APART_MS: u64 = 120_000;
 
@@ -88,10 +90,12 @@
         number: u32,
         after: Option<MemberName>,
     },
+    /// Sites only where the answer begins.
     Shown {
         number: u32,
-        condition: u8,
+        condition: Condition,
         fleet: Size,
+        sites: Vec<(SiteName, Size)>,
         rows: Vec<ShownRow>,
         next: Option<MemberName>,
     },
@@ -197,8 +201,9 @@
     }
     let read: Result<(Datagram, &[u8]), _> = postcard::take_from_bytes(&bytes[1 + TAG..]);
     let (datagram, rest) = read.map_err(|_| Dropped::Content)?;
-    let rows = if let Body::Shown { rows, .. } = &datagram.body { rows.len() } else { 0 };
-    if !rest.is_empty() || datagram.claims.len() > MOST_CLAIMS || rows > MOST_ROWS {
+    let shown = |rows: &Vec<ShownRow>, sites: &Vec<_>| rows.len() <= MOST_ROWS && sites.len() <= MOST_SITES;
+    let fits = if let Body::Shown { rows, sites, .. } = &datagram.body { shown(rows, sites) } else { true };
+    if !rest.is_empty() || datagram.claims.len() > MOST_CLAIMS || !fits {
         return Err(Dropped::Content);
     }
     if datagram.installation != *ours {
--- /dev/null
+++ b/crates/hazelspur-fleetbed/src/bed.rs
@@ -0,0 +1,362 @@
+//! The processes and stand-ins of one run. Every run has a net of its own in 127.0.0.0/8: servers in .1, where they are
+//! reached by datagrams in .2, their runtimes in .3, ledger in .4 and list in .5 as each server sees them, and each
+//! gateway's view of the servers from .10 on.
+
+use crate::checker::Life;
+use crate::relay::{self, Refusals};
+use crate::script::{Fault, Kind, Party, SITES, Script, site};
+use crate::weather::Weather;
+use anyhow::Context;
+use hazelspur_standins::control::Control;
+use hazelspur_standins::gateway::{Gateway, Habits};
+use hazelspur_standins::ledger::Ledger;
+use hazelspur_standins::now_ms;
+use hazelspur_standins::runtime::{Pace, Runtime};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+
+pub const KEY: &str = "a key for the fleet on this machine only";
+pub const INSTALLATION: &str = "bed";
+pub const GRACE_MS: u64 = 300;
+pub const STOP_MS: u64 = 1500;
+pub const CORES: usize = 2;
+pub const CROWD_MULTIPLE: usize = 8;
+/// Calls that a server may have out, by its settings.
+pub const CALLS: usize = 8;
+const MOST_SERVERS: usize = 200;
+const MOST_GATEWAYS: usize = 40;
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub server_binary: PathBuf,
+    pub servers: usize,
+    pub gateways: usize,
+    pub script: Script,
+    pub seed: u64,
+    /// Ops a second of all gateways together.
+    pub rate: f64,
+    /// What the operator's file says is the most servers.
+    pub most: usize,
+}
+
+pub struct Bed {
+    pub plan: Plan,
+    net: u8,
+    folder: PathBuf,
+    pub weather: Weather,
+    pub refusals: Refusals,
+    pub runtimes: Vec<Runtime>,
+    pub ledger: Ledger,
+    pub control: Control,
+    processes: Vec<Option<Child>>,
+    stopped: Vec<Option<u64>>,
+    /// All lives so far; the last one of a server is the one that runs.
+    pub lives: Vec<Life>,
+    pub gateways: Vec<Gateway>,
+    relays: tokio::runtime::Runtime,
+}
+
+impl Bed {
+    fn at(&self, row: usize, of: usize, port: u16) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::new(127, self.net, row as u8, of as u8 + 1), port))
+    }
+
+    /// All but the servers' processes and gateways.
+    pub fn new(plan: Plan) -> anyhow::Result<Self> {
+        anyhow::ensure!((1..=MOST_SERVERS).contains(&plan.servers), "1 to {MOST_SERVERS} servers");
+        anyhow::ensure!(plan.gateways <= MOST_GATEWAYS, "up to {MOST_GATEWAYS} gateways");
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let net = 64 + ((std::process::id().wrapping_mul(13) + run) % 180) as u8;
+        let folder = std::env::temp_dir().join(format!("hazelspur-bed-{}-{run}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let relays = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+        let pace = Pace { run_ms: 15, calls: true, fails: 0, cores: CORES };
+        let weather = Weather::new(plan.script.clone());
+        let mut bed = Self {
+            runtimes: (0..plan.servers).map(|_| Runtime::start("127.0.0.1:0", pace)).collect(),
+            ledger: Ledger::start("127.0.0.1:0", plan.servers * 2, 10.0),
+            control: Control::start("127.0.0.1:0"),
+            processes: (0..plan.servers).map(|_| None).collect(),
+            stopped: vec![None; plan.servers],
+            lives: Vec::new(),
+            gateways: Vec::new(),
+            net,
+            folder,
+            weather,
+            refusals: Refusals::default(),
+            relays,
+            plan,
+        };
+        bed.lay_relays().context("relays")?;
+        Ok(bed)
+    }
+
+    fn lay_relays(&mut self) -> anyhow::Result<()> {
+        let senders = (0..self.plan.servers).map(|of| (self.at(1, of, 7946), Party::Server(of)));
+        let senders: BTreeMap<SocketAddr, Party> = senders.collect();
+        let senders = Arc::new(Mutex::new(senders));
+        for of in 0..self.plan.servers {
+            let server = Party::Server(of);
+            let links = [
+                ((server, Party::Runtime(of)), self.at(3, of, 7300), self.runtimes[of].address),
+                ((server, Party::Ledger), self.at(4, of, 9042), self.ledger.address),
+                ((server, Party::Control), self.at(5, of, 7946), self.control.address),
+            ];
+            for (ends, listen, target) in links {
+                self.relays.block_on(relay::tcp(
+                    self.weather.clone(),
+                    ends,
+                    (listen, target),
+                    self.refusals.clone(),
+                ))?;
+            }
+            for gateway in 0..self.plan.gateways {
+                let ends = (Party::Gateway(gateway), server);
+                let (listen, target) = (self.at(10 + gateway, of, 9000), self.at(1, of, 9000));
+                self.relays.block_on(relay::tcp(
+                    self.weather.clone(),
+                    ends,
+                    (listen, target),
+                    self.refusals.clone(),
+                ))?;
+            }
+            let (listen, target) = (self.at(2, of, 7946), self.at(1, of, 7946));
+            let seed = self.plan.seed ^ of as u64;
+            let weather = self.weather.clone();
+            self.relays.block_on(relay::udp(weather, server, listen, target, senders.clone(), seed))?;
+        }
+        Ok(())
+    }
+
+    /// Where a server listens for datagrams itself, past all relays.
+    pub fn talks_at(&self, of: usize) -> SocketAddr {
+        self.at(1, of, 7946)
+    }
+
+    pub fn file(&self, of: usize) -> PathBuf {
+        self.folder.join(format!("n{of}.star"))
+    }
+
+    pub fn log(&self, of: usize) -> PathBuf {
+        self.folder.join(format!("n{of}.log"))
+    }
+
+    pub fn runs(&self, of: usize) -> bool {
+        self.processes[of].is_some()
+    }
+
+    /// A new life.
+    pub fn start(&mut self, of: usize) -> anyhow::Result<()> {
+        if self.processes[of].is_some() {
+            return Ok(());
+        }
+        let json = self.folder.join(format!("n{of}.json"));
+        let key = self.folder.join("key");
+        std::fs::write(&key, KEY)?;
+        std::fs::write(&json, self.settings(of))?;
+        let contacts: Vec<String> =
+            (0..self.plan.servers.min(3)).map(|of| self.at(2, of, 7946).to_string()).collect();
+        let star = format!(
+            "fleet(\n    installation = {INSTALLATION:?},\n    site = {:?},\n    at = \"{}\",\n    listen = \"{}\",\n    contacts = {contacts:?},\n    key_file = {key:?},\n    most = {},\n)\n",
+            SITES[site(of)],
+            self.at(2, of, 7946),
+            self.at(1, of, 7946),
+            self.plan.most,
+        );
+        std::fs::write(self.file(of), star)?;
+        let apart = self.plan.script.0.iter().filter(|fault| fault.of.covers(Party::Server(of)));
+        let apart = apart
+            .filter_map(|fault| if let Kind::Apart(ms) = fault.kind { Some(ms) } else { None })
+            .sum::<i64>();
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log(of))?;
+        let mut command = Command::new(&self.plan.server_binary);
+        command.env("ROUTER_CONFIG", &json).arg("--file").arg(self.file(of));
+        command.arg(format!("--clock-apart-ms={apart}"));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        let child = command.spawn().with_context(|| format!("{:?}", self.plan.server_binary))?;
+        self.processes[of] = Some(child);
+        self.lives.push(Life { server: of, from_ms: now_ms(), ..Life::default() });
+        Ok(())
+    }
+
+    fn settings(&self, of: usize) -> String {
+        let settings = serde_json::json!({
+            "family-info": {"n-cores": CORES, "mem-limit-kb": 100_000, "run-factor": 8, "stop-mode": "drop",
+                "meters": ["core_use", "on_cores"], "calls-out": CALLS, "calls-over-us": 5_000_000,
+                "passes-deadline": true},
+            "lanes": [
+                {"name": "view", "aim-us": 1_500_000, "deadline-us": 3_000_000, "semantics": "safe", "importance": 1},
+                {"name": "set-qty", "aim-us": 1_500_000, "deadline-us": 3_000_000, "semantics": "keyed",
+                    "memory-span-us": 60_000_000},
+                {"name": "book", "aim-us": 1_500_000, "deadline-us": 3_000_000, "semantics": "unsafe"}],
+            "rules": {"fall-multiple": CROWD_MULTIPLE, "cold-share": 0.2, "cold-us": 5_000_000,
+                "drain-grace-us": GRACE_MS * 1000},
+            "limits": {"retry-after": true, "max-retry-after-us": 1_000_000},
+            "servers": self.plan.servers,
+        });
+        serde_json::json!({
+            "name": format!("n{of}"), "listen": self.at(1, of, 9000).to_string(),
+            "runtime": self.at(3, of, 7300).to_string(), "ledger": self.at(4, of, 9042).to_string(),
+            "control": self.at(5, of, 7946).to_string(), "seed": format!("{:016x}", self.plan.seed ^ of as u64),
+            "stop_ms": STOP_MS, "limits": {"sockets": 512}, "settings": settings,
+        })
+        .to_string()
+    }
+
+    pub fn start_gateways(&mut self) {
+        for number in 0..self.plan.gateways {
+            let habits = Habits {
+                by_subject: number % 2 == 1,
+                retries: [0, 1, 3, 8][number % 4],
+                walk_on: number % 3 != 2,
+                heed: number % 4 < 2,
+                rate: self.plan.rate / self.plan.gateways as f64,
+                list_late_ms: 1000 + 400 * (number as u64 % 4),
+                timeout_ms: 3000,
+            };
+            let servers = (0..self.plan.servers).map(|of| self.at(10 + number, of, 9000)).collect();
+            let list = self.control.list.clone();
+            let lister = Box::new(move || {
+                let named = list.listed(habits.list_late_ms);
+                named.iter().filter_map(|name| name.strip_prefix('n')?.parse().ok()).collect()
+            });
+            let seed = self.plan.seed.wrapping_mul(31) + number as u64;
+            self.gateways.push(Gateway::start(number, habits, servers, lister, seed));
+        }
+    }
+
+    fn pid(&self, of: usize) -> Option<Pid> {
+        // Not waited for yet, so the number is still its own.
+        self.processes[of].as_ref().map(|child| Pid::from_raw(child.id() as i32))
+    }
+
+    fn life(&mut self, of: usize) -> Option<&mut Life> {
+        self.lives.iter_mut().rev().find(|life| life.server == of)
+    }
+
+    pub fn servers_of(&self, party: Party) -> Vec<usize> {
+        (0..self.plan.servers).filter(|of| party.covers(Party::Server(*of))).collect()
+    }
+
+    /// A fault of processes or of what all share begins, or ends.
+    pub fn act(&mut self, fault: &Fault, begins: bool) -> anyhow::Result<()> {
+        let servers = self.servers_of(fault.of);
+        match (fault.kind, begins) {
+            (Kind::Kill, true) => servers.into_iter().for_each(|of| self.kill(of)),
+            (Kind::Stop, true) => servers.into_iter().for_each(|of| self.stop(of)),
+            (Kind::Stop, false) => servers.into_iter().for_each(|of| self.go_on(of)),
+            (Kind::Term, true) => servers.into_iter().for_each(|of| self.term(of)),
+            (Kind::Kill | Kind::Term, false) => {
+                for of in servers {
+                    self.go_on(of);
+                    self.wait(of, STOP_MS + 5000);
+                    self.start(of)?;
+                }
+            }
+            (Kind::Slower(by), begins) => self.ledger.books().slow = if begins { by as f64 } else { 1.0 },
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn kill(&mut self, of: usize) {
+        if let Some(pid) = self.pid(of) {
+            let _ = kill(pid, Signal::SIGKILL);
+            if let Some(life) = self.life(of) {
+                life.killed = true;
+            }
+            self.wait(of, 10_000);
+        }
+    }
+
+    fn stop(&mut self, of: usize) {
+        if let Some(pid) = self.pid(of).filter(|_| self.stopped[of].is_none()) {
+            let _ = kill(pid, Signal::SIGSTOP);
+            self.stopped[of] = Some(now_ms());
+        }
+    }
+
+    fn go_on(&mut self, of: usize) {
+        let since = self.stopped[of].take();
+        if let (Some(since), Some(pid)) = (since, self.pid(of)) {
+            let _ = kill(pid, Signal::SIGCONT);
+            if let Some(life) = self.life(of) {
+                life.stops.push((since, now_ms()));
+            }
+        }
+    }
+
+    fn term(&mut self, of: usize) {
+        if let Some(pid) = self.pid(of) {
+            let _ = kill(pid, Signal::SIGTERM);
+            if let Some(life) = self.life(of) {
+                life.notice_ms.get_or_insert(now_ms());
+            }
+        }
+    }
+
+    /// Waits for a process that was told to end; one that does not is killed, which counts as what it is.
+    fn wait(&mut self, of: usize, within_ms: u64) {
+        let until = now_ms() + within_ms;
+        let told = self.life(of).is_some_and(|life| life.notice_ms.is_some() || life.killed);
+        while told && now_ms() < until && self.processes[of].is_some() {
+            self.reap();
+            std::thread::sleep(std::time::Duration::from_millis(2));
+        }
+    }
+
+    /// Notes which processes have ended, and how much memory the others have taken.
+    pub fn reap(&mut self) {
+        for of in 0..self.processes.len() {
+            let Some(child) = &mut self.processes[of] else { continue };
+            let (id, ended) = (child.id(), child.try_wait().ok().flatten());
+            let memory = memory_kb(id);
+            if let Some(life) = self.lives.iter_mut().rev().find(|life| life.server == of) {
+                life.most_memory_kb = life.most_memory_kb.max(memory);
+                if let Some(status) = ended {
+                    (life.ended_ms, life.status) = (Some(now_ms()), status.code());
+                }
+            }
+            if ended.is_some() {
+                (self.processes[of], self.stopped[of]) = (None, None);
+            }
+        }
+    }
+
+    /// All leave in good order.
+    pub fn end(&mut self) {
+        for of in 0..self.plan.servers {
+            self.go_on(of);
+            self.term(of);
+        }
+        for of in 0..self.plan.servers {
+            self.wait(of, STOP_MS + 8000);
+        }
+    }
+}
+
+fn memory_kb(id: u32) -> u64 {
+    let status = std::fs::read_to_string(Path::new("/proc").join(id.to_string()).join("status"));
+    let status = status.unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    line.and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        for child in self.processes.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if std::env::var("HAZELSPUR_KEEP").is_err() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-fleetbed/src/checker.rs
@@ -0,0 +1,270 @@
+//! The four rules over the whole fleet, from what the stand-ins saw and what was done to the processes; nothing that a
+//! server says of itself counts, but for its picture of the fleet, which is what is judged there.
+
+use crate::script::{Fault, Kind, Party, site};
+use crate::watch::View;
+use hazelspur_fleet::{Condition, Standing};
+use hazelspur_standins::gateway::{Answer, Try};
+use std::collections::BTreeMap;
+
+/// An answer may be so late before that counts, in ms: the machine that tests run on may be busy, and the verdict is
+/// not to hang on that. How many were later than the protocol allows is a figure of the report.
+pub const SLACK_MS: u64 = 5000;
+/// A fault reaches so far beyond its own time, in ms.
+const MARGIN_MS: u64 = 300;
+/// The same for runs after the grace of a drain.
+const GRACE_SLACK_MS: u64 = 1000;
+/// A picture may count those who ended less than this long ago, and miss those who began less than that long ago.
+pub const NOTICE_MS: u64 = 90_000;
+pub const JOIN_MS: u64 = 30_000;
+
+/// One life of a server's process.
+#[derive(Clone, Debug, Default)]
+pub struct Life {
+    pub server: usize,
+    pub from_ms: u64,
+    /// When it got SIGTERM, and how it ended.
+    pub notice_ms: Option<u64>,
+    pub ended_ms: Option<u64>,
+    pub killed: bool,
+    pub status: Option<i32>,
+    /// When it stood still.
+    pub stops: Vec<(u64, u64)>,
+    pub most_memory_kb: u64,
+}
+
+/// What a runtime saw.
+#[derive(Clone, Debug, Default)]
+pub struct Ran {
+    /// When a run began, by the try that it was started for.
+    pub started: BTreeMap<String, u64>,
+    /// How often each op ran.
+    pub runs: BTreeMap<String, usize>,
+    pub most_running: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    pub servers: usize,
+    /// The script, and when it began; milliseconds since 1970.
+    pub faults: Vec<Fault>,
+    pub began_ms: u64,
+    /// By gateway.
+    pub tries: Vec<Vec<Try>>,
+    /// Connections that were refused behind a relay.
+    pub refusals: Vec<(Party, Party, u64)>,
+    /// By server.
+    pub ran: Vec<Ran>,
+    pub lives: Vec<Life>,
+    pub views: Vec<View>,
+    /// At the very end, with all faults over: the last picture of each.
+    pub last: Vec<Option<View>>,
+    pub effects: BTreeMap<String, u32>,
+    pub most_calls: usize,
+    pub grace_ms: u64,
+    pub stop_ms: u64,
+    pub most_memory_kb: u64,
+    pub most_running: usize,
+    pub calls_bound: usize,
+}
+
+impl Evidence {
+    pub fn breaches(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        self.answers(&mut found);
+        self.effects_once(&mut found);
+        self.drains(&mut found);
+        self.limits(&mut found);
+        self.pictures(&mut found);
+        found
+    }
+
+    /// Answers that were later than the protocol's 50 ms, though not so late as to count here.
+    pub fn late(&self) -> usize {
+        let late = |of: &&Try| of.answers.first().is_some_and(|(_, at)| *at > of.due_ms + 50);
+        self.tries.iter().flatten().filter(late).count()
+    }
+
+    pub fn count(&self, of: Answer) -> usize {
+        let first = |t: &&Try| t.answers.first().is_some_and(|(answer, _)| *answer == of);
+        self.tries.iter().flatten().filter(first).count()
+    }
+
+    /// Rule 1: each try that was read gets one answer in time.
+    fn answers(&self, found: &mut Vec<String>) {
+        for (gateway, tries) in self.tries.iter().enumerate() {
+            for of in tries {
+                let name = format!("{} ({}) of g{gateway} at n{}", of.op, of.req, of.server);
+                if of.answers.len() > 1 {
+                    found.push(format!("{name} has {} answers", of.answers.len()));
+                }
+                if of.spoilt {
+                    found.push(format!("{name} was acked with what no run made"));
+                }
+                if self.excused(gateway, of) {
+                    continue;
+                }
+                match of.answers.first() {
+                    None if of.broke_ms.is_some() => {
+                        found.push(format!("{name} was lost with its connection"))
+                    }
+                    None => found.push(format!("{name} has no answer")),
+                    Some((_, at)) if *at > of.due_ms + SLACK_MS => {
+                        found.push(format!("{name} was answered {} ms late", at - of.due_ms));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// A fault between gateway and server, or of the server's process, while the try was open. Faults elsewhere excuse
+    /// nothing.
+    fn excused(&self, gateway: usize, of: &Try) -> bool {
+        let end = of.answers.first().map_or(of.due_ms + SLACK_MS, |(_, at)| *at);
+        let open = of.sent_ms.saturating_sub(MARGIN_MS)..=end;
+        let meets = |from: u64, to: u64| from <= *open.end() && to + MARGIN_MS >= *open.start();
+        let between = |fault: &Fault| {
+            let (gateway, server) = (Party::Gateway(gateway), Party::Server(of.server));
+            let Some(to) = fault.to else { return false };
+            fault.of.covers(gateway) && to.covers(server) || fault.of.covers(server) && to.covers(gateway)
+        };
+        let began = |fault: &Fault| (self.began_ms + fault.from_ms, self.began_ms + fault.end_ms());
+        let on_link =
+            self.faults.iter().filter(|fault| between(fault)).map(began).any(|(from, to)| meets(from, to));
+        let in_process = self.lives.iter().filter(|life| life.server == of.server).any(|life| {
+            let stopped = life.stops.iter().any(|(from, to)| meets(*from, *to));
+            let killed = life.killed && life.ended_ms.is_some_and(|at| meets(at, at));
+            // What is read before the notice is answered; what comes later may meet a closed door.
+            let leaves = life.notice_ms.is_some_and(|at| {
+                of.sent_ms + MARGIN_MS >= at && life.ended_ms.is_none_or(|end| of.sent_ms <= end + MARGIN_MS)
+            });
+            stopped || killed || leaves
+        });
+        let refused = |(client, server, at): &(Party, Party, u64)| {
+            let meant = (*client, *server) == (Party::Gateway(gateway), Party::Server(of.server));
+            meant && *at + 20 >= of.sent_ms && of.broke_ms.is_some_and(|broke| *at <= broke + 20)
+        };
+        on_link || in_process || self.refusals.iter().any(refused)
+    }
+
+    /// Rule 2, over all servers together.
+    fn effects_once(&self, found: &mut Vec<String>) {
+        let mut kinds: BTreeMap<&str, &str> = BTreeMap::new();
+        for of in self.tries.iter().flatten() {
+            kinds.insert(&of.op, of.kind);
+            let started = self.ran.get(of.server).is_some_and(|ran| ran.started.contains_key(&of.req));
+            if started && of.answers.iter().any(|(answer, _)| *answer == Answer::Nacked) {
+                found.push(format!("{} ({}) was nacked at n{} after it ran", of.op, of.req, of.server));
+            }
+        }
+        let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+        for ran in &self.ran {
+            ran.runs.iter().for_each(|(op, times)| *runs.entry(op).or_default() += times);
+        }
+        for (op, times) in runs.into_iter().filter(|(_, times)| *times > 1) {
+            if kinds.get(op).is_some_and(|kind| *kind != "view") {
+                found.push(format!("{op}, which is not to run twice, ran {times} times"));
+            }
+        }
+        for (reference, times) in self.effects.iter().filter(|(_, times)| **times > 1) {
+            let of = self.tries.iter().flatten().find(|of| of.req == *reference);
+            if of.is_some_and(|of| of.kind != "view") {
+                found.push(format!("the call for {reference} was made {times} times"));
+            }
+        }
+    }
+
+    /// Rule 3.
+    fn drains(&self, found: &mut Vec<String>) {
+        for life in &self.lives {
+            let Some(notice) = life.notice_ms else { continue };
+            let last = notice + self.grace_ms + GRACE_SLACK_MS;
+            let ended = life.ended_ms.unwrap_or(u64::MAX);
+            let here = |of: &&Try| of.server == life.server && of.sent_ms > last && of.sent_ms < ended;
+            for of in self.tries.iter().flatten().filter(here) {
+                if self.ran.get(life.server).is_some_and(|ran| ran.started.contains_key(&of.req)) {
+                    let by = of.sent_ms - notice;
+                    found.push(format!("{} came to n{} {by} ms into its drain, and ran", of.op, life.server));
+                }
+            }
+            let stopped = life.stops.iter().any(|(_, to)| *to >= notice);
+            if life.killed || stopped {
+                continue;
+            }
+            if life.status != Some(0) || ended > notice + self.stop_ms + SLACK_MS {
+                let took = ended.saturating_sub(notice);
+                found.push(format!(
+                    "n{} ended with {:?}, {took} ms after its notice",
+                    life.server, life.status
+                ));
+            }
+        }
+        for life in self.lives.iter().filter(|life| life.notice_ms.is_none() && !life.killed) {
+            if life.ended_ms.is_some() {
+                found.push(format!("n{} ended by itself with {:?}", life.server, life.status));
+            }
+        }
+    }
+
+    /// Rule 4.
+    fn limits(&self, found: &mut Vec<String>) {
+        for life in self.lives.iter().filter(|life| life.most_memory_kb > self.most_memory_kb) {
+            found
+                .push(format!("n{} took {} KB of {}", life.server, life.most_memory_kb, self.most_memory_kb));
+        }
+        for (server, ran) in self.ran.iter().enumerate().filter(|(_, r)| r.most_running > self.most_running) {
+            found.push(format!("{} ran at once at n{server}, {} may", ran.most_running, self.most_running));
+        }
+        if self.most_calls > self.calls_bound {
+            found.push(format!("{} calls at once at the ledger, {} may", self.most_calls, self.calls_bound));
+        }
+    }
+
+    /// At all times no picture counts more for sure than there can be, or fewer at most than there surely are; at last
+    /// all show the same.
+    fn pictures(&self, found: &mut Vec<String>) {
+        for view in &self.views {
+            let at = view.at_ms;
+            let lived = |life: &&Life| {
+                life.from_ms <= at && life.ended_ms.is_none_or(|ended| ended + NOTICE_MS >= at)
+            };
+            let mut may: Vec<usize> = self.lives.iter().filter(lived).map(|life| life.server).collect();
+            may.sort_unstable();
+            may.dedup();
+            let steady = |life: &&Life| {
+                life.from_ms + JOIN_MS <= at
+                    && life.ended_ms.is_none_or(|ended| ended > at)
+                    && life.notice_ms.is_none_or(|notice| notice > at)
+            };
+            let surely = self.lives.iter().filter(steady).count();
+            let (least, most) = (view.fleet.least, view.fleet.most);
+            if least > may.len() || most < surely {
+                found.push(format!(
+                    "n{} said {least} to {most} where {surely} to {} were",
+                    view.server,
+                    may.len()
+                ));
+            }
+        }
+        for (server, view) in self.last.iter().enumerate() {
+            let whole = |view: &View| {
+                let alive = view.others.iter().filter(|(_, standing)| *standing == Standing::Alive).count();
+                let sizes = (view.fleet.least, view.fleet.most) == (self.servers, self.servers);
+                sizes && alive + 1 == self.servers && view.condition == Condition::Whole
+            };
+            if !view.as_ref().is_some_and(whole) {
+                let said = view.as_ref().map(|view| (view.condition, view.fleet));
+                found.push(format!(
+                    "at last n{server} ({}) says {said:?}",
+                    crate::script::SITES[site(server)]
+                ));
+            }
+        }
+    }
+}
+
+/// Whether a fault needs the checker's patience beyond its own end.
+pub fn lasts(fault: &Fault) -> bool {
+    !matches!(fault.kind, Kind::Apart(_))
+}
--- /dev/null
+++ b/crates/hazelspur-fleetbed/src/play.rs
@@ -0,0 +1,195 @@
+//! One run from its start to its verdict.
+
+use crate::bed::{Bed, CALLS, CORES, CROWD_MULTIPLE, GRACE_MS, INSTALLATION, KEY, Plan, STOP_MS};
+use crate::checker::{Evidence, Ran};
+use crate::script::Kind;
+use crate::watch::{View, Watch};
+use anyhow::Context;
+use hazelspur_fleet::{Condition, Standing};
+use hazelspur_standins::gateway::Answer;
+use hazelspur_standins::now_ms;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Servers come up and find each other within this, in ms; an event is waited for, so a quick machine waits less.
+const UP_MS: u64 = 60_000;
+/// At last all show one picture: within this after the last fault.
+const TOGETHER_MS: u64 = 120_000;
+const STEP: Duration = Duration::from_millis(5);
+/// Pictures are looked at so often, in ms.
+const LOOK_MS: u64 = 1000;
+const ASK: Duration = Duration::from_millis(120);
+/// A server may take so much memory, in KB.
+const MEMORY_KB: u64 = 64 * 1024;
+
+/// What came out.
+#[derive(Clone, Debug)]
+pub struct Verdict {
+    pub breaches: Vec<String>,
+    pub evidence: Evidence,
+    /// From the last fault's end until all showed one picture; none if that did not come.
+    pub together_ms: Option<u64>,
+    pub up_ms: u64,
+}
+
+impl Verdict {
+    pub fn figures(&self) -> String {
+        let of = &self.evidence;
+        let tries: usize = of.tries.iter().map(Vec::len).sum();
+        let memory = of.lives.iter().map(|life| life.most_memory_kb).max().unwrap_or(0);
+        let together = self.together_ms.map_or("never".into(), |ms| format!("{:.1} s", ms as f64 / 1000.0));
+        format!(
+            "{} servers, {} lives; {tries} tries: {} acked, {} nacked, {} failed, {} late by over 50 ms; most calls at once {}, most memory {memory} KB; up after {:.1} s, one picture after {together}",
+            of.servers,
+            of.lives.len(),
+            of.count(Answer::Acked),
+            of.count(Answer::Nacked),
+            of.count(Answer::Failed),
+            of.late(),
+            of.most_calls,
+            self.up_ms as f64 / 1000.0,
+        )
+    }
+}
+
+/// What is told while it runs.
+pub type Teller<'a> = &'a mut dyn FnMut(u64, &[Option<View>]);
+
+pub fn play(plan: Plan, tell: Teller<'_>) -> anyhow::Result<Verdict> {
+    let servers = plan.servers;
+    let mut bed = Bed::new(plan)?;
+    let mut watch = Watch::new(KEY, INSTALLATION)?;
+    let began = now_ms();
+    for of in 0..servers {
+        bed.start(of)?;
+    }
+    let all = |views: &[Option<View>]| views.iter().all(|view| whole(view, servers));
+    let mut views: Vec<Option<View>> = Vec::new();
+    while now_ms() < began + UP_MS && !(all(&views) && bed.control.list.listed(0).len() == servers) {
+        std::thread::sleep(Duration::from_millis(200));
+        bed.reap();
+        views = look(&mut bed, &mut watch);
+    }
+    let up_ms = now_ms() - began;
+    tell(0, &views);
+    let why = || format!("the fleet did not come up: {}", summary(&views));
+    anyhow::ensure!(all(&views), why());
+
+    bed.start_gateways();
+    bed.weather.begin();
+    let began_ms = now_ms();
+    let script = bed.plan.script.clone();
+    let mut moves: Vec<(u64, usize, bool)> = Vec::new();
+    for (i, fault) in script.0.iter().enumerate().filter(|(_, fault)| !fault.kind.on_link()) {
+        if !matches!(fault.kind, Kind::Apart(_)) {
+            moves.extend([(fault.from_ms, i, true), (fault.end_ms(), i, false)]);
+        }
+    }
+    moves.sort_by_key(|(at, i, begins)| (*at, !*begins, *i));
+    moves.reverse();
+    let end_ms = script.end_ms() + 3000;
+    let (mut seen, mut next_look) = (Vec::new(), 0);
+    loop {
+        let at = now_ms() - began_ms;
+        while let Some((_, i, begins)) = moves.pop_if(|(when, ..)| *when <= at) {
+            bed.act(&script.0[i], begins).with_context(|| script.0[i].to_string())?;
+        }
+        bed.reap();
+        if at >= next_look {
+            next_look = at + LOOK_MS;
+            views = look(&mut bed, &mut watch);
+            tell(at, &views);
+            seen.extend(views.iter().flatten().cloned());
+        }
+        if at >= end_ms && moves.is_empty() {
+            break;
+        }
+        std::thread::sleep(STEP);
+    }
+    let over = now_ms();
+    let mut together_ms = None;
+    while together_ms.is_none() && now_ms() < over + TOGETHER_MS {
+        views = look(&mut bed, &mut watch);
+        tell(now_ms() - began_ms, &views);
+        seen.extend(views.iter().flatten().cloned());
+        bed.reap();
+        if all(&views) {
+            together_ms = Some(now_ms() - over + 3000);
+        } else {
+            std::thread::sleep(Duration::from_millis(500));
+        }
+    }
+    let last = views;
+    bed.gateways.iter().for_each(|gateway| gateway.stop());
+    let tries = bed.gateways.iter_mut().map(|gateway| gateway.end()).collect();
+    bed.end();
+    let evidence = evidence(&bed, (began_ms, tries, seen, last));
+    Ok(Verdict { breaches: evidence.breaches(), evidence, together_ms, up_ms })
+}
+
+type Seen = (u64, Vec<Vec<hazelspur_standins::gateway::Try>>, Vec<View>, Vec<Option<View>>);
+
+fn evidence(bed: &Bed, (began_ms, tries, views, last): Seen) -> Evidence {
+    let ran = bed.runtimes.iter().map(|runtime| {
+        let town = runtime.town();
+        let name = |body: &Vec<u8>| String::from_utf8_lossy(body).into_owned();
+        Ran {
+            started: town.started.clone(),
+            runs: town.runs.iter().map(|(body, runs)| (name(body), runs.len())).collect(),
+            most_running: town.most_running,
+        }
+    });
+    let books = bed.ledger.books();
+    Evidence {
+        servers: bed.plan.servers,
+        faults: bed.plan.script.0.clone(),
+        began_ms,
+        tries,
+        refusals: bed.refusals.lock().expect("no panic before").clone(),
+        ran: ran.collect(),
+        lives: bed.lives.clone(),
+        views,
+        last,
+        effects: books.effects.clone(),
+        most_calls: books.most_out,
+        grace_ms: GRACE_MS,
+        stop_ms: STOP_MS,
+        most_memory_kb: MEMORY_KB,
+        most_running: CORES * CROWD_MULTIPLE,
+        calls_bound: CALLS * bed.plan.servers,
+    }
+}
+
+fn look(bed: &mut Bed, watch: &mut Watch) -> Vec<Option<View>> {
+    (0..bed.plan.servers)
+        .map(|of| if bed.runs(of) { watch.ask(of, bed.talks_at(of), ASK) } else { None })
+        .collect()
+}
+
+fn whole(view: &Option<View>, servers: usize) -> bool {
+    view.as_ref().is_some_and(|view| {
+        let alive = view.others.iter().filter(|(_, standing)| *standing == Standing::Alive).count();
+        view.condition == Condition::Whole && alive + 1 == servers && view.fleet.most == servers
+    })
+}
+
+/// How many servers show what, in one line.
+pub fn summary(views: &[Option<View>]) -> String {
+    let mut by: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for (of, view) in views.iter().enumerate() {
+        let text = view.as_ref().map_or("does not answer".into(), |view| {
+            let count = |standing| view.others.iter().filter(|(_, other)| *other == standing).count();
+            let bad = [
+                (Standing::Suspected, "suspected"),
+                (Standing::Lost, "lost"),
+                (Standing::Leaving, "leaving"),
+            ];
+            let bad = bad.map(|(s, name)| (count(s), name)).into_iter().filter(|(n, _)| *n > 0);
+            let bad: String = bad.map(|(n, name)| format!(", {n} {name}")).collect();
+            format!("{} {} to {}{bad}", view.condition.name(), view.fleet.least, view.fleet.most)
+        });
+        by.entry(text).or_default().push(format!("n{of}"));
+    }
+    let parts: Vec<String> = by.iter().map(|(text, who)| format!("{}: {text}", who.join(" "))).collect();
+    parts.join(" | ")
+}
--- /dev/null
+++ b/crates/hazelspur-fleetbed/src/script.rs
@@ -0,0 +1,321 @@
+//! Faults over time. A script is a line: `2+5 cut east west; 3+10 stop n4; 8+2 kill site:north`, each with the
+//! second of its beginning, how many seconds it lasts, what it is and between whom. A fault between two goes one way,
+//! from the first to the second, but for `cut` and `reset`, which end connections.
+
+use hazelspur::pcg::Pcg;
+use std::fmt;
+use std::str::FromStr;
+
+/// One party, or several at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Party {
+    Server(usize),
+    /// All servers of the site with this number.
+    Site(usize),
+    /// All servers.
+    Servers,
+    Gateway(usize),
+    Gateways,
+    Runtime(usize),
+    Ledger,
+    Control,
+}
+
+pub const SITES: [&str; 3] = ["east", "west", "north"];
+
+pub fn site(of: usize) -> usize {
+    of % SITES.len()
+}
+
+impl Party {
+    /// Whether this one is meant, or among those that are.
+    pub fn covers(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::Servers, Self::Server(_)) | (Self::Gateways, Self::Gateway(_)) => true,
+            (Self::Site(at), Self::Server(of)) => site(of) == at,
+            _ => self == other,
+        }
+    }
+}
+
+impl fmt::Display for Party {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Server(of) => write!(f, "n{of}"),
+            Self::Site(of) => f.write_str(SITES[*of]),
+            Self::Servers => f.write_str("servers"),
+            Self::Gateway(of) => write!(f, "g{of}"),
+            Self::Gateways => f.write_str("gateways"),
+            Self::Runtime(of) => write!(f, "r{of}"),
+            Self::Ledger => f.write_str("ledger"),
+            Self::Control => f.write_str("list"),
+        }
+    }
+}
+
+impl FromStr for Party {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let number = |rest: &str| rest.parse::<usize>().ok().filter(|n| *n < 1000);
+        if let Some(site) = SITES.iter().position(|name| *name == text) {
+            return Ok(Self::Site(site));
+        }
+        let numbered = [
+            text.strip_prefix('n').and_then(number).map(Self::Server),
+            text.strip_prefix('g').and_then(number).map(Self::Gateway),
+            text.strip_prefix('r').and_then(number).map(Self::Runtime),
+        ];
+        match text {
+            "servers" => Ok(Self::Servers),
+            "gateways" => Ok(Self::Gateways),
+            "ledger" => Ok(Self::Ledger),
+            "list" => Ok(Self::Control),
+            _ => numbered.into_iter().flatten().next().ok_or(format!("{text}: no such party")),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    // ---- on a link ----
+    /// Connections end without a word and none is made; datagrams are lost.
+    Cut,
+    /// Connections end with a reset and none is made.
+    Reset,
+    /// Nothing arrives, though connections stand and are made: half open.
+    Mute,
+    /// Connections are accepted and never read.
+    Swallow,
+    /// Everything comes later by so many ms.
+    Delay(u64),
+    /// A byte each millisecond.
+    Slow,
+    /// A share of datagrams, in hundredths, is lost, or comes twice.
+    Lose(u64),
+    Double(u64),
+    /// Datagrams come in another order, up to so many ms late.
+    Shuffle(u64),
+    // ---- on a process ----
+    /// SIGKILL; started again cold at the end.
+    Kill,
+    /// SIGSTOP, SIGCONT at the end.
+    Stop,
+    /// SIGTERM; started again at the end.
+    Term,
+    /// The wall clock of the whole run is so many ms apart, from its start on.
+    Apart(i64),
+    // ---- on what all share ----
+    /// The ledger takes so many times as long.
+    Slower(u64),
+}
+
+impl Kind {
+    pub fn on_process(self) -> bool {
+        matches!(self, Self::Kill | Self::Stop | Self::Term | Self::Apart(_))
+    }
+
+    pub fn on_link(self) -> bool {
+        !self.on_process() && !matches!(self, Self::Slower(_))
+    }
+
+    fn parts(self) -> (&'static str, Option<i64>) {
+        match self {
+            Self::Cut => ("cut", None),
+            Self::Reset => ("reset", None),
+            Self::Mute => ("mute", None),
+            Self::Swallow => ("swallow", None),
+            Self::Delay(ms) => ("delay", Some(ms as i64)),
+            Self::Slow => ("slow", None),
+            Self::Lose(part) => ("lose", Some(part as i64)),
+            Self::Double(part) => ("double", Some(part as i64)),
+            Self::Shuffle(ms) => ("shuffle", Some(ms as i64)),
+            Self::Kill => ("kill", None),
+            Self::Stop => ("stop", None),
+            Self::Term => ("term", None),
+            Self::Apart(ms) => ("apart", Some(ms)),
+            Self::Slower(by) => ("slower", Some(by as i64)),
+        }
+    }
+
+    fn read(text: &str) -> Result<Self, String> {
+        let (word, figure) = match text.split_once(':') {
+            None => (text, None),
+            Some((word, figure)) => {
+                (word, Some(figure.parse::<i64>().map_err(|_| format!("{text}: not a whole number"))?))
+            }
+        };
+        let up = |most: u64| {
+            let n = figure.and_then(|n| u64::try_from(n).ok()).filter(|n| *n <= most);
+            n.ok_or(format!("{text}: needs a number from 0 to {most}, as in {word}:5"))
+        };
+        let kind = match word {
+            "cut" => Self::Cut,
+            "reset" => Self::Reset,
+            "mute" => Self::Mute,
+            "swallow" => Self::Swallow,
+            "slow" => Self::Slow,
+            "kill" => Self::Kill,
+            "stop" => Self::Stop,
+            "term" => Self::Term,
+            "delay" => Self::Delay(up(10_000)?),
+            "lose" => Self::Lose(up(100)?),
+            "double" => Self::Double(up(100)?),
+            "shuffle" => Self::Shuffle(up(10_000)?),
+            "slower" => Self::Slower(up(100)?),
+            "apart" => Self::Apart(figure.filter(|ms| ms.abs() <= 60_000).ok_or("apart:MS up to 60000")?),
+            _ => return Err(format!("{text}: no such fault")),
+        };
+        if kind.parts().1.is_none() && figure.is_some() {
+            return Err(format!("{text}: takes no number"));
+        }
+        Ok(kind)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fault {
+    pub from_ms: u64,
+    pub for_ms: u64,
+    pub kind: Kind,
+    pub of: Party,
+    pub to: Option<Party>,
+}
+
+impl Fault {
+    pub fn end_ms(&self) -> u64 {
+        self.from_ms + self.for_ms
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let secs = |ms: u64| ms as f64 / 1000.0;
+        write!(f, "{}+{} ", secs(self.from_ms), secs(self.for_ms))?;
+        match self.kind.parts() {
+            (word, None) => write!(f, "{word} {}", self.of)?,
+            (word, Some(figure)) => write!(f, "{word}:{figure} {}", self.of)?,
+        }
+        self.to.map_or(Ok(()), |to| write!(f, " {to}"))
+    }
+}
+
+impl FromStr for Fault {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let words: Vec<&str> = text.split_whitespace().collect();
+        let [times, kind, of, to @ ..] = &words[..] else {
+            return Err(format!("{text:?}: as in 2+5 cut east west"));
+        };
+        let secs = |text: &str| {
+            let secs = text.parse::<f64>().ok().filter(|s| (0.0..=3600.0).contains(s));
+            secs.map(|s| (s * 1000.0).round() as u64).ok_or(format!("{text}: not seconds up to 3600"))
+        };
+        let (from, lasts) = times.split_once('+').ok_or(format!("{times}: as in 2+5"))?;
+        let kind = Kind::read(kind)?;
+        let to = match to {
+            [] => None,
+            [to] => Some(to.parse()?),
+            _ => return Err(format!("{text:?}: too many words")),
+        };
+        if kind.on_link() != to.is_some() {
+            let wanted = if kind.on_link() { "a link has two ends" } else { "one party is enough" };
+            return Err(format!("{text:?}: {wanted}"));
+        }
+        let of: Party = of.parse()?;
+        let servers = matches!(of, Party::Server(_) | Party::Site(_) | Party::Servers);
+        if kind.on_process() && !servers || matches!(kind, Kind::Slower(_)) && of != Party::Ledger {
+            return Err(format!("{text:?}: not with {of}"));
+        }
+        Ok(Self { from_ms: secs(from)?, for_ms: secs(lasts)?, kind, of, to })
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Script(pub Vec<Fault>);
+
+impl fmt::Display for Script {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let faults: Vec<String> = self.0.iter().map(Fault::to_string).collect();
+        f.write_str(&faults.join("; "))
+    }
+}
+
+impl FromStr for Script {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let faults = text.split(';').map(str::trim).filter(|fault| !fault.is_empty());
+        let faults: Vec<Fault> = faults.map(str::parse).collect::<Result<_, _>>()?;
+        if faults.len() > 200 {
+            return Err("more than 200 faults".into());
+        }
+        Ok(Self(faults))
+    }
+}
+
+impl Script {
+    pub fn end_ms(&self) -> u64 {
+        let lasting = self.0.iter().filter(|fault| !matches!(fault.kind, Kind::Apart(_)));
+        lasting.map(Fault::end_ms).max().unwrap_or(0)
+    }
+
+    /// Up to six faults within so many ms, on so many servers and gateways.
+    pub fn drawn(seed: u64, servers: usize, gateways: usize, within_ms: u64) -> Self {
+        let mut chance = Pcg::new(seed);
+        let mut pick = |n: usize| chance.draw() as usize % n.max(1);
+        let count = 1 + pick(6);
+        let faults = (0..count).map(|_| {
+            let from_ms = pick((within_ms * 6 / 10) as usize) as u64;
+            let for_ms = (500 + pick(6000) as u64).min(within_ms - from_ms);
+            let server = Party::Server(pick(servers));
+            let some = if pick(3) == 0 { Party::Site(pick(SITES.len())) } else { server };
+            let other =
+                [Party::Server(pick(servers)), Party::Site(pick(SITES.len())), Party::Servers][pick(3)];
+            let ends = [
+                (some, other),
+                (other, some),
+                (some, Party::Ledger),
+                (Party::Ledger, some),
+                (some, Party::Control),
+                (Party::Gateway(pick(gateways)), some),
+                (some, Party::Gateway(pick(gateways))),
+            ][pick(7)];
+            let on_link = [
+                Kind::Cut,
+                Kind::Reset,
+                Kind::Mute,
+                Kind::Mute,
+                Kind::Swallow,
+                Kind::Delay(50 + pick(800) as u64),
+                Kind::Slow,
+                Kind::Lose(10 + pick(60) as u64),
+                Kind::Double(30),
+                Kind::Shuffle(300),
+            ][pick(10)];
+            let (kind, of, to) = match pick(12) {
+                0 | 1 => (Kind::Kill, some, None),
+                2 | 3 => (Kind::Stop, some, None),
+                4 => (Kind::Term, server, None),
+                5 => (Kind::Apart(pick(6000) as i64 - 3000), server, None),
+                6 => (Kind::Slower(2 + pick(6) as u64), Party::Ledger, None),
+                _ => (on_link, ends.0, Some(ends.1)),
+            };
+            Fault { from_ms, for_ms, kind, of, to }
+        });
+        Self(faults.collect())
+    }
+
+    /// The fewest faults that `fails` still holds for, found by leaving out one after the other.
+    pub fn shrunk(&self, mut fails: impl FnMut(&Self) -> bool) -> Self {
+        let mut least = self.clone();
+        let mut at = 0;
+        while at < least.0.len() {
+            let mut less = least.clone();
+            less.0.remove(at);
+            if fails(&less) { least = less } else { at += 1 }
+        }
+        least
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-fleetbed/tests/scripts.rs
@@ -0,0 +1,171 @@
+//! Scripts as text, drawn and shrunk; and a checker that finds what is planted.
+
+use hazelspur_fleet::{Condition, Size, Standing};
+use hazelspur_fleetbed::checker::{Evidence, Life, Ran};
+use hazelspur_fleetbed::script::{Party, Script};
+use hazelspur_fleetbed::watch::View;
+use hazelspur_standins::gateway::{Answer, Try};
+
+#[test]
+fn a_script_reads_as_it_is_written_and_says_what_is_wrong() {
+    for seed in 0..500 {
+        let script = Script::drawn(seed, 24, 4, 12_000);
+        assert!(!script.0.is_empty() && script.end_ms() <= 12_000, "{script}");
+        assert_eq!(script.to_string().parse(), Ok(script));
+    }
+    let wrong = [
+        "2+5 cut east",
+        "2+5 kill east west",
+        "2 kill n1",
+        "x+5 kill n1",
+        "2+5 burn n1",
+        "2+5 kill x",
+        "2+5 delay n1 n2",
+        "2+5 kill:3 n1",
+        "2+5 stop ledger",
+        "1+1 lose:101 n1 n2",
+    ];
+    let said: Vec<String> = wrong.iter().map(|text| text.parse::<Script>().expect_err(text)).collect();
+    expect_test::expect![[r#"
+        "2+5 cut east": a link has two ends
+        "2+5 kill east west": one party is enough
+        2: as in 2+5
+        x: not seconds up to 3600
+        burn: no such fault
+        x: no such party
+        delay: needs a number from 0 to 10000, as in delay:5
+        kill:3: takes no number
+        "2+5 stop ledger": not with ledger
+        lose:101: needs a number from 0 to 100, as in lose:5"#]]
+    .assert_eq(&said.join("\n"));
+}
+
+#[test]
+fn a_failing_script_is_shrunk_to_what_fails() {
+    let script: Script = "1+1 kill n1; 2+1 stop n2; 3+1 cut east west; 4+1 kill n3".parse().expect("good");
+    let both = |script: &Script| {
+        let text = script.to_string();
+        text.contains("stop n2") && text.contains("kill n3")
+    };
+    assert_eq!(script.shrunk(both).to_string(), "2+1 stop n2; 4+1 kill n3");
+}
+
+fn sound() -> Evidence {
+    let of = |op: &str, kind, server: usize, sent_ms| Try {
+        op: op.into(),
+        req: format!("{op}-at-n{server}"),
+        kind,
+        server,
+        sent_ms,
+        due_ms: sent_ms + 3000,
+        answers: vec![(Answer::Acked, sent_ms + 50)],
+        broke_ms: None,
+        spoilt: false,
+    };
+    let life = |server| Life {
+        server,
+        from_ms: 0,
+        notice_ms: Some(200_000),
+        ended_ms: Some(200_900),
+        status: Some(0),
+        most_memory_kb: 9000,
+        ..Life::default()
+    };
+    let view = |server, at_ms| View {
+        server,
+        at_ms,
+        condition: Condition::Whole,
+        fleet: Size { least: 2, most: 2 },
+        others: vec![(format!("n{}", 1 - server), Standing::Alive)],
+    };
+    let ran = |op: &str, server: usize| Ran {
+        started: [(format!("{op}-at-n{server}"), 100_010)].into(),
+        runs: [(op.to_string(), 1)].into(),
+        most_running: 3,
+    };
+    Evidence {
+        servers: 2,
+        began_ms: 50_000,
+        tries: vec![vec![of("a", "book", 0, 100_000), of("b", "view", 1, 100_000)]],
+        ran: vec![ran("a", 0), ran("b", 1)],
+        lives: vec![life(0), life(1)],
+        views: vec![view(0, 100_000), view(1, 100_000)],
+        last: vec![Some(view(0, 199_000)), Some(view(1, 199_000))],
+        effects: [("a-at-n0".to_string(), 1)].into(),
+        most_calls: 3,
+        grace_ms: 300,
+        stop_ms: 1500,
+        most_memory_kb: 64_000,
+        most_running: 16,
+        calls_bound: 16,
+        ..Evidence::default()
+    }
+}
+
+#[test]
+fn the_checker_finds_one_planted_fault_of_each_kind() {
+    assert_eq!(sound().breaches(), Vec::<String>::new());
+    type Plant = fn(&mut Evidence);
+    let plants: [Plant; 17] = [
+        |e| e.tries[0][0].answers.push((Answer::Acked, 100_060)),
+        |e| e.tries[0][0].answers.clear(),
+        |e| (e.tries[0][0].answers, e.tries[0][0].broke_ms) = (Vec::new(), Some(100_020)),
+        |e| e.tries[0][0].answers[0].1 = 109_000,
+        |e| e.tries[0][0].spoilt = true,
+        |e| e.tries[0][0].answers[0].0 = Answer::Nacked,
+        |e| e.ran[1].runs.extend([("a".to_string(), 1)]),
+        |e| e.effects.extend([("a-at-n0".to_string(), 2)]),
+        |e| e.lives[0].notice_ms = Some(98_000),
+        |e| e.lives[0].status = Some(1),
+        |e| (e.lives[0].notice_ms, e.lives[0].ended_ms) = (None, Some(150_000)),
+        |e| e.lives[0].most_memory_kb = 65_000,
+        |e| e.ran[0].most_running = 17,
+        |e| e.most_calls = 17,
+        |e| e.views[0].fleet.least = 3,
+        |e| (e.views[0].fleet.least, e.views[0].fleet.most) = (1, 1),
+        |e| e.last[1] = None,
+    ];
+    let mut seen = String::new();
+    for plant in plants {
+        let mut evidence = sound();
+        plant(&mut evidence);
+        let found = evidence.breaches();
+        seen += &format!("{}\n", found.first().map_or("nothing", |breach| breach));
+    }
+    expect_test::expect![[r#"
+        a (a-at-n0) of g0 at n0 has 2 answers
+        a (a-at-n0) of g0 at n0 has no answer
+        a (a-at-n0) of g0 at n0 was lost with its connection
+        a (a-at-n0) of g0 at n0 was answered 6000 ms late
+        a (a-at-n0) of g0 at n0 was acked with what no run made
+        a (a-at-n0) was nacked at n0 after it ran
+        a, which is not to run twice, ran 2 times
+        the call for a-at-n0 was made 2 times
+        a came to n0 2000 ms into its drain, and ran
+        n0 ended with Some(1), 900 ms after its notice
+        n0 ended by itself with Some(0)
+        n0 took 65000 KB of 64000
+        17 ran at once at n0, 16 may
+        17 calls at once at the ledger, 16 may
+        n0 said 3 to 2 where 2 to 2 were
+        n0 said 1 to 1 where 2 to 2 were
+        at last n1 (west) says None
+    "#]]
+    .assert_eq(&seen);
+}
+
+#[test]
+fn faults_elsewhere_excuse_nothing() {
+    let mut evidence = sound();
+    evidence.tries[0][0].answers.clear();
+    let script: Script =
+        "45+10 cut n0 ledger; 45+10 cut g1 n0; 45+10 cut n0 n1; 45+10 mute n0 list".parse().expect("good");
+    evidence.faults = script.0;
+    assert_eq!(evidence.breaches().len(), 1);
+    let script: Script = "49+4 mute n0 gateways".parse().expect("good");
+    evidence.faults = script.0;
+    assert_eq!(evidence.breaches(), Vec::<String>::new());
+    evidence.faults.clear();
+    evidence.refusals = vec![(Party::Gateway(0), Party::Server(0), 100_010)];
+    assert_eq!(evidence.breaches().len(), 1, "it was not broken");
+}
--- a/crates/hazelspur-server/src/clock.rs
+++ b/crates/hazelspur-server/src/clock.rs
@@ -5,16 +5,25 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 #[derive(Default)]
-pub struct Clock(Cell<Moment>);
+pub struct Clock {
+    last: Cell<Moment>,
+    /// By how many milliseconds it is set apart from the system's.
+    apart_ms: Cell<i64>,
+}
 
 impl Clock {
     pub fn now(&self) -> Moment {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let now = Moment::from_us(since.as_micros() as u64).max(self.0.get());
-        self.0.set(now);
+        let now = (since.as_micros() as i64).saturating_add(self.apart_ms.get().saturating_mul(1000));
+        let now = Moment::from_us(now.max(0) as u64).max(self.last.get());
+        self.last.set(now);
         now
     }
 
+    pub fn set_apart(&self, ms: i64) {
+        self.apart_ms.set(ms);
+    }
+
     pub async fn sleep_until(&self, at: Moment) {
         // Timers go by another clock and may be a little early by this one.
         while self.now() < at {
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -3,6 +3,7 @@
 
 mod back;
 mod clock;
+mod fleet;
 mod fronts;
 mod ops;
 mod start;
@@ -13,13 +14,14 @@
 use back::runtime::Link;
 use clap::Parser;
 use clock::sleep;
+use fleet::talk::Talk;
 use fronts::gateways::Gateways;
 use fronts::kinds::Kinds;
 use fronts::queues::Queues;
 use hazelspur::{Fact, Logic, Span};
 use ops::desk::Desk;
 use ops::life::Means;
-use start::command::{Command, Line, Serve};
+use start::command::{Command, Line, Serve, Shape};
 use start::operator::{self, Operator};
 use start::phases::{Phase, Phases};
 use start::startup::{self, Startup};
@@ -39,6 +41,7 @@
     let line = Line::parse();
     let told = match line.command {
         Some(Command::Check { file }) => return check(&file),
+        Some(Command::Fleet { file, shape }) => return show_fleet(&file, shape),
         Some(Command::Serve(serve)) => serve,
         None => line.serve,
     };
@@ -50,7 +53,7 @@
         drop(entered);
         let startup = startup::read(|name| std::env::var(name).ok()).map_err(Error::other)?;
         let operator = read_operator(&told, &startup).map_err(Error::other)?;
-        LocalSet::new().block_on(&runtime, serve(startup, operator, told.file, signals))
+        LocalSet::new().block_on(&runtime, serve(startup, operator, &told, signals))
     });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -70,7 +73,23 @@
     match operator::read(file, None) {
         Ok(operator) => {
             let brokers = operator.amqp.as_ref().map_or(0, |amqp| amqp.brokers.len());
-            println!("{file}: good: brokers={brokers} queues={}", operator.queues.len());
+            let fleet = operator.fleet.as_ref().map_or("none".into(), |fleet| format!("{}", fleet.site));
+            println!("{file}: good: brokers={brokers} queues={} fleet={fleet}", operator.queues.len());
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn show_fleet(file: &str, shape: Shape) -> ExitCode {
+    let fleet =
+        operator::read(file, None).and_then(|o| o.fleet.ok_or(format!("{file}: there is no fleet(...)")));
+    match fleet.and_then(|fleet| fleet::ask::ask(&fleet)) {
+        Ok(shown) => {
+            print!("{}", fleet::ask::print(&shown, shape));
             ExitCode::SUCCESS
         }
         Err(why) => {
@@ -103,13 +122,14 @@
 async fn serve(
     startup: Startup,
     operator: Operator,
-    file: Option<String>,
+    line: &Serve,
     (hangup, mut leave): (Signal, Signal),
 ) -> std::io::Result<()> {
     let (startup, hangup) = (Rc::new(startup), Rc::new(RefCell::new(hangup)));
     let Startup { listen, seed, stop, grace, .. } = *startup;
     let listener = Rc::new(TcpListener::bind(listen).await?);
     let (desk, phases) = (Rc::new(Desk::default()), Rc::new(Phases::default()));
+    desk.clock.set_apart(line.clock_apart_ms);
     let peers = Rc::new(Peers::new(startup.addresses));
     let link = Rc::new(Link::new(desk.clone(), peers.clone(), startup.gauges.clone()));
     let ledger = Rc::new(Ledger::new(peers.clone()));
@@ -124,12 +144,28 @@
     let (name, queued) = (startup.name.as_str(), operator.queues.len());
     log::info!(name, listen:%, stop_ms = stop.us() / 1000, queues = queued; "start");
 
-    let told = reload::Told { peers: peers.clone(), running: startup.clone(), file, queues: queues.clone() };
+    let told = reload::Told {
+        peers: peers.clone(),
+        running: startup.clone(),
+        file: line.file.clone(),
+        queues: queues.clone(),
+    };
     let told = Rc::new(told);
     keep_up("reload", &hangup, move |hangup| reload::on_hangup(hangup, told.clone()));
     if let Some(queues) = &queues {
         keep_up("queues", queues, Queues::run);
     }
+    let talk = match &operator.fleet {
+        Some(fleet) => {
+            let who = (startup.name.as_str(), seed);
+            let talk = Talk::new(fleet, who, desk.clone(), phases.clone()).await;
+            Some(Rc::new(talk.map_err(Error::other)?))
+        }
+        None => None,
+    };
+    if let Some(talk) = &talk {
+        keep_up("fleet", talk, Talk::run);
+    }
     keep_up("accept", &gateways, move |gateways| gateways.accept(listener.clone()));
     keep_up("connections", &gateways, Gateways::keep);
     keep_up("runtime", &link, Link::run);
@@ -165,6 +201,7 @@
         sleep(Span::from_ms(5)).await;
     }
     queues.iter().for_each(|queues| queues.tell_figures());
+    talk.iter().for_each(|talk| talk.left());
     phases.enter(Phase::Over, gateways.figures());
     Ok(())
 }
--- a/crates/hazelspur-server/src/start/command.rs
+++ b/crates/hazelspur-server/src/start/command.rs
@@ -21,6 +21,14 @@
         /// The file, such as deploy/hazelspur.star.
         file: String,
     },
+    /// Ask the server that this operator's file sets up for its picture of the fleet.
+    Fleet {
+        /// The file with `fleet(...)`.
+        file: String,
+        /// How the picture is printed.
+        #[arg(long, default_value = "table")]
+        shape: Shape,
+    },
 }
 
 #[derive(Args, Clone, Default)]
@@ -31,6 +39,9 @@
     /// How log lines are printed.
     #[arg(long, env = "HAZELSPUR_LOG_FORMAT", value_name = "FORMAT", default_value = "text")]
     pub log_format: Format,
+    /// For rehearsals: this server's wall clock is so many milliseconds apart from the machine's.
+    #[arg(long, value_name = "MS", default_value_t = 0, hide = true, allow_negative_numbers = true)]
+    pub clock_apart_ms: i64,
 }
 
 #[derive(clap::ValueEnum, Clone, Copy, Default, PartialEq)]
@@ -39,3 +50,10 @@
     Text,
     Json,
 }
+
+#[derive(clap::ValueEnum, Clone, Copy, Default, PartialEq)]
+pub enum Shape {
+    #[default]
+    Table,
+    Json,
+}
--- a/crates/hazelspur-server/src/start/operator.rs
+++ b/crates/hazelspur-server/src/start/operator.rs
@@ -1,7 +1,8 @@
-//! The operator's own file: a Starlark script that calls `amqp(...)` once and `queue(...)` for each queue. It has
+//! The operator's own file: a Starlark script that calls `amqp(...)` and `fleet(...)` once and `queue(...)` for each queue. It has
 //! no files and no network, its steps and memory are bounded; what it says is decoded and checked, and every
 //! message names the key and the line.
 
+use crate::start::fleet_keys::Fleet;
 use garde::Validate;
 use hazelspur::Span;
 use hazelspur_deliveries::{Rule, Settlement, Table};
@@ -36,6 +37,8 @@
     #[serde(default)]
     #[garde(dive, length(max = MOST_QUEUES))]
     pub queues: Vec<Queue>,
+    #[garde(dive)]
+    pub fleet: Option<Fleet>,
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize, Validate)]
@@ -267,6 +270,16 @@
     }
 }
 
+#[starlark_module]
+fn fleet_call(builder: &mut GlobalsBuilder) {
+    fn fleet<'v>(
+        #[starlark(kwargs)] keys: starlark::collections::SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        note("fleet", keys, eval)
+    }
+}
+
 fn note<'v>(
     name: &'static str,
     keys: starlark::collections::SmallMap<String, Value<'v>>,
@@ -299,6 +312,9 @@
         let text = std::fs::read_to_string(file).map_err(|e| format!("amqp.password_file: {file}: {e}"))?;
         amqp.password = text.lines().next().unwrap_or_default().to_string();
     }
+    if let Some(fleet) = &mut operator.fleet {
+        fleet.read_key()?;
+    }
     Ok(operator)
 }
 
@@ -356,7 +372,7 @@
         format!("{path}:{at} {}", e.without_diagnostic())
     };
     let ast = AstModule::parse(path, text.to_owned(), &Dialect::Standard).map_err(told)?;
-    let globals: Globals = GlobalsBuilder::standard().with(calls).build();
+    let globals: Globals = GlobalsBuilder::standard().with(calls).with(fleet_call).build();
     let sections = Sections::default();
     Module::with_temp_heap(|module| {
         let mut eval = Evaluator::new(&module);
--- a/crates/hazelspur-server/tests/helpers/mod.rs
+++ b/crates/hazelspur-server/tests/helpers/mod.rs
@@ -64,9 +64,10 @@
     pub fn new(queues: &str, pace: Pace) -> Self {
         let number = SHOPS.fetch_add(1, Ordering::Relaxed);
         let ip = format!("127.78.{}.{}", std::process::id() % 250, 1 + number % 250);
+        // The broker first: nobody else takes ports of this address before the server does.
+        let broker = Broker::at(format!("{ip}:0").parse().expect("an address"));
         let free = std::net::TcpListener::bind(format!("{ip}:0")).and_then(|free| free.local_addr());
         let listen = free.expect("a free port").to_string();
-        let broker = Broker::at(format!("{ip}:0").parse().expect("an address"));
         let file = |end: &str| {
             std::env::temp_dir().join(format!("hazelspur-shop-{}-{number}.{end}", std::process::id()))
         };
--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -368,6 +368,6 @@
         FILE: Execution duration limit of 1000000 ticks has been exceeded, exit Some(2)
         FILE:2: Starlark call stack overflow, exit Some(2)
         FILE: longer than 65536 bytes, exit Some(2)
-        FILE: good: brokers=1 queues=0, exit Some(0)
+        FILE: good: brokers=1 queues=0 fleet=none, exit Some(0)
     "#]].assert_eq(&seen);
 }
--- /dev/null
+++ b/crates/hazelspur-standins/src/gateway.rs
@@ -0,0 +1,367 @@
+//! A gateway with habits: it sends ops to servers over JSON-RPC, tries again where it is refused, and writes down each
+//! try with all answers that came to it. One thread; JSON by a library, so that a mistake in the project's own parser
+//! can't cancel out.
+
+use crate::now_ms;
+use hazelspur::pcg::Pcg;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{JoinHandle, sleep, spawn};
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(1);
+const CONNECTING: Duration = Duration::from_millis(300);
+/// Unread bytes of a connection; more is no server of ours.
+const MOST_UNREAD: usize = 1 << 20;
+/// Ops open on a connection, by the protocol.
+const MOST_OPEN: usize = 32;
+
+/// How it picks servers, and what it does with a refusal.
+#[derive(Clone, Copy, Debug)]
+pub struct Habits {
+    /// The server follows from what the op is about, not from whose turn it is.
+    pub by_subject: bool,
+    /// Tries after the first.
+    pub retries: u32,
+    /// A refused op goes on to the next server at once.
+    pub walk_on: bool,
+    /// It stays away as long as it is told to.
+    pub heed: bool,
+    /// Ops a second.
+    pub rate: f64,
+    /// How old the list is that it goes by, in ms.
+    pub list_late_ms: u64,
+    /// How long it waits for a try, in ms.
+    pub timeout_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Acked,
+    Nacked,
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+pub struct Try {
+    /// The op's name, which is its body too.
+    pub op: String,
+    pub req: String,
+    pub kind: &'static str,
+    pub server: usize,
+    pub sent_ms: u64,
+    pub due_ms: u64,
+    /// All final answers that came, and when.
+    pub answers: Vec<(Answer, u64)>,
+    /// Its connection ended, and the answer with it.
+    pub broke_ms: Option<u64>,
+    /// An answer that no run can have made.
+    pub spoilt: bool,
+}
+
+pub const KINDS: [&str; 3] = ["view", "set-qty", "book"];
+
+struct Link {
+    stream: TcpStream,
+    unread: Vec<u8>,
+    /// Number on this connection, and which try.
+    open: BTreeMap<u64, usize>,
+    last: u64,
+    going: bool,
+}
+
+/// Tells which servers are listed now.
+pub type Lister = Box<dyn Fn() -> Vec<usize> + Send>;
+
+pub struct Gateway {
+    stop: Arc<AtomicBool>,
+    tries: Arc<Mutex<Vec<Try>>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Gateway {
+    /// Through which address each server is reached is `servers`; the list names them by number.
+    pub fn start(number: usize, habits: Habits, servers: Vec<SocketAddr>, list: Lister, seed: u64) -> Self {
+        assert!(servers.iter().all(|at| at.ip().is_loopback()), "stand-ins stay on loopback");
+        let (stop, tries) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+        let mut desk = Desk {
+            number,
+            habits,
+            servers,
+            list,
+            chance: Pcg::new(seed),
+            links: BTreeMap::new(),
+            waiting: Vec::new(),
+            next_turn: 0,
+            names: 0,
+            tries: tries.clone(),
+        };
+        let stopped = stop.clone();
+        let thread = spawn(move || desk.run(&stopped));
+        Self { stop, tries, thread: Some(thread) }
+    }
+
+    /// Sends nothing new from now on, and goes on reading.
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+
+    pub fn tries(&self) -> Vec<Try> {
+        self.tries.lock().expect("no panic before").clone()
+    }
+
+    /// Waits until all is answered or given up.
+    pub fn end(&mut self) -> Vec<Try> {
+        self.stop();
+        let _ = self.thread.take().map(JoinHandle::join);
+        self.tries()
+    }
+}
+
+/// An op that is to be tried at some time.
+struct Waiting {
+    at_ms: u64,
+    op: String,
+    kind: &'static str,
+    tried: BTreeSet<usize>,
+    left: u32,
+    last: Option<usize>,
+}
+
+struct Desk {
+    number: usize,
+    habits: Habits,
+    servers: Vec<SocketAddr>,
+    list: Lister,
+    chance: Pcg,
+    links: BTreeMap<usize, Link>,
+    waiting: Vec<Waiting>,
+    next_turn: usize,
+    names: u64,
+    tries: Arc<Mutex<Vec<Try>>>,
+}
+
+impl Desk {
+    fn run(&mut self, stopped: &AtomicBool) {
+        let began = now_ms();
+        let mut sent = 0.0;
+        let mut stopping: Option<u64> = None;
+        loop {
+            let now = now_ms();
+            if stopping.is_none() && stopped.load(Ordering::Relaxed) {
+                stopping = Some(now);
+            }
+            let owed = (now - began) as f64 / 1000.0 * self.habits.rate;
+            while stopping.is_none() && sent < owed {
+                sent += 1.0;
+                self.begin(now);
+            }
+            self.read_all(now);
+            let due: Vec<Waiting> = {
+                let (due, rest) = std::mem::take(&mut self.waiting).into_iter().partition(|w| w.at_ms <= now);
+                self.waiting = rest;
+                due
+            };
+            due.into_iter().for_each(|waiting| self.send(now, waiting));
+            let open = self.links.values().any(|link| !link.open.is_empty());
+            // What has no answer long after it was due has none.
+            let over = stopping.is_some_and(|at| now > at + self.habits.timeout_ms + 6000);
+            if stopping.is_some() && (!open && self.waiting.is_empty() || over) {
+                return;
+            }
+            sleep(TICK);
+        }
+    }
+
+    fn begin(&mut self, now: u64) {
+        self.names += 1;
+        let op = format!("g{}-{}", self.number, self.names);
+        let kind = KINDS[self.chance.draw() as usize % KINDS.len()];
+        let left = self.habits.retries;
+        self.waiting.push(Waiting { at_ms: now, op, kind, tried: BTreeSet::new(), left, last: None });
+    }
+
+    /// Which server is next for this op; none where none is listed.
+    fn pick(&mut self, waiting: &Waiting) -> Option<usize> {
+        let listed = (self.list)();
+        let fresh: Vec<usize> = listed.iter().copied().filter(|of| !waiting.tried.contains(of)).collect();
+        let from = if fresh.is_empty() { &listed } else { &fresh };
+        if from.is_empty() {
+            return None;
+        }
+        let turn = if self.habits.by_subject {
+            waiting.op.bytes().fold(7usize, |h, b| h.wrapping_mul(31).wrapping_add(b.into()))
+        } else {
+            self.next_turn += 1;
+            self.next_turn
+        };
+        Some(from[turn % from.len()])
+    }
+
+    fn send(&mut self, now: u64, mut waiting: Waiting) {
+        let Some(server) = self.pick(&waiting) else { return };
+        let kept = self.links.get(&server).is_some_and(|link| !link.going && link.open.len() < MOST_OPEN);
+        if !kept {
+            // One that is going still has to be read to its end.
+            if self.links.get(&server).is_some_and(|link| !link.open.is_empty()) {
+                waiting.tried.insert(server);
+                return self.again(now, waiting);
+            }
+            let Ok(stream) = TcpStream::connect_timeout(&self.servers[server], CONNECTING) else {
+                // A connection that never was proves that nothing ran.
+                waiting.tried.insert(server);
+                self.again(now, waiting);
+                return;
+            };
+            let _ = stream.set_nodelay(true);
+            let _ = stream.set_nonblocking(true);
+            let link = Link { stream, unread: Vec::new(), open: BTreeMap::new(), last: 0, going: false };
+            self.links.insert(server, link);
+        }
+        let Some(link) = self.links.get_mut(&server) else { return };
+        link.last += 1;
+        let req = format!("{:08x}{:08x}", self.chance.draw(), self.chance.draw());
+        let mut params = json!({"req": req, "ts": now, "via": self.number, "timeout": self.habits.timeout_ms,
+            "need": 24.5, "level": 0.5, "data": base64(waiting.op.as_bytes())});
+        if waiting.kind == "set-qty" {
+            params["opkey"] = waiting.op.clone().into();
+        }
+        let line = json!({"jsonrpc": "2.0", "id": link.last, "method": waiting.kind, "params": params});
+        let wrote = (&link.stream).write_all(format!("{line}\n").as_bytes());
+        let mut tries = self.tries.lock().expect("no panic before");
+        tries.push(Try {
+            op: waiting.op.clone(),
+            req,
+            kind: waiting.kind,
+            server,
+            sent_ms: now,
+            due_ms: now + self.habits.timeout_ms,
+            answers: Vec::new(),
+            broke_ms: wrote.is_err().then_some(now),
+            spoilt: false,
+        });
+        let number = tries.len() - 1;
+        drop(tries);
+        waiting.tried.insert(server);
+        waiting.last = Some(number);
+        if wrote.is_ok() {
+            link.open.insert(link.last, number);
+            self.waiting.push(Waiting { at_ms: u64::MAX, ..waiting });
+        } else {
+            self.broken(now, server);
+        }
+    }
+
+    /// Sets an op that never ran, or may run again, for its next try.
+    fn again(&mut self, at_ms: u64, mut waiting: Waiting) {
+        if waiting.left > 0 {
+            waiting.left -= 1;
+            waiting.at_ms = at_ms;
+            self.waiting.push(waiting);
+        }
+    }
+
+    fn broken(&mut self, now: u64, server: usize) {
+        let Some(link) = self.links.remove(&server) else { return };
+        for number in link.open.into_values() {
+            let retryable = {
+                let mut tries = self.tries.lock().expect("no panic before");
+                tries[number].broke_ms = Some(now);
+                tries[number].kind == "view"
+            };
+            let waiting = self.take_waiting(number);
+            // Whether it ran nobody knows.
+            waiting.filter(|_| retryable).into_iter().for_each(|waiting| self.again(now, waiting));
+        }
+    }
+
+    fn take_waiting(&mut self, number: usize) -> Option<Waiting> {
+        let at = self.waiting.iter().position(|waiting| waiting.last == Some(number))?;
+        Some(self.waiting.swap_remove(at))
+    }
+
+    fn read_all(&mut self, now: u64) {
+        let servers: Vec<usize> = self.links.keys().copied().collect();
+        for server in servers {
+            let mut part = [0; 16 * 1024];
+            while let Some(link) = self.links.get_mut(&server) {
+                match (&link.stream).read(&mut part) {
+                    Ok(0) => {
+                        self.broken(now, server);
+                        break;
+                    }
+                    Ok(count) => link.unread.extend_from_slice(&part[..count]),
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                    Err(_) => {
+                        self.broken(now, server);
+                        break;
+                    }
+                }
+            }
+            let mut lines = Vec::new();
+            if let Some(link) = self.links.get_mut(&server) {
+                while let Some(end) = link.unread.iter().position(|b| *b == b'\n') {
+                    lines.push(link.unread.drain(..=end).collect::<Vec<u8>>());
+                }
+                if link.unread.len() > MOST_UNREAD {
+                    self.broken(now, server);
+                }
+            }
+            lines.into_iter().for_each(|line| self.take_line(now, server, &line));
+            let done = |link: &Link| link.going && link.open.is_empty();
+            if self.links.get(&server).is_some_and(done) {
+                self.links.remove(&server);
+            }
+        }
+    }
+
+    fn take_line(&mut self, now: u64, server: usize, line: &[u8]) {
+        let Some(link) = self.links.get_mut(&server) else { return };
+        let message: Value = serde_json::from_slice(line).unwrap_or(Value::Null);
+        if message["method"] == "farewell" {
+            link.going = true;
+            return;
+        }
+        let Some(number) = message["id"].as_u64() else { return };
+        let open = link.open.remove(&number);
+        let Some(number) = open else {
+            // Answered before: the last try of this number on this connection gets its second answer.
+            let mut tries = self.tries.lock().expect("no panic before");
+            if let Some(of) = tries.iter_mut().rev().find(|t| t.server == server && !t.answers.is_empty()) {
+                of.answers.push((Answer::Failed, now));
+            }
+            return;
+        };
+        let error = &message["error"];
+        let answer = match error["code"].as_i64() {
+            None => Answer::Acked,
+            Some(-32011) => Answer::Nacked,
+            Some(_) => Answer::Failed,
+        };
+        {
+            let mut tries = self.tries.lock().expect("no panic before");
+            let of = &mut tries[number];
+            of.answers.push((answer, now));
+            let own = base64(of.op.as_bytes());
+            of.spoilt |= answer == Answer::Acked && message["result"]["data"].as_str() != Some(&own);
+        }
+        let Some(waiting) = self.take_waiting(number) else { return };
+        if answer == Answer::Nacked {
+            let stay_away = error["data"]["holdoff"].as_f64().unwrap_or(0.0);
+            let no_more = error["data"]["nomore"].as_i64() == Some(1);
+            let wait = if self.habits.heed { stay_away as u64 } else { 0 };
+            if self.habits.walk_on && !(self.habits.heed && no_more) {
+                self.again(now + wait, waiting);
+            }
+        }
+    }
+}
+
+fn base64(bytes: &[u8]) -> String {
+    use base64::Engine;
+    base64::engine::general_purpose::STANDARD.encode(bytes)
+}
--- a/crates/hazelspur-standins/src/http.rs
+++ b/crates/hazelspur-standins/src/http.rs
@@ -34,31 +34,38 @@
     }
 }
 
-fn answer(stream: &TcpStream, status: &str, body: &str, calls: &Mutex<BTreeMap<String, u32>>) {
-    let _ = stream.set_nodelay(true);
-    let mut reader = BufReader::new(stream);
+/// Reads one call: its `X-Txn-Ref`, or its path where there is none, and its body. `None` at the end, or where it is
+/// no call.
+pub fn read_call(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+    let (mut first, mut reference, mut length) = (String::new(), None, 0);
+    if reader.read_line(&mut first).map_or(true, |n| n == 0) {
+        return None;
+    }
     loop {
-        let (mut first, mut reference, mut length) = (String::new(), None, 0);
-        if reader.read_line(&mut first).map_or(true, |n| n == 0) {
-            return;
+        let mut line = String::new();
+        if reader.read_line(&mut line).map_or(true, |n| n == 0) {
+            return None;
         }
-        loop {
-            let mut line = String::new();
-            if reader.read_line(&mut line).map_or(true, |n| n == 0) {
-                return;
-            }
-            match line.trim_end().split_once(": ") {
-                Some(("Content-Length", n)) => length = n.parse().unwrap_or(0),
-                Some(("X-Txn-Ref", id)) => reference = Some(id.to_string()),
-                Some(_) => {}
-                None => break,
-            }
+        match line.trim_end().split_once(": ") {
+            Some(("Content-Length", n)) => length = n.parse().unwrap_or(0),
+            Some(("X-Txn-Ref", id)) => reference = Some(id.to_string()),
+            Some(_) => {}
+            None => break,
         }
-        let skipped = std::io::copy(&mut reader.by_ref().take(length), &mut std::io::sink());
-        let path = first.split(' ').nth(1).unwrap_or_default().to_string();
-        *calls.lock().expect("no panic before").entry(reference.unwrap_or(path)).or_default() += 1;
+    }
+    let mut body = Vec::new();
+    reader.by_ref().take(length).read_to_end(&mut body).ok()?;
+    let path = first.split(' ').nth(1).unwrap_or_default().to_string();
+    Some((reference.unwrap_or(path), body))
+}
+
+fn answer(stream: &TcpStream, status: &str, body: &str, calls: &Mutex<BTreeMap<String, u32>>) {
+    let _ = stream.set_nodelay(true);
+    let mut reader = BufReader::new(stream);
+    while let Some((of, _)) = read_call(&mut reader) {
+        *calls.lock().expect("no panic before").entry(of).or_default() += 1;
         let reply = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        if skipped.is_err() || (&*stream).write_all(reply.as_bytes()).is_err() {
+        if (&*stream).write_all(reply.as_bytes()).is_err() {
             return;
         }
     }
--- a/crates/hazelspur-standins/src/lib.rs
+++ b/crates/hazelspur-standins/src/lib.rs
@@ -1,10 +1,13 @@
 //! Stand-ins on loopback for what a server meets, written from public specifications and the platform's pages:
-//! a broker, a runtime, a ledger and a control plane. A script makes them misbehave; they count what happened,
+//! a broker, a runtime, a ledger, a control plane and gateways. A script makes them misbehave; they count what happened,
 //! and `checker` says which rule was broken. Bounded, without privileges, never the server's own code.
 
 pub mod broker;
 pub mod checker;
+pub mod control;
+pub mod gateway;
 pub mod http;
+pub mod ledger;
 pub mod runtime;
 pub mod script;
 
--- a/crates/hazelspur-standins/src/runtime.rs
+++ b/crates/hazelspur-standins/src/runtime.rs
@@ -43,7 +43,10 @@
     /// For each body: when its runs began.
     pub runs: BTreeMap<Vec<u8>, Vec<u64>>,
     pub ended: u64,
-    started: BTreeMap<String, ()>,
+    /// Runs by the op they were started for, and when.
+    pub started: BTreeMap<String, u64>,
+    /// The most that ran at once.
+    pub most_running: usize,
     running: Vec<Run>,
     notices: VecDeque<(u64, Vec<u8>)>,
     number: u64,
@@ -118,12 +121,13 @@
             return;
         }
         if !self.forgetful {
-            self.started.insert(id.into(), ());
+            self.started.insert(id.into(), now_ms());
             self.runs.entry(body.clone()).or_default().push(now_ms());
         }
         let calls = self.pace.calls;
         let left_ms = self.pace.run_ms as f64;
         self.running.push(Run { id: id.into(), body, left_ms, calling: false, called: !calls });
+        self.most_running = self.most_running.max(self.running.len());
         if self.pace.run_ms == 0 {
             self.work(0.0);
         }
