--- a/crates/hazelspur-fleet/src/members/hearing.rs
+++ b/crates/hazelspur-fleet/src/members/hearing.rs
@@ -234,16 +234,19 @@
                 // Until it is filled, the page says where it begins.
                 self.send(at, Some(from), Body::Page { next: after });
             }
-            Body::Page { next } if !self.listed => {
+            Body::Page { next } if self.reading => {
                 self.list_after = next;
-                self.listed = next.is_none();
-                if !self.listed {
+                self.reading = next.is_some();
+                if self.reading {
                     self.ask_for_list(None);
+                } else {
+                    self.listed = true;
+                    self.read = (self.table.len(), self.periods);
                 }
             }
             _ => {}
         }
-        if !self.listed && !self.asked {
+        if self.reading && !self.asked {
             self.ask_for_list(Some(from));
         }
     }
--- a/crates/hazelspur-fleet/src/members/mod.rs
+++ b/crates/hazelspur-fleet/src/members/mod.rs
@@ -55,6 +55,10 @@
 const BUMPS: u32 = 2;
 /// A contact point that is no known member is tried so often, in periods.
 const CONTACT_EVERY: u64 = 10;
+/// The list is read again once more than this part of it is new, not sooner than so many periods after: in a storm of
+/// starts what is read first is short, and news of hundreds takes its time.
+const GROWN: f64 = 0.05;
+const READ_EVERY: u64 = 3;
 /// `Left` is passed on for so many periods.
 const LEFT_TOLD: u64 = 60;
 /// What was heard itself within this many periods outweighs an accusation.
@@ -176,6 +180,9 @@
     periods: u64,
     /// The list was read to its end; behind which name it goes on, and whether it was asked for in this period.
     listed: bool,
+    /// The list is being read; how many were known when that last ended, and in which period.
+    reading: bool,
+    read: (usize, u64),
     list_after: Option<MemberName>,
     asked: bool,
     refuted: bool,
@@ -224,6 +231,8 @@
             gossip_at: None,
             periods: 0,
             listed: alone,
+            reading: !alone,
+            read: (0, 0),
             list_after: None,
             asked: false,
             refuted: false,
--- a/crates/hazelspur-fleet/src/members/rounds.rs
+++ b/crates/hazelspur-fleet/src/members/rounds.rs
@@ -17,7 +17,9 @@
         }
         // What was asked and not answered is asked again.
         (self.asked, self.refuted) = (false, false);
-        if !self.listed {
+        let grown = self.table.len() as f64 > self.read.0 as f64 * (1.0 + GROWN);
+        self.reading |= self.listed && grown && self.periods >= self.read.1 + READ_EVERY;
+        if self.reading {
             self.ask_for_list(None);
         }
         if self.news.waiting() > 0 {
@@ -139,7 +141,7 @@
         }
         if stood > self.terms.remember.scaled(0.5) {
             // Others may have come and gone more than once: what is known is read anew.
-            (self.listed, self.list_after) = (false, None);
+            (self.listed, self.reading, self.list_after) = (false, true, None);
         }
     }
 
