The laboratory drives the real module of many servers between models, in virtual time

Choices that many servers make at once have to be shown at sizes that no machine holds as processes.

--- a/crates/hazelspur-lab/src/lib.rs
+++ b/crates/hazelspur-lab/src/lib.rs
@@ -4,10 +4,13 @@
 //! - `kernel`: what happens when;
 //! - `network`: datagrams lost, late, doubled, cut one way;
 //! - `town`: many talkers over that network, stopped, killed and started by a script;
+//! - `drive`: the real `Logic` of many servers between `models` of cores, ledger, list and gateways;
 //! - `ways`: the ways of knowing who is here that are compared;
 //! - `studies`: what is measured, as tables.
 
+pub mod drive;
 pub mod kernel;
+pub mod models;
 pub mod network;
 pub mod studies;
 pub mod town;
--- /dev/null
+++ b/crates/hazelspur-lab/src/models/ledger.rs
@@ -0,0 +1,38 @@
+//! The shared ledger: so many slots; past them a call takes the square of the crowd over the slots as long, by the crowd
+//! at its beginning. The law is that of `hazelspur_standins::ledger`.
+
+use hazelspur::Span;
+
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    pub slots: f64,
+    pub call: Span,
+    /// By how many times all calls are slower now.
+    pub slow: f64,
+    pub down: bool,
+    out: usize,
+    pub most_out: usize,
+    pub calls: u64,
+}
+
+impl Ledger {
+    pub fn new(slots: f64, call: Span) -> Self {
+        Self { slots, call, slow: 1.0, down: false, out: 0, most_out: 0, calls: 0 }
+    }
+
+    /// How long a call that begins now takes; `None` while nobody answers.
+    pub fn begin(&mut self) -> Option<Span> {
+        if self.down {
+            return None;
+        }
+        self.out += 1;
+        self.calls += 1;
+        self.most_out = self.most_out.max(self.out);
+        let crowd = (self.out as f64 / self.slots).max(1.0);
+        Some(self.call.scaled(self.slow * crowd * crowd))
+    }
+
+    pub fn end(&mut self) {
+        self.out = self.out.saturating_sub(1);
+    }
+}
--- a/crates/hazelspur-lab/src/studies.rs
+++ b/crates/hazelspur-lab/src/studies.rs
@@ -1,3 +1,4 @@
 //! What is measured, as tables.
 
+pub mod together;
 pub mod who_is_here;
--- /dev/null
+++ b/crates/hazelspur-lab/src/studies/together.rs
@@ -0,0 +1,33 @@
+//! The same trouble at several sizes: service, and how long a run takes.
+
+use crate::drive::{Drive, Figures, Plan, Turn};
+use hazelspur::Span;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub servers: usize,
+    pub seed: u64,
+    pub load: f64,
+    pub seconds: u64,
+    /// Nobody answers at the ledger from 10 s on, for so long.
+    pub ledger_down: Span,
+}
+
+pub fn play(case: &Case) -> Figures {
+    let plan = Plan {
+        servers: case.servers,
+        cores: 2.0,
+        seed: case.seed,
+        load: case.load,
+        slots_each: 8.0,
+        call: Span::from_ms(10),
+    };
+    let mut drive = Drive::new(plan);
+    if case.ledger_down > Span::ZERO {
+        let from = Span::from_ms(10_000);
+        drive.script(from, Turn::LedgerDown(true));
+        drive.script(from + case.ledger_down, Turn::LedgerDown(false));
+    }
+    drive.play(Span::from_ms(case.seconds * 1000));
+    drive.figures
+}
--- a/crates/hazelspur-lab/tests/runs.rs
+++ b/crates/hazelspur-lab/tests/runs.rs
@@ -2,6 +2,7 @@
 
 use hazelspur::Span;
 use hazelspur_lab::on_all_cores;
+use hazelspur_lab::studies::together;
 use hazelspur_lab::studies::who_is_here::{Case, Row, play};
 use hazelspur_lab::ways::Way;
 use hazelspur_lab::ways::beats::Beats;
@@ -42,3 +43,28 @@
         assert!(found, "{}: {:?}", row.way, row.cells());
     }
 }
+
+fn together(servers: usize, seed: u64, load: f64, down_ms: u64) -> together::Case {
+    together::Case { servers, seed, load, seconds: 18, ledger_down: Span::from_ms(down_ms) }
+}
+
+#[test]
+fn the_real_modules_of_many_servers_play_one_run_for_one_seed() {
+    let cases: Vec<_> = (1..=3).map(|seed| together(4, seed, 0.5, 2000)).collect();
+    let (one, four) = (on_all_cores(&cases, 1, together::play), on_all_cores(&cases, 4, together::play));
+    assert_eq!(one, four);
+    assert_ne!(one[0], one[1]);
+}
+
+#[test]
+fn models_and_modules_serve_what_fits_and_refuse_what_does_not() {
+    let quiet = together::play(&together(6, 1, 0.4, 0));
+    assert!(quiet.service() > 0.99, "{quiet:?}");
+    let crowded = together::play(&together(2, 1, 1.6, 0));
+    assert!((0.3..0.75).contains(&crowded.service()) && crowded.refused > 0, "{crowded:?}");
+    let down = together::play(&together(6, 1, 0.4, 5000));
+    let second = |at: usize| down.by_second.get(at).copied().unwrap_or(0);
+    assert!(second(12) < 30 && second(16) > 400, "{:?}", down.by_second);
+    let all = down.served + down.refused + down.failed + down.late;
+    assert!(all <= down.asked && all + 200 > down.asked, "{down:?}");
+}
