--- a/crates/hazelspur-deliveries/src/book.rs
+++ b/crates/hazelspur-deliveries/src/book.rs
@@ -1,14 +1,14 @@
-//! The life of each delivery, from its reading to its one settlement. Inputs only update what is known; the front
-//! pulls `next_step` until it is `None` and does what it says, in that order.
+//! The life of each delivery, from its reading to its one settlement. Inputs only update what is known; the
+//! front pulls `next_step` until it is `None` and does what it says, in that order.
 //!
-//! A delivery tag holds for one channel of one connection. When that is lost, what has not run is withdrawn and
-//! left to the broker, which has it back; what runs goes on, and its ending waits for the message to come again
-//! or, where a reply is asked for, goes out over the next connection.
+//! A delivery tag holds for one channel of one connection. When that is lost, what has not run is withdrawn
+//! and left to the broker, which has it back; what runs goes on, and its ending waits for the message to come
+//! again or, where a reply is asked for, goes out over the next connection.
 //!
-//! What must not run twice is settled before it runs: ack, then a fence that shows the broker has read the ack,
-//! then the run. So a message that comes again has not run anywhere. The price: a process that dies between
-//! fence and run loses the message. A queue may choose to settle after the run; then a redelivered message that
-//! is not remembered here may have run, and goes to the dead letters.
+//! What must not run twice is settled before it runs: ack, then a fence that shows the broker has read the
+//! ack, then the run. So a message that comes again has not run anywhere. The price: a process that dies
+//! between fence and run loses the message. A queue may choose to settle after the run; then a redelivered
+//! message that is not remembered here may have run, and goes to the dead letters.
 
 use crate::memory::{Known, Memory};
 use crate::settlement::{Ending, Settlement, Table};
@@ -156,8 +156,8 @@
     pub doubtful: u64,
     /// Left to the broker when a channel was lost before they ran.
     pub left: u64,
-    /// Acked, but the connection broke or its time ended before the fence: never ran, and the broker may have let
-    /// it go.
+    /// Acked, but the connection broke or its time ended before the fence: never ran, and the broker may have
+    /// let it go.
     pub unproven: u64,
     pub replies_lost: u64,
 }
@@ -296,7 +296,8 @@
         }
     }
 
-    /// A message that comes again while the reply of its lost delivery is still under way is settled with that one.
+    /// A message that comes again while the reply of its lost delivery is still under way is settled with
+    /// that one.
     fn adopted_by_reply(&mut self, id: DeliveryId) -> bool {
         let Some(second) = self.deliveries.get(&id) else { return false };
         let replying = |d: &Delivery| matches!(d.phase, Phase::Publishing { copy: None, .. });
@@ -461,8 +462,8 @@
         }
     }
 
-    /// The broker has closed the channel for what it was given: all that was to go out counts as refused, since
-    /// any of it may be the cause.
+    /// The broker has closed the channel for what it was given: all that was to go out counts as refused,
+    /// since any of it may be the cause.
     pub fn publishing_refused(&mut self, now: Moment) {
         let publishing = |d: &Delivery| matches!(d.phase, Phase::Publishing { .. });
         let ids: Vec<DeliveryId> =
--- a/crates/hazelspur-fleet/src/claim.rs
+++ b/crates/hazelspur-fleet/src/claim.rs
@@ -4,8 +4,9 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// What a claim says. That somebody is dead is never said, only that somebody does not answer: each process draws
-/// that conclusion for itself, once its own time for a refutation is over. So a lie costs a refutation and no more.
+/// What a claim says. That somebody is dead is never said, only that somebody does not answer: each process
+/// draws that conclusion for itself, once its own time for a refutation is over. So a lie costs a refutation
+/// and no more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Says {
     Alive,
@@ -39,8 +40,9 @@
 }
 
 impl Claim {
-    /// Whether this one, heard later, takes the place of `other` about the same member. A newer life always does;
-    /// within a life the member's own later word does, but for `Left`, after which that life says nothing more.
+    /// Whether this one, heard later, takes the place of `other` about the same member. A newer life always
+    /// does; within a life the member's own later word does, but for `Left`, after which that life says
+    /// nothing more.
     pub fn beats(&self, other: &Self) -> bool {
         let left = other.says == Says::Left && self.says != Says::Left;
         let order = |claim: &Self| (claim.incarnation, claim.says.rank());
--- a/crates/hazelspur-fleet/src/doubt.rs
+++ b/crates/hazelspur-fleet/src/doubt.rs
@@ -1,6 +1,7 @@
-//! How far this process trusts itself. A process that stood still hears nobody: that is no fault of the others, so
-//! it blames itself first. The score is the local health multiplier of Dadgar, Phillips and Currey, "Lifeguard:
-//! Local Health Awareness for More Accurate Failure Detection" (2018); that a late timer counts is ours.
+//! How far this process trusts itself. A process that stood still hears nobody: that is no fault of the
+//! others, so it blames itself first. The score is the local health multiplier of Dadgar, Phillips and
+//! Currey, "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (2018); that a late timer
+//! counts is ours.
 
 use hazelspur::{Moment, Span};
 use serde::{Deserialize, Serialize};
--- a/crates/hazelspur-fleet/src/members/mod.rs
+++ b/crates/hazelspur-fleet/src/members/mod.rs
@@ -1,12 +1,13 @@
-//! Who is here, as far as this process can know: probes in turn, help from others before anybody is suspected, time
-//! for the suspected to speak up, and a list that mends itself. After Das, Gupta and Motivala, "SWIM: Scalable
-//! Weakly-consistent Infection-style Process Group Membership Protocol" (2002), with the suspicion that shortens with
-//! each accuser and the local health of "Lifeguard" (2018). Ours: that nobody is declared dead for others, that what
-//! is heard from a member itself outweighs hearsay, lives by generation, the two bounds of the size, and that the
-//! lost are asked again, so that parts that met again grow together.
+//! Who is here, as far as this process can know: probes in turn, help from others before anybody is
+//! suspected, time for the suspected to speak up, and a list that mends itself. After Das, Gupta and
+//! Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol" (2002),
+//! with the suspicion that shortens with each accuser and the local health of "Lifeguard" (2018). Ours: that
+//! nobody is declared dead for others, that what is heard from a member itself outweighs hearsay, lives by
+//! generation, the two bounds of the size, and that the lost are asked again, so that parts that met again
+//! grow together.
 //!
-//! Inputs (`heard`, `tick`, `leave`, `left`) only update; then pull `next_out` and `next_event` until `None`, and call
-//! `tick` at `next_tick`.
+//! Inputs (`heard`, `tick`, `leave`, `left`) only update; then pull `next_out` and `next_event` until `None`,
+//! and call `tick` at `next_tick`.
 
 mod hearing;
 mod rounds;
@@ -30,8 +31,8 @@
 const HELPERS: usize = 3;
 /// A period grows to so many at most.
 const LONGEST_PERIOD: f64 = 2.0;
-/// Lifeguard's alpha and beta: the shortest suspicion is alpha times log10 of the size in periods, at least alpha
-/// periods; the longest beta times that; so many accusers besides the first make it the shortest.
+/// Lifeguard's alpha and beta: the shortest suspicion is alpha times log10 of the size in periods, at least
+/// alpha periods; the longest beta times that; so many accusers besides the first make it the shortest.
 const SHORTEST: f64 = 4.0;
 const LONGEST: f64 = 6.0;
 const ACCUSERS: usize = 3;
@@ -55,8 +56,8 @@
 const BUMPS: u32 = 2;
 /// A contact point that is no known member is tried so often, in periods.
 const CONTACT_EVERY: u64 = 10;
-/// The list is read again once more than this part of it is new, not sooner than so many periods after: in a storm of
-/// starts what is read first is short, and news of hundreds takes its time.
+/// The list is read again once more than this part of it is new, not sooner than so many periods after: in a
+/// storm of starts what is read first is short, and news of hundreds takes its time.
 const GROWN: f64 = 0.05;
 const READ_EVERY: u64 = 3;
 /// `Left` is passed on for so many periods.
@@ -178,7 +179,8 @@
     next_period: Moment,
     gossip_at: Option<Moment>,
     periods: u64,
-    /// The list was read to its end; behind which name it goes on, and whether it was asked for in this period.
+    /// The list was read to its end; behind which name it goes on, and whether it was asked for in this
+    /// period.
     listed: bool,
     /// The list is being read; how many were known when that last ended, and in which period.
     reading: bool,
@@ -199,7 +201,8 @@
 }
 
 impl Members {
-    /// A new life. `generation` is the wall clock in Unix milliseconds; a greater one that is heard of is passed.
+    /// A new life. `generation` is the wall clock in Unix milliseconds; a greater one that is heard of is
+    /// passed.
     pub fn new(terms: Terms, generation: Generation, seed: u64, now: Moment) -> Self {
         let me = Claim {
             name: terms.name,
--- a/crates/hazelspur-fleet/src/members/rounds.rs
+++ b/crates/hazelspur-fleet/src/members/rounds.rs
@@ -157,8 +157,8 @@
         old.into_iter().for_each(|name| self.forget(name));
     }
 
-    /// Contact points while nobody is known, one now and then later; and one of the lost each period, so that parts
-    /// that are apart find each other again.
+    /// Contact points while nobody is known, one now and then later; and one of the lost each period, so that
+    /// parts that are apart find each other again.
     pub(super) fn call_the_missing(&mut self) {
         let nobody = !self.listed || self.condition == Condition::CutOff;
         let known = |at: SocketAddr| {
--- a/crates/hazelspur-fleet/src/names.rs
+++ b/crates/hazelspur-fleet/src/names.rs
@@ -82,8 +82,8 @@
     Installation
 );
 
-/// One life of a process, from its start to its end: the wall clock at its start in milliseconds, or one more than
-/// the greatest that was ever heard under its name. Greater is newer.
+/// One life of a process, from its start to its end: the wall clock at its start in milliseconds, or one more
+/// than the greatest that was ever heard under its name. Greater is newer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Generation(pub u64);
 
--- a/crates/hazelspur-fleet/src/news.rs
+++ b/crates/hazelspur-fleet/src/news.rs
@@ -1,5 +1,6 @@
-//! What goes along with each datagram: news first, those that went out least often before others, each so often as
-//! makes it likely that all have heard it; then a page of the list in turn, so that whatever was missed is mended.
+//! What goes along with each datagram: news first, those that went out least often before others, each so
+//! often as makes it likely that all have heard it; then a page of the list in turn, so that whatever was
+//! missed is mended.
 
 use crate::claim::Claim;
 use crate::names::MemberName;
--- a/crates/hazelspur-fleet/src/talk.rs
+++ b/crates/hazelspur-fleet/src/talk.rs
@@ -1,5 +1,6 @@
-//! Datagrams: a version, a tag, and what `postcard` makes of a `Datagram`. The tag is a keyed BLAKE3 hash over
-//! version and content, so that only holders of the installation's key are heard. Nothing is secret on the wire.
+//! Datagrams: a version, a tag, and what `postcard` makes of a `Datagram`. The tag is a keyed BLAKE3 hash
+//! over version and content, so that only holders of the installation's key are heard. Nothing is secret on
+//! the wire.
 
 use crate::claim::Claim;
 use crate::doubt::Condition;
--- a/crates/hazelspur-fleet/tests/orders.rs
+++ b/crates/hazelspur-fleet/tests/orders.rs
@@ -1,6 +1,6 @@
-//! All orders of few events among three and four members: any datagram under way may come next, come twice or never,
-//! anybody's timer may be next, one may be killed and start again. After each step no member falls back to an older
-//! life of another; after each end a fair network brings all that run to one picture.
+//! All orders of few events among three and four members: any datagram under way may come next, come twice or
+//! never, anybody's timer may be next, one may be killed and start again. After each step no member falls
+//! back to an older life of another; after each end a fair network brings all that run to one picture.
 
 mod helpers;
 
@@ -130,7 +130,8 @@
         }
     }
 
-    /// From here on nothing is lost: all that run come to see each other, in their newest lives, and nobody else.
+    /// From here on nothing is lost: all that run come to see each other, in their newest lives, and nobody
+    /// else.
     fn comes_together(mut self) -> Result<(), String> {
         let end = self.now + Span::from_ms(150_000);
         while self.now < end {
--- a/crates/hazelspur-fleetbed/src/bed.rs
+++ b/crates/hazelspur-fleetbed/src/bed.rs
@@ -1,6 +1,6 @@
-//! The processes and stand-ins of one run. Every run has a net of its own in 127.0.0.0/8: servers in .1, where they are
-//! reached by datagrams in .2, their runtimes in .3, ledger in .4 and list in .5 as each server sees them, and each
-//! gateway's view of the servers from .10 on.
+//! The processes and stand-ins of one run. Every run has a net of its own in 127.0.0.0/8: servers in .1,
+//! where they are reached by datagrams in .2, their runtimes in .3, ledger in .4 and list in .5 as each
+//! server sees them, and each gateway's view of the servers from .10 on.
 
 use crate::checker::Life;
 use crate::relay::{self, Refusals};
--- a/crates/hazelspur-fleetbed/src/checker.rs
+++ b/crates/hazelspur-fleetbed/src/checker.rs
@@ -1,20 +1,22 @@
-//! The four rules over the whole fleet, from what the stand-ins saw and what was done to the processes; nothing that a
-//! server says of itself counts, but for its picture of the fleet, which is what is judged there.
+//! The four rules over the whole fleet, from what the stand-ins saw and what was done to the processes;
+//! nothing that a server says of itself counts, but for its picture of the fleet, which is what is judged
+//! there.
 
-use crate::script::{Fault, Kind, Party, site};
+use crate::script::{Fault, Party, site};
 use crate::watch::View;
 use hazelspur_fleet::{Condition, Standing};
 use hazelspur_standins::gateway::{Answer, Try};
 use std::collections::BTreeMap;
 
-/// An answer may be so late before that counts, in ms: the machine that tests run on may be busy, and the verdict is
-/// not to hang on that. How many were later than the protocol allows is a figure of the report.
+/// An answer may be so late before that counts, in ms: the machine that tests run on may be busy, and the
+/// verdict is not to hang on that. How many were later than the protocol allows is a figure of the report.
 pub const SLACK_MS: u64 = 5000;
 /// A fault reaches so far beyond its own time, in ms.
 const MARGIN_MS: u64 = 300;
 /// The same for runs after the grace of a drain.
 const GRACE_SLACK_MS: u64 = 1000;
-/// A picture may count those who ended less than this long ago, and miss those who began less than that long ago.
+/// A picture may count those who ended less than this long ago, and miss those who began less than that long
+/// ago.
 pub const NOTICE_MS: u64 = 90_000;
 pub const JOIN_MS: u64 = 30_000;
 
@@ -118,8 +120,8 @@
         }
     }
 
-    /// A fault between gateway and server, or of the server's process, while the try was open. Faults elsewhere excuse
-    /// nothing.
+    /// A fault between gateway and server, or of the server's process, while the try was open. Faults
+    /// elsewhere excuse nothing.
     fn excused(&self, gateway: usize, of: &Try) -> bool {
         let end = of.answers.first().map_or(of.due_ms + SLACK_MS, |(_, at)| *at);
         let open = of.sent_ms.saturating_sub(MARGIN_MS)..=end;
@@ -145,7 +147,8 @@
             let meant = (*client, *server) == (Party::Gateway(gateway), Party::Server(of.server));
             meant && *at + 20 >= of.sent_ms && of.broke_ms.is_some_and(|broke| *at <= broke + 20)
         };
-        // Sent while the server's farewell was under way: it closed what had nothing open, and never read this.
+        // Sent while the server's farewell was under way: it closed what had nothing open, and never read
+        // this.
         let unread = self.ran.get(of.server).is_none_or(|ran| !ran.started.contains_key(&of.req));
         on_link || in_process || of.crossed && unread || self.refusals.iter().any(refused)
     }
@@ -223,8 +226,8 @@
         }
     }
 
-    /// At all times no picture counts more for sure than there can be, or fewer at most than there surely are; at last
-    /// all show the same.
+    /// At all times no picture counts more for sure than there can be, or fewer at most than there surely
+    /// are; at last all show the same.
     fn pictures(&self, found: &mut Vec<String>) {
         for view in &self.views {
             let at = view.at_ms;
@@ -265,8 +268,3 @@
         }
     }
 }
-
-/// Whether a fault needs the checker's patience beyond its own end.
-pub fn lasts(fault: &Fault) -> bool {
-    !matches!(fault.kind, Kind::Apart(_))
-}
--- a/crates/hazelspur-fleetbed/src/lib.rs
+++ b/crates/hazelspur-fleetbed/src/lib.rs
@@ -1,6 +1,7 @@
-//! Many real servers on loopback, each at its own address and in a named site, between stand-ins that they share. Every
-//! link passes a relay of ours, which puts faults there; processes are killed, stopped, ended and started again. What
-//! the stand-ins saw is judged by a checker over the whole fleet. Bounded, without privileges.
+//! Many real servers on loopback, each at its own address and in a named site, between stand-ins that they
+//! share. Every link passes a relay of ours, which puts faults there; processes are killed, stopped, ended
+//! and started again. What the stand-ins saw is judged by a checker over the whole fleet. Bounded, without
+//! privileges.
 //!
 //! - `script`: faults over time, as a line of text; drawn from a seed; shrunk;
 //! - `weather`: which rule holds between two parties now;
--- a/crates/hazelspur-fleetbed/src/play.rs
+++ b/crates/hazelspur-fleetbed/src/play.rs
@@ -11,7 +11,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Servers come up and find each other within this, in ms; an event is waited for, so a quick machine waits less.
+/// Servers come up and find each other within this, in ms; an event is waited for, so a quick machine waits
+/// less.
 const UP_MS: u64 = 60_000;
 /// At last all show one picture: within this after the last fault.
 const TOGETHER_MS: u64 = 120_000;
--- a/crates/hazelspur-fleetbed/src/relay.rs
+++ b/crates/hazelspur-fleetbed/src/relay.rs
@@ -20,8 +20,8 @@
 /// Datagrams held back by one relay.
 const MOST_HELD: usize = 4096;
 
-/// Connections that a relay took and its target did not: who asked whom, and when, in milliseconds since 1970. For the
-/// one who asked it looks like a connection that broke.
+/// Connections that a relay took and its target did not: who asked whom, and when, in milliseconds since
+/// 1970. For the one who asked it looks like a connection that broke.
 pub type Refusals = Arc<Mutex<Vec<(Party, Party, u64)>>>;
 
 /// Listens for one party on behalf of another; returns where.
@@ -85,8 +85,8 @@
     }
 }
 
-/// Carries one way until an end closes or a fault ends it; whether by a reset. A close of one side ends both: the
-/// parties here never go on reading after that.
+/// Carries one way until an end closes or a fault ends it; whether by a reset. A close of one side ends both:
+/// the parties here never go on reading after that.
 async fn pump(
     weather: &Weather,
     from: Party,
--- a/crates/hazelspur-fleetbed/src/script.rs
+++ b/crates/hazelspur-fleetbed/src/script.rs
@@ -1,6 +1,6 @@
-//! Faults over time. A script is a line: `2+5 cut east west; 3+10 stop n4; 8+2 kill site:north`, each with the
-//! second of its beginning, how many seconds it lasts, what it is and between whom. A fault between two goes one way,
-//! from the first to the second, but for `cut` and `reset`, which end connections.
+//! Faults over time. A script is a line: `2+5 cut east west; 3+10 stop n4; 8+2 kill site:north`, each with
+//! the second of its beginning, how many seconds it lasts, what it is and between whom. A fault between two
+//! goes one way, from the first to the second, but for `cut` and `reset`, which end connections.
 
 use hazelspur::pcg::Pcg;
 use std::fmt;
--- a/crates/hazelspur-lab/src/drive.rs
+++ b/crates/hazelspur-lab/src/drive.rs
@@ -1,5 +1,6 @@
-//! The real `Logic` of many servers between the models, in virtual time. What a server's program does round its module is
-//! done here as `hazelspur-server` does it: inputs are reported, decisions pulled until there is none and carried out.
+//! The real `Logic` of many servers between the models, in virtual time. What a server's program does round
+//! its module is done here as `hazelspur-server` does it: inputs are reported, decisions pulled until there
+//! is none and carried out.
 
 use crate::kernel::Kernel;
 use crate::models::cores::Cores;
@@ -46,7 +47,7 @@
     Reaches(usize, u64, OpId, Asked),
     Timer(usize, u64),
     Cores(usize, u64, Moment),
-    CallEnds(usize, u64, OpId, Moment),
+    CallEnds(usize, u64, OpId, Moment, Outcome),
     Report(usize, u64),
     Again(usize, Asked),
     Turn(Turn),
@@ -203,8 +204,8 @@
             Event::Again(not, asked) => self.send(asked, Some(not)),
             Event::Reaches(of, life, id, asked) => {
                 if self.servers[of].life != life || self.servers[of].logic.is_none() {
-                    self.figures.failed += 1;
-                    return;
+                    // A refused connection proves that nothing ran.
+                    return self.again(of, asked, Span::ZERO);
                 }
                 let running = Running { asked, called: false, answered: false, call: None };
                 self.servers[of].ops.insert(id, running);
@@ -253,7 +254,7 @@
                 }
                 self.look_at_cores(of);
             }
-            Event::CallEnds(of, life, id, began) => {
+            Event::CallEnds(of, life, id, began, outcome) => {
                 self.ledger.end();
                 let server = &mut self.servers[of];
                 let Some(running) = server.ops.get_mut(&id).filter(|_| server.life == life) else { return };
@@ -264,12 +265,14 @@
                     // The runtime ends a run at its call once nobody waits for it.
                     server.ops.remove(&id);
                     return self.tell(of, |logic| {
-                        logic.call_ended(now, id, Outcome::Ok);
+                        logic.call_ended(now, id, outcome);
                         logic.run_ended(now, id, Outcome::Stopped);
                     });
                 }
-                server.cores.put(now, id, running.asked.work * (1.0 - BEFORE_CALL));
-                self.tell(of, |logic| logic.call_ended(now, id, Outcome::Ok));
+                if outcome == Outcome::Ok {
+                    server.cores.put(now, id, running.asked.work * (1.0 - BEFORE_CALL));
+                }
+                self.tell(of, |logic| logic.call_ended(now, id, outcome));
                 self.look_at_cores(of);
             }
             Event::Report(of, life) => {
@@ -312,6 +315,17 @@
         self.kernel.at(now + ONE_WAY, Event::Reaches(of, self.servers[of].life, id, asked));
     }
 
+    /// What was turned away goes on to another server, if its gateway does that and there is time.
+    fn again(&mut self, not: usize, mut asked: Asked, wait: Span) {
+        let at = self.kernel.now + wait + ONE_WAY;
+        if Habits::of(asked.gateway).walk_on && asked.left > 0 && at < asked.due {
+            asked.left -= 1;
+            self.kernel.at(at, Event::Again(not, asked));
+        } else {
+            self.figures.refused += 1;
+        }
+    }
+
     fn answered(&mut self, asked: &Asked) {
         let now = self.kernel.now + ONE_WAY;
         if now > asked.due {
@@ -375,15 +389,11 @@
             }
             Decision::Nack { op, come_back, nowhere_else } => {
                 let Some(running) = server.ops.remove(&op) else { return };
-                let mut asked = running.asked;
-                let habits = Habits::of(asked.gateway);
-                let wait = if habits.heed { come_back } else { Span::ZERO } + ONE_WAY;
-                let goes_on = habits.walk_on && asked.left > 0 && !(habits.heed && nowhere_else);
-                if goes_on && now + wait < asked.due {
-                    asked.left -= 1;
-                    self.kernel.at(now + wait, Event::Again(of, asked));
-                } else {
+                let habits = Habits::of(running.asked.gateway);
+                if habits.heed && nowhere_else {
                     self.figures.refused += 1;
+                } else {
+                    self.again(of, running.asked, if habits.heed { come_back } else { Span::ZERO });
                 }
             }
             Decision::Fail(id) => {
@@ -402,19 +412,12 @@
             Decision::Call { op, patience } => {
                 let Some(running) = server.ops.get_mut(&op) else { return };
                 match self.ledger.begin() {
-                    Some(takes) if takes <= patience => {
-                        running.call = Some(now);
-                        self.kernel.at(now + takes, Event::CallEnds(of, life, op, now));
-                    }
                     Some(takes) => {
-                        // Given up in time; the ledger goes on with it as long as it would have.
-                        self.kernel.at(now + takes, Event::CallEnds(of, life, op, Moment::default()));
-                        running.answered = true;
-                        server.ops.remove(&op);
-                        self.figures.failed += 1;
-                        if let Some(logic) = &mut self.servers[of].logic {
-                            logic.run_ended(now + patience, op, Outcome::Error);
-                        }
+                        // A call is given up, and its slot free, when patience is over.
+                        let outcome = if takes <= patience { Outcome::Ok } else { Outcome::TimedOut };
+                        running.call = Some(now);
+                        let end = now + takes.min(patience);
+                        self.kernel.at(end, Event::CallEnds(of, life, op, now, outcome));
                     }
                     None => {
                         if let Some(logic) = &mut server.logic {
--- a/crates/hazelspur-lab/src/lib.rs
+++ b/crates/hazelspur-lab/src/lib.rs
@@ -1,5 +1,6 @@
-//! Many servers in virtual time: the real decision modules, and models of what lies between them, one place each.
-//! One seed gives one run; a run is played by one thread, so the bytes don't depend on how many there are.
+//! Many servers in virtual time: the real decision modules, and models of what lies between them, one place
+//! each. One seed gives one run; a run is played by one thread, so the bytes don't depend on how many there
+//! are.
 //!
 //! - `kernel`: what happens when;
 //! - `network`: datagrams lost, late, doubled, cut one way;
--- a/crates/hazelspur-lab/src/models/cores.rs
+++ b/crates/hazelspur-lab/src/models/cores.rs
@@ -1,5 +1,5 @@
-//! A server's cores: what runs shares them equally (processor sharing), and past a crowd of so many times the cores less
-//! gets done, by the crowd over that bound.
+//! A server's cores: what runs shares them equally (processor sharing), and past a crowd of so many times the
+//! cores less gets done, by the crowd over that bound.
 
 use hazelspur::{Moment, OpId};
 use std::collections::BTreeMap;
--- a/crates/hazelspur-lab/src/models/gateways.rs
+++ b/crates/hazelspur-lab/src/models/gateways.rs
@@ -1,5 +1,5 @@
-//! Gateways with habits: ops come by chance (a Poisson process), go to listed servers in turn or by what they are about,
-//! and are tried again where they are refused.
+//! Gateways with habits: ops come by chance (a Poisson process), go to listed servers in turn or by what they
+//! are about, and are tried again where they are refused.
 
 use hazelspur::pcg::Pcg;
 use hazelspur::{Moment, Span};
--- a/crates/hazelspur-lab/src/network.rs
+++ b/crates/hazelspur-lab/src/network.rs
@@ -1,5 +1,5 @@
-//! Datagrams between servers. Times are those of a network within a city: a base with an exponential tail, which
-//! reorders by itself. Loss is by chance and independent; a cut is a rule over sender and receiver.
+//! Datagrams between servers. Times are those of a network within a city: a base with an exponential tail,
+//! which reorders by itself. Loss is by chance and independent; a cut is a rule over sender and receiver.
 
 use hazelspur::Span;
 use hazelspur::pcg::Pcg;
--- a/crates/hazelspur-lab/src/studies/who_is_here.rs
+++ b/crates/hazelspur-lab/src/studies/who_is_here.rs
@@ -1,4 +1,5 @@
-//! The ways of knowing who is here, side by side: false deaths, time to notice, time to grow together, traffic.
+//! The ways of knowing who is here, side by side: false deaths, time to notice, time to grow together,
+//! traffic.
 
 use crate::network::Network;
 use crate::town::{Said, Town};
--- a/crates/hazelspur-lab/src/town.rs
+++ b/crates/hazelspur-lab/src/town.rs
@@ -25,8 +25,6 @@
     unread: VecDeque<W::Packet>,
     /// The tick that is set.
     set: Moment,
-    started: Moment,
-    ended: Moment,
     last_stop: Moment,
 }
 
@@ -77,24 +75,21 @@
                 stopped: None,
                 unread: VecDeque::new(),
                 set: Moment::default(),
-                started: now,
-                ended: now,
                 last_stop: Moment::default(),
             });
         }
         let seed = u64::from(self.chance.draw()) << 32 | u64::from(self.chance.draw());
         let node = &mut self.nodes[of];
         node.life += 1;
-        (node.stopped, node.started) = (None, now);
+        node.stopped = None;
         node.unread.clear();
         node.way = Some(W::start(of, self.most, seed, now));
         self.served(of);
     }
 
     pub fn kill(&mut self, of: usize) {
-        let now = self.now();
         let node = &mut self.nodes[of];
-        (node.way, node.ended) = (None, now);
+        node.way = None;
         node.life += 1;
     }
 
@@ -116,10 +111,6 @@
         self.nodes.iter().filter(|node| node.way.is_some()).count()
     }
 
-    pub fn ended(&self, of: usize) -> Moment {
-        self.nodes[of].ended
-    }
-
     /// The last moment of its last stop, zero if there was none.
     pub fn last_stop(&self, of: usize) -> Moment {
         self.nodes[of].last_stop
--- a/crates/hazelspur-lab/src/ways/beats.rs
+++ b/crates/hazelspur-lab/src/ways/beats.rs
@@ -1,6 +1,7 @@
-//! Heartbeats from each to all of its site, and from site to site by two speakers each, who are the two lowest numbers
-//! alive there. A speaker says who is alive in its site; what it hears of others goes with its heartbeats at home.
-//! The plainest thing that could serve: silence for as long as the others' shortest suspicion means gone.
+//! Heartbeats from each to all of its site, and from site to site by two speakers each, who are the two
+//! lowest numbers alive there. A speaker says who is alive in its site; what it hears of others goes with its
+//! heartbeats at home. The plainest thing that could serve: silence for as long as the others' shortest
+//! suspicion means gone.
 
 use super::{CONTACTS, Notice, Way};
 use hazelspur::{Moment, Span};
@@ -12,7 +13,8 @@
 const SPEAKERS: usize = 2;
 /// A newcomer is news for so long.
 const FRESH: Span = Span::from_ms(5000);
-/// Bytes of a datagram's head (tag, installation, sender) and of one in a list, by the own machine's encoding.
+/// Bytes of a datagram's head (tag, installation, sender) and of one in a list, by the own machine's
+/// encoding.
 const HEAD: usize = 60;
 const EACH: usize = 12;
 const DATAGRAM: usize = 1200;
--- a/crates/hazelspur-lab/src/ways/library.rs
+++ b/crates/hazelspur-lab/src/ways/library.rs
@@ -1,5 +1,5 @@
-//! The `foca` crate: SWIM as a machine without I/O. Its suspicion lasts as long as the own machine's shortest, its
-//! probes come as often, so that the two differ by what they do and not by their figures.
+//! The `foca` crate: SWIM as a machine without I/O. Its suspicion lasts as long as the own machine's
+//! shortest, its probes come as often, so that the two differ by what they do and not by their figures.
 
 use super::{CONTACTS, Notice, Way};
 use foca::{
--- a/crates/hazelspur-lab/tests/runs.rs
+++ b/crates/hazelspur-lab/tests/runs.rs
@@ -1,6 +1,7 @@
 //! What the laboratory promises of its runs.
 
 use hazelspur::Span;
+use hazelspur_lab::drive::{Drive, Figures, Plan, Turn};
 use hazelspur_lab::on_all_cores;
 use hazelspur_lab::studies::together;
 use hazelspur_lab::studies::who_is_here::{Case, Row, play};
@@ -68,3 +69,25 @@
     let all = down.served + down.refused + down.failed + down.late;
     assert!(all <= down.asked && all + 200 > down.asked, "{down:?}");
 }
+
+#[test]
+fn a_site_that_is_killed_costs_service_until_it_is_back_and_slow_cores_cost_less() {
+    let run = |turns: &[(u64, Turn)]| {
+        let call = Span::from_ms(10);
+        let plan = Plan { servers: 6, cores: 2.0, seed: 1, load: 0.6, slots_each: 8.0, call };
+        let mut drive = Drive::new(plan);
+        turns.iter().for_each(|(ms, turn)| drive.script(Span::from_ms(*ms), *turn));
+        drive.play(Span::from_ms(20_000));
+        drive.figures
+    };
+    let whole = run(&[]);
+    let ends =
+        [(8000, Turn::Kill(0)), (8000, Turn::Kill(1)), (13_000, Turn::Start(0)), (13_000, Turn::Start(1))];
+    let killed = run(&ends);
+    let slow =
+        run(&[(8000, Turn::Speed(0, 0.2)), (13_000, Turn::Speed(0, 1.0)), (8000, Turn::LedgerSlow(2.0))]);
+    assert!(whole.service() > 0.99 && slow.service() < whole.service(), "{whole:?}\n{slow:?}");
+    assert!((0.5..0.99).contains(&killed.service()), "{killed:?}");
+    let second = |of: &Figures, at: usize| of.by_second.get(at).copied().unwrap_or(0);
+    assert!(second(&killed, 19) * 10 > second(&whole, 19) * 9, "{:?}", killed.by_second);
+}
--- a/crates/hazelspur-server/src/fleet/ask.rs
+++ b/crates/hazelspur-server/src/fleet/ask.rs
@@ -1,5 +1,5 @@
-//! `hazelspur-server fleet FILE`: asks the server that the file sets up for its picture of the fleet. The question is
-//! sealed with the installation's key, so strangers get no answer.
+//! `hazelspur-server fleet FILE`: asks the server that the file sets up for its picture of the fleet. The
+//! question is sealed with the installation's key, so strangers get no answer.
 
 use crate::start::command::Shape;
 use crate::start::fleet_keys::Fleet;
@@ -14,6 +14,8 @@
 /// An answer is waited for so long, and asked for again so often.
 const WITHIN: Duration = Duration::from_millis(400);
 const TRIES: u32 = 5;
+/// Rows that are taken; no table of a server holds more.
+const MOST_SHOWN: usize = 8192;
 
 #[derive(Serialize)]
 pub struct Shown {
@@ -98,7 +100,7 @@
             members: Vec::new(),
         });
         shown.members.extend(rows.into_iter().map(Member::from));
-        if next.is_none() || next <= after {
+        if next.is_none() || next <= after || shown.members.len() >= MOST_SHOWN {
             break;
         }
         after = next;
--- a/crates/hazelspur-server/src/fleet/changes.rs
+++ b/crates/hazelspur-server/src/fleet/changes.rs
@@ -1,5 +1,5 @@
-//! Lines about the fleet: one for each change of this server's own condition, one a second at most for changes of
-//! others, one a minute at most for datagrams that were dropped.
+//! Lines about the fleet: one for each change of this server's own condition, one a second at most for
+//! changes of others, one a minute at most for datagrams that were dropped.
 
 use hazelspur::{Moment, Span};
 use hazelspur_fleet::{Condition, Event, Members, Size, Standing, talk::Dropped};
--- a/crates/hazelspur-server/src/start/operator.rs
+++ b/crates/hazelspur-server/src/start/operator.rs
@@ -1,6 +1,6 @@
-//! The operator's own file: a Starlark script that calls `amqp(...)` and `fleet(...)` once and `queue(...)` for each queue. It has
-//! no files and no network, its steps and memory are bounded; what it says is decoded and checked, and every
-//! message names the key and the line.
+//! The operator's own file: a Starlark script that calls `amqp(...)` and `fleet(...)` once and `queue(...)`
+//! for each queue. It has no files and no network, its steps and memory are bounded; what it says is decoded
+//! and checked, and every message names the key and the line.
 
 use crate::start::fleet_keys::Fleet;
 use garde::Validate;
@@ -298,7 +298,8 @@
     Ok(NoneType)
 }
 
-/// Reads and checks the file; `op_types` are those of the platform's settings, or none to leave them unchecked.
+/// Reads and checks the file; `op_types` are those of the platform's settings, or none to leave them
+/// unchecked.
 pub fn read(path: &str, op_types: Option<&[String]>) -> Result<Operator, String> {
     let length = std::fs::metadata(path).map_err(|e| format!("{path}: {e}"))?.len();
     if length > LONGEST_FILE {
--- a/crates/hazelspur-server/tests/fleet.rs
+++ b/crates/hazelspur-server/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! Many built servers with faults between them: the hard cases, and scripts drawn from seeds. Waits are for events with
-//! generous ends; what is judged is in `hazelspur_fleetbed::checker`.
+//! Many built servers with faults between them: the hard cases, and scripts drawn from seeds. Waits are for
+//! events with generous ends; what is judged is in `hazelspur_fleetbed::checker`.
 
 use hazelspur_fleetbed::bed::{Bed, Plan};
 use hazelspur_fleetbed::play::{Verdict, play};
--- a/crates/hazelspur-server/tests/helpers/mod.rs
+++ b/crates/hazelspur-server/tests/helpers/mod.rs
@@ -1,4 +1,5 @@
-//! A shop: the built server with an operator's file between a stand-in broker, runtime, ledger and control plane.
+//! A shop: the built server with an operator's file between a stand-in broker, runtime, ledger and control
+//! plane.
 
 use amq_protocol::protocol::basic::AMQPProperties;
 use amq_protocol::types::{AMQPValue, FieldTable};
--- a/crates/hazelspur-standins/src/gateway.rs
+++ b/crates/hazelspur-standins/src/gateway.rs
@@ -1,6 +1,6 @@
-//! A gateway with habits: it sends ops to servers over JSON-RPC, tries again where it is refused, and writes down each
-//! try with all answers that came to it. One thread; JSON by a library, so that a mistake in the project's own parser
-//! can't cancel out.
+//! A gateway with habits: it sends ops to servers over JSON-RPC, tries again where it is refused, and writes
+//! down each try with all answers that came to it. One thread; JSON by a library, so that a mistake in the
+//! project's own parser can't cancel out.
 
 use crate::now_ms;
 use hazelspur::pcg::Pcg;
--- a/crates/hazelspur-standins/src/http.rs
+++ b/crates/hazelspur-standins/src/http.rs
@@ -34,8 +34,8 @@
     }
 }
 
-/// Reads one call: its `X-Txn-Ref`, or its path where there is none, and its body. `None` at the end, or where it is
-/// no call.
+/// Reads one call: its `X-Txn-Ref`, or its path where there is none, and its body. `None` at the end, or
+/// where it is no call.
 pub fn read_call(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
     let (mut first, mut reference, mut length) = (String::new(), None, 0);
     if reader.read_line(&mut first).map_or(true, |n| n == 0) {
--- a/crates/hazelspur-standins/src/ledger.rs
+++ b/crates/hazelspur-standins/src/ledger.rs
@@ -1,7 +1,8 @@
-//! A ledger that all servers share: so many slots, and a law of slowing down past them. Up to its slots a call takes
-//! its time; past them all calls share the slots, and what is lost by changing between them grows with their number,
-//! so a call takes the square of the crowd over the slots times as long (contention and coherence of Gunther's
-//! Universal Scalability Law, 1993, with the second part only, and steeper, as a shop's ledger would be).
+//! A ledger that all servers share: so many slots, and a law of slowing down past them. Up to its slots a
+//! call takes its time; past them all calls share the slots, and what is lost by changing between them grows
+//! with their number, so a call takes the square of the crowd over the slots times as long (contention and
+//! coherence of Gunther's Universal Scalability Law, 1993, with the second part only, and steeper, as a
+//! shop's ledger would be).
 
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
--- a/crates/hazelspur-standins/src/lib.rs
+++ b/crates/hazelspur-standins/src/lib.rs
@@ -1,6 +1,7 @@
-//! Stand-ins on loopback for what a server meets, written from public specifications and the platform's pages:
-//! a broker, a runtime, a ledger, a control plane and gateways. A script makes them misbehave; they count what happened,
-//! and `checker` says which rule was broken. Bounded, without privileges, never the server's own code.
+//! Stand-ins on loopback for what a server meets, written from public specifications and the platform's
+//! pages: a broker, a runtime, a ledger, a control plane and gateways. A script makes them misbehave; they
+//! count what happened, and `checker` says which rule was broken. Bounded, without privileges, never the
+//! server's own code.
 
 pub mod broker;
 pub mod checker;
--- a/crates/hazelspur-standins/src/runtime.rs
+++ b/crates/hazelspur-standins/src/runtime.rs
@@ -1,5 +1,5 @@
-//! A runtime: takes the platform's lines, runs each op for a while on so many cores, asks for one call if told to,
-//! keeps its notices for a link that comes again, and counts how often each body was run.
+//! A runtime: takes the platform's lines, runs each op for a while on so many cores, asks for one call if
+//! told to, keeps its notices for a link that comes again, and counts how often each body was run.
 
 use crate::{PATIENCE, now_ms};
 use std::collections::{BTreeMap, VecDeque};
