Bed and play wait for the fleet in one place; a second answer counts for its own try

The operator's test polled with a sleep what play already waits for; both use come_up now. A second answer was put to any answered try of that server; a connection remembers which number was whose. Relays are laid by one loop.

--- a/crates/hazelspur-fleetbed/src/bed.rs
+++ b/crates/hazelspur-fleetbed/src/bed.rs
@@ -106,28 +106,18 @@
         let senders = Arc::new(Mutex::new(senders));
         for of in 0..self.plan.servers {
             let server = Party::Server(of);
-            let links = [
+            let mut links = vec![
                 ((server, Party::Runtime(of)), self.at(3, of, 7300), self.runtimes[of].address),
                 ((server, Party::Ledger), self.at(4, of, 9042), self.ledger.address),
                 ((server, Party::Control), self.at(5, of, 7946), self.control.address),
             ];
-            for (ends, listen, target) in links {
-                self.relays.block_on(relay::tcp(
-                    self.weather.clone(),
-                    ends,
-                    (listen, target),
-                    self.refusals.clone(),
-                ))?;
-            }
-            for gateway in 0..self.plan.gateways {
+            links.extend((0..self.plan.gateways).map(|gateway| {
                 let ends = (Party::Gateway(gateway), server);
-                let (listen, target) = (self.at(10 + gateway, of, 9000), self.at(1, of, 9000));
-                self.relays.block_on(relay::tcp(
-                    self.weather.clone(),
-                    ends,
-                    (listen, target),
-                    self.refusals.clone(),
-                ))?;
+                (ends, self.at(10 + gateway, of, 9000), self.at(1, of, 9000))
+            }));
+            for (ends, listen, target) in links {
+                let (weather, refusals) = (self.weather.clone(), self.refusals.clone());
+                self.relays.block_on(relay::tcp(weather, ends, (listen, target), refusals))?;
             }
             let (listen, target) = (self.at(2, of, 7946), self.at(1, of, 7946));
             let seed = self.plan.seed ^ of as u64;
--- a/crates/hazelspur-fleetbed/src/play.rs
+++ b/crates/hazelspur-fleetbed/src/play.rs
@@ -60,20 +60,8 @@
     let servers = plan.servers;
     let mut bed = Bed::new(plan)?;
     let mut watch = Watch::new(KEY, INSTALLATION)?;
-    let began = now_ms();
-    for of in 0..servers {
-        bed.start(of)?;
-    }
-    let all = |views: &[Option<View>]| views.iter().all(|view| whole(view, servers));
-    let mut views: Vec<Option<View>> = Vec::new();
-    while now_ms() < began + UP_MS && !(all(&views) && bed.control.list.listed(0).len() == servers) {
-        std::thread::sleep(Duration::from_millis(200));
-        bed.reap();
-        views = look(&mut bed, &mut watch);
-    }
-    let up_ms = now_ms() - began;
+    let (mut views, up_ms) = come_up(&mut bed, &mut watch)?;
     tell(0, &views);
-    anyhow::ensure!(all(&views), "the fleet did not come up: {}\n{}", summary(&views), bed.last_words());
 
     bed.start_gateways();
     bed.weather.begin();
@@ -113,7 +101,7 @@
         tell(now_ms() - began_ms, &views);
         seen.extend(views.iter().flatten().cloned());
         bed.reap();
-        if all(&views) {
+        if views.iter().all(|view| whole(view, servers)) {
             together_ms = Some(now_ms() - over + 3000);
         } else {
             std::thread::sleep(Duration::from_millis(500));
@@ -127,6 +115,25 @@
     Ok(Verdict { breaches: evidence.breaches(), evidence, together_ms, up_ms })
 }
 
+/// Starts all servers and waits until they are listed and show one picture; the pictures, and how long that took in ms.
+pub fn come_up(bed: &mut Bed, watch: &mut Watch) -> anyhow::Result<(Vec<Option<View>>, u64)> {
+    let (began, servers) = (now_ms(), bed.plan.servers);
+    for of in 0..servers {
+        bed.start(of)?;
+    }
+    loop {
+        std::thread::sleep(Duration::from_millis(200));
+        bed.reap();
+        let views = look(bed, watch);
+        let all = views.iter().all(|view| whole(view, servers));
+        if all && bed.control.list.listed(0).len() == servers {
+            return Ok((views, now_ms() - began));
+        }
+        let why = || format!("the fleet did not come up: {}\n{}", summary(&views), bed.last_words());
+        anyhow::ensure!(now_ms() < began + UP_MS, why());
+    }
+}
+
 type Seen = (u64, Vec<Vec<hazelspur_standins::gateway::Try>>, Vec<View>, Vec<Option<View>>);
 
 fn evidence(bed: &Bed, (began_ms, tries, views, last): Seen) -> Evidence {
--- a/crates/hazelspur-server/tests/fleet.rs
+++ b/crates/hazelspur-server/tests/fleet.rs
@@ -1,9 +1,10 @@
 //! Many built servers with faults between them: the hard cases, and scripts drawn from seeds. Waits are for
 //! events with generous ends; what is judged is in `hazelspur_fleetbed::checker`.
 
-use hazelspur_fleetbed::bed::{Bed, Plan};
-use hazelspur_fleetbed::play::{Verdict, play};
+use hazelspur_fleetbed::bed::{Bed, INSTALLATION, KEY, Plan};
+use hazelspur_fleetbed::play::{Verdict, come_up, play};
 use hazelspur_fleetbed::script::Script;
+use hazelspur_fleetbed::watch::Watch;
 
 fn played(servers: usize, script: &Script, seed: u64) -> Verdict {
     let plan = Plan {
@@ -73,22 +74,16 @@
         most: 18,
     };
     let mut bed = Bed::new(plan).expect("a bed");
-    (0..9).for_each(|of| bed.start(of).expect("it starts"));
+    let mut watch = Watch::new(KEY, INSTALLATION).expect("a socket");
+    come_up(&mut bed, &mut watch).expect("one picture");
     let ask = |file: &std::path::Path, shape: &str| {
         let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_hazelspur-server"));
         let out = command.arg("fleet").arg(file).args(["--shape", shape]).output().expect("it runs");
         (out.status.code(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
     };
-    let until = std::time::Instant::now() + std::time::Duration::from_secs(60);
-    let shown = loop {
-        let (_, text) = ask(&bed.file(4), "json");
-        let shown: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
-        let whole = shown["condition"] == "Whole" && shown["fleet"]["least"] == 9;
-        if whole || std::time::Instant::now() > until {
-            break shown;
-        }
-        std::thread::sleep(std::time::Duration::from_millis(100));
-    };
+    let (status, text) = ask(&bed.file(4), "json");
+    let shown: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+    assert_eq!((status, &shown["condition"]), (Some(0), &"Whole".into()), "{text}");
     let alive =
         shown["members"].as_array().map_or(0, |all| all.iter().filter(|m| m["state"] == "alive").count());
     let sites: Vec<String> = ["east", "west", "north"].map(|site| shown["sites"][site].to_string()).into();
--- a/crates/hazelspur-standins/src/gateway.rs
+++ b/crates/hazelspur-standins/src/gateway.rs
@@ -72,6 +72,8 @@
     unread: Vec<u8>,
     /// Number on this connection, and which try.
     open: BTreeMap<u64, usize>,
+    /// Those that have their answer; as many as the connection carried.
+    answered: BTreeMap<u64, usize>,
     last: u64,
     going: bool,
 }
@@ -221,7 +223,14 @@
             };
             let _ = stream.set_nodelay(true);
             let _ = stream.set_nonblocking(true);
-            let link = Link { stream, unread: Vec::new(), open: BTreeMap::new(), last: 0, going: false };
+            let link = Link {
+                stream,
+                unread: Vec::new(),
+                open: BTreeMap::new(),
+                answered: BTreeMap::new(),
+                last: 0,
+                going: false,
+            };
             self.links.insert(server, link);
         }
         let Some(link) = self.links.get_mut(&server) else { return };
@@ -330,15 +339,15 @@
             return;
         }
         let Some(number) = message["id"].as_u64() else { return };
-        let open = link.open.remove(&number);
-        let Some(number) = open else {
-            // Answered before: the last try of this number on this connection gets its second answer.
-            let mut tries = self.tries.lock().expect("no panic before");
-            if let Some(of) = tries.iter_mut().rev().find(|t| t.server == server && !t.answers.is_empty()) {
-                of.answers.push((Answer::Failed, now));
+        let Some(of) = link.open.remove(&number) else {
+            if let Some(of) = link.answered.get(&number) {
+                // Its second answer, whatever it says.
+                self.tries.lock().expect("no panic before")[*of].answers.push((Answer::Failed, now));
             }
             return;
         };
+        link.answered.insert(number, of);
+        let number = of;
         let error = &message["error"];
         let answer = match error["code"].as_i64() {
             None => Answer::Acked,
