--- a/crates/hazelspur-fleet/src/members/hearing.rs
+++ b/crates/hazelspur-fleet/src/members/hearing.rs
@@ -142,6 +142,7 @@
             until: Moment::default(),
         };
         self.table.insert(claim.name, entry);
+        self.all.push(claim.name);
         self.news.add(claim.name);
         let at = self.chance.draw() as usize % (self.round.len() + 1);
         if self.round.len() < self.room() {
@@ -169,6 +170,8 @@
     pub(super) fn forget(&mut self, name: MemberName) {
         if let Some(entry) = self.table.remove(&name) {
             self.suspects.remove(&(entry.until, name));
+            self.lost.remove(&name);
+            self.all.retain(|other| *other != name);
             self.news.remove(name);
         }
     }
--- a/crates/hazelspur-fleet/src/members/mod.rs
+++ b/crates/hazelspur-fleet/src/members/mod.rs
@@ -162,6 +162,9 @@
     condition: Condition,
     table: BTreeMap<MemberName, Entry>,
     suspects: BTreeSet<(Moment, MemberName)>,
+    lost: BTreeSet<MemberName>,
+    /// All in the table, in no order, to draw from.
+    all: Vec<MemberName>,
     news: News,
     /// Who is probed in this round, last first.
     round: Vec<MemberName>,
@@ -210,6 +213,8 @@
             chance,
             table: BTreeMap::new(),
             suspects: BTreeSet::new(),
+            lost: BTreeSet::new(),
+            all: Vec::new(),
             news: News::default(),
             round: Vec::new(),
             probe: None,
@@ -405,6 +410,9 @@
     pub fn check(&self) -> Result<(), String> {
         for (name, entry) in &self.table {
             let listed = self.suspects.contains(&(entry.until, *name));
+            if (entry.standing == Standing::Lost) != self.lost.contains(name) {
+                return Err(format!("{name}: {:?}, not so among the lost", entry.standing));
+            }
             if (entry.standing == Standing::Suspected) != listed {
                 return Err(format!("{name}: {:?}, among the suspects: {listed}", entry.standing));
             }
@@ -412,7 +420,10 @@
                 return Err(format!("{name}: has left, stands as {:?}", entry.standing));
             }
         }
-        if self.suspects.len() > self.table.len() || self.table.len() > self.room() {
+        if self.suspects.len() > self.table.len()
+            || self.table.len() > self.room()
+            || self.all.len() != self.table.len()
+        {
             return Err(format!("{} members, room for {}", self.table.len(), self.room()));
         }
         let size = self.size(None);
@@ -429,6 +440,7 @@
         if entry.standing == Standing::Suspected {
             self.suspects.remove(&(entry.until, name));
         }
+        self.lost.remove(&name);
         (entry.standing, entry.since) = (Standing::Suspected, now);
         entry.accusers = vec![accuser];
         self.suspects.insert((entry.until, name));
@@ -456,6 +468,11 @@
     fn stands(&mut self, now: Moment, name: MemberName, standing: Standing) {
         let Some(entry) = self.table.get_mut(&name) else { return };
         self.suspects.remove(&(entry.until, name));
+        if standing == Standing::Lost {
+            self.lost.insert(name);
+        } else {
+            self.lost.remove(&name);
+        }
         if entry.standing != standing {
             (entry.standing, entry.since) = (standing, now);
         }
@@ -491,12 +508,22 @@
         }
     }
 
-    /// Up to `most` different members by chance.
+    /// Up to `most` different members by chance. Draws first; where few are meant, looks through all.
     fn pick(&mut self, most: usize, which: impl Fn(&Entry) -> bool) -> Vec<MemberName> {
-        let here = |e: &&Entry| !matches!(e.standing, Standing::Left) && which(e);
+        let here = |e: &Entry| e.standing != Standing::Left && which(e);
         let mut names: Vec<MemberName> = Vec::new();
+        for _ in 0..4 * most {
+            let Some(name) = self.all.get(self.chance.draw() as usize % self.all.len().max(1)) else { break };
+            if names.len() < most && !names.contains(name) && self.table.get(name).is_some_and(here) {
+                names.push(*name);
+            }
+        }
+        if names.len() == most {
+            return names;
+        }
+        names.clear();
         let mut passed = 0;
-        for entry in self.table.values().filter(here) {
+        for entry in self.table.values().filter(|entry| here(entry)) {
             passed += 1;
             if names.len() < most {
                 names.push(entry.claim.name);
--- a/crates/hazelspur-fleet/src/members/rounds.rs
+++ b/crates/hazelspur-fleet/src/members/rounds.rs
@@ -168,7 +168,9 @@
             self.send(at, None, Body::Ping { number, to: None });
         }
         let calls = 1 + (2 * std::mem::take(&mut self.returned)).min(MOST_CALLS);
-        for lost in self.pick(calls, |entry| entry.standing == Standing::Lost) {
+        for _ in 0..calls.min(self.lost.len()) {
+            let at = self.chance.draw() as usize % self.lost.len();
+            let Some(lost) = self.lost.iter().nth(at).copied() else { break };
             let number = self.chance.draw();
             self.send_to(lost, Body::Ping { number, to: Some(lost) });
         }
--- a/crates/hazelspur-server/tests/fleet.rs
+++ b/crates/hazelspur-server/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Many built servers with faults between them: the hard cases, and scripts drawn from seeds. Waits are for events with
 //! generous ends; what is judged is in `hazelspur_fleetbed::checker`.
 
-use hazelspur_fleetbed::bed::Plan;
+use hazelspur_fleetbed::bed::{Bed, Plan};
 use hazelspur_fleetbed::play::{Verdict, play};
 use hazelspur_fleetbed::script::Script;
 
@@ -60,6 +60,55 @@
     );
 }
 
+/// As an operator would: with the file, and with another key.
+#[test]
+fn an_operator_is_shown_the_picture_and_a_stranger_nothing() {
+    let plan = Plan {
+        server_binary: env!("CARGO_BIN_EXE_hazelspur-server").into(),
+        servers: 9,
+        gateways: 0,
+        script: Script::default(),
+        seed: 1,
+        rate: 1.0,
+        most: 18,
+    };
+    let mut bed = Bed::new(plan).expect("a bed");
+    (0..9).for_each(|of| bed.start(of).expect("it starts"));
+    let ask = |file: &std::path::Path, shape: &str| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_hazelspur-server"));
+        let out = command.arg("fleet").arg(file).args(["--shape", shape]).output().expect("it runs");
+        (out.status.code(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
+    };
+    let until = std::time::Instant::now() + std::time::Duration::from_secs(60);
+    let shown = loop {
+        let (_, text) = ask(&bed.file(4), "json");
+        let shown: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        let whole = shown["condition"] == "Whole" && shown["fleet"]["least"] == 9;
+        if whole || std::time::Instant::now() > until {
+            break shown;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(100));
+    };
+    let alive =
+        shown["members"].as_array().map_or(0, |all| all.iter().filter(|m| m["state"] == "alive").count());
+    let sites: Vec<String> = ["east", "west", "north"].map(|site| shown["sites"][site].to_string()).into();
+    assert_eq!((shown["name"].as_str(), alive), (Some("n4"), 8), "{shown:#}");
+    assert_eq!(sites, [r#"{"least":3,"most":3}"#; 3]);
+    let (status, table) = ask(&bed.file(4), "table");
+    assert!(status == Some(0) && table.contains("n4 at") && table.matches("alive").count() == 8, "{table}");
+
+    let text = std::fs::read_to_string(bed.file(4)).expect("its file");
+    let strange = bed.file(4).with_file_name("strange.star");
+    let other = bed.file(4).with_file_name("other-key");
+    std::fs::write(&other, "another key of sixteen characters").expect("a file");
+    let key = text.lines().find(|line| line.contains("key_file")).expect("it names a key");
+    std::fs::write(&strange, text.replace(key, &format!("    key_file = {other:?},"))).expect("a file");
+    let (status, text) = ask(&strange, "json");
+    assert!(status == Some(2) && text.contains("no answer"), "{text}");
+    bed.end();
+    assert!(bed.lives.iter().all(|life| life.status == Some(0)), "{:?}", bed.lives);
+}
+
 #[test]
 fn whatever_a_seed_draws() {
     let seeds: u64 = std::env::var("HAZELSPUR_FLEET_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(4);
--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -316,6 +316,22 @@
 
 #[test]
 fn an_operators_file_with_a_fault_is_refused_with_its_key_and_line() {
+    let key = std::env::temp_dir().join(format!("hazelspur-key-{}", std::process::id()));
+    std::fs::write(&key, "sixteen characters and more").expect("a file");
+    // A later key of the same name takes the place of an earlier one.
+    let fleet = |changed: &str| {
+        let mut keys = vec![
+            "installation = \"bread\"".to_string(),
+            "site = \"east\"".into(),
+            "at = \"127.0.0.1:7946\"".into(),
+            "most = 12".into(),
+            format!("key_file = {key:?}"),
+        ];
+        let name = changed.split(' ').next().unwrap_or_default();
+        keys.retain(|key| name.is_empty() || !key.starts_with(name));
+        keys.extend((!changed.is_empty()).then(|| changed.to_string()));
+        format!("fleet(\n{},\n)\n", keys.join(",\n"))
+    };
     let good = "amqp(\n  brokers = [\"127.0.0.1:1\"],\n)\n";
     let long = format!("x = {:?}\n", "y".repeat(70_000));
     let texts = [
@@ -337,6 +353,16 @@
         "def f(n):\n  return f(n + 1)\nf(0)".into(),
         long,
         good.into(),
+        fleet(""),
+        fleet("most = 5000"),
+        fleet("at = \"0.0.0.0:1\""),
+        fleet("at = \"127.0.0.1:0\""),
+        fleet("contacts = [\"127.0.0.1:1\", \"nowhere\"]"),
+        fleet("site = \"two words\""),
+        fleet("sight = \"east\""),
+        fleet("key_file = \"/nowhere\""),
+        fleet("key_file = \"/dev/null\""),
+        format!("{}{}", fleet(""), fleet("")),
     ];
     let file = std::env::temp_dir().join(format!("hazelspur-check-{}.star", std::process::id()));
     let mut seen = String::new();
@@ -349,9 +375,11 @@
         let out = out.expect("it runs");
         let said = String::from_utf8([out.stdout, out.stderr].concat()).expect("text");
         let first = said.lines().next().unwrap_or_default().replace(&file.display().to_string(), "FILE");
+        let first = first.replace("(os error 2)", "").trim_end().to_string();
         seen += &format!("{first}, exit {:?}\n", out.status.code());
     }
     let _ = std::fs::remove_file(&file);
+    let _ = std::fs::remove_file(&key);
     expect_test::expect![[r#"
         FILE:8: queues[1].outcomes.poison: would come back for ever: only ack or reject, exit Some(2)
         FILE:4: queues[0].most: lower than 1, exit Some(2)
@@ -369,5 +397,15 @@
         FILE:2: Starlark call stack overflow, exit Some(2)
         FILE: longer than 65536 bytes, exit Some(2)
         FILE: good: brokers=1 queues=0 fleet=none, exit Some(0)
+        FILE: good: brokers=0 queues=0 fleet=east, exit Some(0)
+        FILE:6: fleet.most: greater than 4096, exit Some(2)
+        FILE:6: fleet.at: no address that others can reach, exit Some(2)
+        FILE:6: fleet.at: no address that others can reach, exit Some(2)
+        FILE:7: fleet.contacts[1]: invalid socket address syntax, exit Some(2)
+        FILE:6: fleet.site: invalid value: string "two words", expected a name of 1 to 31 visible ASCII characters, exit Some(2)
+        FILE:7: fleet.sight: unknown field `sight`, expected one of `installation`, `site`, `at`, `listen`, `contacts`, `key_file`, `most`, `period_s`, `remember_s`, exit Some(2)
+        fleet.key_file: /nowhere: No such file or directory, exit Some(2)
+        fleet.key_file: /dev/null: shorter than 16 characters, exit Some(2)
+        FILE:8: fleet: called twice, exit Some(2)
     "#]].assert_eq(&seen);
 }
--- a/deploy/hazelspur.star
+++ b/deploy/hazelspur.star
@@ -16,3 +16,14 @@
 #     waits_s = 36000,
 #     outcomes = {"expired": "reject"},
 # )
+#
+# docs/fleet-operators.md lists the keys of the talk among servers:
+#
+# fleet(
+#     installation = "bread",
+#     site = "east",
+#     at = "10.0.0.4:7946",
+#     contacts = ["10.0.0.4:7946", "10.0.1.4:7946"],
+#     key_file = "/run/secrets/fleet",
+#     most = 400,
+# )
