The stand-in gateway reads what came before a connection's end

Checked: the server closes an idle connection 400 ms after its farewell; the gateway's thread came late by more than that, so that answer, farewell and end were read in one go. Ruled out: an answer that the server never wrote, since the tries that were lost had run or had crossed a farewell.

At fault: Desk::read_all of the stand-in gateway called broken() at the end of the stream before it took the lines that had come with it, and dropped answers and farewells with the link. The lines are taken first now.

--- a/crates/hazelspur-standins/src/gateway.rs
+++ b/crates/hazelspur-standins/src/gateway.rs
@@ -300,18 +300,12 @@
         let servers: Vec<usize> = self.links.keys().copied().collect();
         for server in servers {
             let mut part = [0; 16 * 1024];
-            while let Some(link) = self.links.get_mut(&server) {
+            let mut ended = false;
+            while let Some(link) = self.links.get_mut(&server).filter(|_| !ended) {
                 match (&link.stream).read(&mut part) {
-                    Ok(0) => {
-                        self.broken(now, server);
-                        break;
-                    }
-                    Ok(count) => link.unread.extend_from_slice(&part[..count]),
+                    Ok(count @ 1..) => link.unread.extend_from_slice(&part[..count]),
                     Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                    Err(_) => {
-                        self.broken(now, server);
-                        break;
-                    }
+                    Ok(0) | Err(_) => ended = true,
                 }
             }
             let mut lines = Vec::new();
@@ -324,6 +318,10 @@
                 }
             }
             lines.into_iter().for_each(|line| self.take_line(now, server, &line));
+            // Only now: answers and a farewell may have come together with the end.
+            if ended {
+                self.broken(now, server);
+            }
             let done = |link: &Link| link.going && link.open.is_empty();
             if self.links.get(&server).is_some_and(done) {
                 self.links.remove(&server);
