Stand-ins judge their own delays: gateway, runtime and what the checker says of a lost op

Seen: beside full cores (three copies of the fleet's tests at once, load over 30 on 6 cores) 3 of 9 runs failed, by two causes. One: ops 'lost with their connection' on healthy links, at once or 1.2 s after they were sent. Two: '19 ran at once at n5, 16 may' after a server was killed and came back within 0.1 s.

Checked: the checker now says when such an op was sent, when its connection broke, whether it started and whether a last word was read. None had started and no word had been read.

At fault, all in the stand-ins. The gateway went by the time at which its loop had begun, so that a refusal behind the relay lay outside the window that excuses it; a write that failed ended a connection before what the server had said on it was read; and an error without an id, by which a server dismisses a connection that brought nothing in time, was dropped. Ruled out: the server, which neither read nor ran those ops.

--- a/crates/hazelspur-fleetbed/src/checker.rs
+++ b/crates/hazelspur-fleetbed/src/checker.rs
@@ -106,9 +106,17 @@
                 if self.excused(gateway, of) {
                     continue;
                 }
+                let after = |at: u64| at.saturating_sub(of.sent_ms);
                 match of.answers.first() {
                     None if of.broke_ms.is_some() => {
-                        found.push(format!("{name} was lost with its connection"))
+                        let started =
+                            self.ran.get(of.server).is_some_and(|r| r.started.contains_key(&of.req));
+                        found.push(format!(
+                            "{name} was lost with its connection: sent at {} ms, broke after {} ms, started: {started}, farewell: {}",
+                            of.sent_ms.saturating_sub(self.began_ms),
+                            of.broke_ms.map_or(0, after),
+                            of.crossed
+                        ))
                     }
                     None => found.push(format!("{name} has no answer")),
                     Some((_, at)) if *at > of.due_ms + SLACK_MS => {
--- a/crates/hazelspur-standins/src/gateway.rs
+++ b/crates/hazelspur-standins/src/gateway.rs
@@ -59,7 +59,7 @@
     pub answers: Vec<(Answer, u64)>,
     /// Its connection ended, and the answer with it.
     pub broke_ms: Option<u64>,
-    /// It crossed the farewell of its connection.
+    /// It crossed the farewell of its connection, or a word that this closes.
     pub crossed: bool,
     /// An answer that no run can have made.
     pub spoilt: bool,
@@ -234,6 +234,8 @@
             self.links.insert(server, link);
         }
         let Some(link) = self.links.get_mut(&server) else { return };
+        // The loop's own time may be old by now: threads of a crowded machine come late.
+        let now = now_ms();
         link.last += 1;
         let req = format!("{:08x}{:08x}", self.chance.draw(), self.chance.draw());
         let mut params = json!({"req": req, "ts": now, "via": self.number, "timeout": self.habits.timeout_ms,
@@ -252,7 +254,7 @@
             sent_ms: now,
             due_ms: now + self.habits.timeout_ms,
             answers: Vec::new(),
-            broke_ms: wrote.is_err().then_some(now),
+            broke_ms: None,
             crossed: false,
             spoilt: false,
         });
@@ -260,10 +262,11 @@
         drop(tries);
         waiting.tried.insert(server);
         waiting.last = Some(number);
-        if wrote.is_ok() {
-            link.open.insert(link.last, number);
-            self.waiting.push(Waiting { at_ms: u64::MAX, ..waiting });
-        } else {
+        link.open.insert(link.last, number);
+        self.waiting.push(Waiting { at_ms: u64::MAX, ..waiting });
+        // Where the other end is closed, what it said before that is still to be read; only a line that went
+        // out in part spoils the connection at once.
+        if wrote.is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
             self.broken(now, server);
         }
     }
@@ -278,6 +281,7 @@
     }
 
     fn broken(&mut self, now: u64, server: usize) {
+        let now = now.max(now_ms());
         let Some(link) = self.links.remove(&server) else { return };
         for number in link.open.into_values() {
             let retryable = {
@@ -336,7 +340,11 @@
             link.going = true;
             return;
         }
-        let Some(number) = message["id"].as_u64() else { return };
+        let Some(number) = message["id"].as_u64() else {
+            // An error about the connection itself: it closes, and what was not read is not answered.
+            link.going |= message["error"].is_object();
+            return;
+        };
         let Some(of) = link.open.remove(&number) else {
             if let Some(of) = link.answered.get(&number) {
                 // Its second answer, whatever it says.
--- a/crates/hazelspur-standins/src/runtime.rs
+++ b/crates/hazelspur-standins/src/runtime.rs
@@ -7,9 +7,11 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{sleep, spawn};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const TICK: Duration = Duration::from_millis(1);
+/// A run that nobody has claimed for so long ends at its call.
+const ORPHANED: Duration = Duration::from_millis(300);
 /// Notices kept for a link that is made anew.
 const KEPT: usize = 4096;
 
@@ -35,6 +37,8 @@
     left_ms: f64,
     calling: bool,
     called: bool,
+    /// Since when no server that is known to run it has a link; its requests are over.
+    orphan: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -75,9 +79,9 @@
         });
         let worked = Arc::downgrade(&town);
         spawn(move || {
-            let mut before = std::time::Instant::now();
+            let mut before = Instant::now();
             while let Some(town) = worked.upgrade() {
-                let passed = std::mem::replace(&mut before, std::time::Instant::now()).elapsed();
+                let passed = std::mem::replace(&mut before, Instant::now()).elapsed();
                 town.lock().expect("no panic before").work(passed.as_secs_f64() * 1000.0);
                 drop(town);
                 sleep(TICK);
@@ -118,6 +122,8 @@
     fn begin(&mut self, id: &str, body: Vec<u8>) {
         // A start that is sent once more after a break is the same run.
         if self.started.contains_key(id) {
+            let run = self.running.iter_mut().find(|run| run.id == id);
+            run.into_iter().for_each(|run| run.orphan = None);
             return;
         }
         if !self.forgetful {
@@ -126,7 +132,7 @@
         }
         let calls = self.pace.calls;
         let left_ms = self.pace.run_ms as f64;
-        self.running.push(Run { id: id.into(), body, left_ms, calling: false, called: !calls });
+        self.running.push(Run { id: id.into(), body, left_ms, calling: false, called: !calls, orphan: None });
         self.most_running = self.most_running.max(self.running.len());
         if self.pace.run_ms == 0 {
             self.work(0.0);
@@ -140,6 +146,12 @@
         let mut at = 0;
         while at < self.running.len() {
             let run = &mut self.running[at];
+            if run.calling && run.orphan.is_some_and(|since| since.elapsed() >= ORPHANED) {
+                // Its request is over: it ends at its call.
+                let id = self.running.swap_remove(at).id;
+                self.notice(|number| format!("end {number} {id} cancelled 0 0\r\n\r\n").into_bytes());
+                continue;
+            }
             if run.calling {
                 at += 1;
                 continue;
@@ -201,6 +213,10 @@
         match words[..] {
             ["sync", last] => {
                 let last: u64 = last.parse().unwrap_or(0);
+                if last == 0 {
+                    // A new life of the server; one that knows a run sends its start once more.
+                    town.running.iter_mut().for_each(|run| run.orphan = Some(Instant::now()));
+                }
                 town.link = stream.try_clone().ok();
                 town.say(b"ready hot 60000\r\n");
                 let again: Vec<u8> =
--- a/crates/hazelspur-standins/tests/gateway.rs
+++ b/crates/hazelspur-standins/tests/gateway.rs
@@ -1,4 +1,5 @@
-//! The stand-in gateway reads what came before a connection's end, though both come at once.
+//! The stand-in gateway knows how its ops ended, whenever its thread comes to look: it reads what came before a connection's end, though both come at
+//! once.
 
 use hazelspur_standins::gateway::{Answer, Gateway, Habits};
 use serde_json::{Value, json};
@@ -7,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 /// Answers the first op of each connection, or not, says farewell and closes, all at once.
-fn serve(listener: TcpListener, answers: bool) {
+fn serve(listener: TcpListener, answers: bool, word: Value) {
     for stream in listener.incoming().flatten() {
         let mut line = String::new();
         if BufReader::new(&stream).read_line(&mut line).is_err() || line.is_empty() {
@@ -16,16 +17,15 @@
         let asked: Value = serde_json::from_str(&line).expect("a line of JSON");
         let answer =
             json!({"jsonrpc": "2.0", "id": asked["id"], "result": {"data": asked["params"]["data"]}});
-        let farewell = json!({"jsonrpc": "2.0", "method": "farewell"});
-        let text = if answers { format!("{answer}\n{farewell}\n") } else { format!("{farewell}\n") };
+        let text = if answers { format!("{answer}\n{word}\n") } else { format!("{word}\n") };
         let _ = (&stream).write_all(text.as_bytes());
     }
 }
 
-fn played(answers: bool) -> Vec<hazelspur_standins::gateway::Try> {
+fn played(answers: bool, word: Value) -> Vec<hazelspur_standins::gateway::Try> {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let at = listener.local_addr().expect("an address");
-    std::thread::spawn(move || serve(listener, answers));
+    std::thread::spawn(move || serve(listener, answers, word));
     let habits = Habits {
         by_subject: false,
         retries: 0,
@@ -43,16 +43,24 @@
     gateway.end()
 }
 
+fn farewell() -> Value {
+    json!({"jsonrpc": "2.0", "method": "farewell"})
+}
+
 #[test]
 fn an_answer_that_comes_with_the_end_of_its_connection_counts() {
-    let tries = played(true);
+    let tries = played(true, farewell());
     let first = tries.iter().filter(|t| t.answers.iter().any(|(answer, _)| *answer == Answer::Acked));
     let lost = tries.iter().filter(|t| t.answers.is_empty() && !t.crossed).count();
     assert!(first.count() >= 20 && lost == 0, "{lost} of {} lost", tries.len());
 }
 
 #[test]
-fn what_crosses_a_farewell_that_comes_with_the_end_is_known_to_have_crossed_it() {
-    let tries = played(false);
-    assert!(tries.len() >= 50 && tries.iter().all(|t| t.crossed), "{:?}", tries.iter().find(|t| !t.crossed));
+fn what_crosses_a_farewell_or_a_dismissal_that_comes_with_the_end_is_known_to_have_crossed_it() {
+    let dismissed = json!({"jsonrpc": "2.0", "id": null, "error": {"code": -32600, "message": "too late"}});
+    for word in [farewell(), dismissed] {
+        let tries = played(false, word);
+        let not = tries.iter().find(|t| !t.crossed);
+        assert!(tries.len() >= 50 && not.is_none(), "{not:?}");
+    }
 }
