Choices of many servers: subsets, turns, signals, shares by leases and a gate, without I/O

Need: a choice that is right for one server can be wrong when three hundred make it at once; what one server alone can't know is who else tries, how slow all others find the ledger, and how much of a limit is left.

Change: in hazelspur-fleet, all without I/O and clock: weighted rendezvous subsets (over sites too), turns in slots of the wall clock, signals with a median of sites' medians, shares of limits as leases that end (a vote of keepers kept in memory, one divider, water filling, floors without talk), a gate for what nobody reaches, and Joint, which is all of it as one server has it. The decision module takes what comes of it as facts under joint.

--- /dev/null
+++ b/crates/hazelspur-fleet/src/joint.rs
@@ -0,0 +1,280 @@
+//! What one server knows and chooses together with the others: members, shares, signals and the gate behind
+//! one set of inputs, as the program, the laboratory and the tests run it. No I/O and no clock.
+//!
+//! Two clocks are handed in: the wall's, by which servers that can't talk find common turns and datagrams
+//! show their age, and a steady one that nobody sets, by which leases are counted.
+
+use crate::gate::{CHOSEN, Gate};
+use crate::members::{Members, Terms as MemberTerms};
+use crate::names::Generation;
+use crate::shares::{Life, LimitId, Print, Share, Shares, Terms as ShareTerms};
+use crate::signals::{Board, Common, Pace, Whose, Word};
+use crate::subsets::{Candidate, over_sites};
+use crate::talk::{Body, Datagram, Dropped, Shown};
+use hazelspur::{Moment, Span};
+use std::net::SocketAddr;
+
+/// Others that hear this server's word in each period, besides those who get a datagram anyway.
+const PUSHES: usize = 3;
+/// No word older than this counts, in periods.
+const WORDS_LAST: f64 = 5.0;
+/// Others that hear at once that this server got through again.
+const HERALDS: usize = 8;
+const LAST_CALL: f64 = 0.3;
+/// Who made no call for so long says nothing of what calls reach.
+const LATELY: Span = Span::from_ms(3000);
+/// The chosen change so often.
+const CHOSEN_FOR_US: u64 = 60_000_000;
+
+/// One moment by both clocks.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct At {
+    pub wall: Moment,
+    pub steady: Moment,
+}
+
+/// What this server sees of its own work.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// How long calls to what all share take now; none where there were none.
+    pub call_secs: Option<f64>,
+    /// Share of the last ops that it refused.
+    pub refused: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Joint {
+    pub members: Members,
+    pub shares: Option<Shares>,
+    pub gate: Gate,
+    print: Option<Print>,
+    board: Board,
+    pace: Pace,
+    word: Word,
+    common: Option<Common>,
+    whose: Whose,
+    /// Share of the last calls that reached nobody; the last one for three tenths of it.
+    unreached: f64,
+    called: Moment,
+    period: Span,
+    next_round: Moment,
+    /// Datagrams about shares by other terms than ours.
+    pub other_terms: u64,
+}
+
+impl Joint {
+    pub fn new(
+        members: MemberTerms,
+        shares: Option<ShareTerms>,
+        generation: Generation,
+        seed: u64,
+        at: At,
+    ) -> Self {
+        let me = Life { name: members.name, generation };
+        let (period, most) = (members.period, members.most);
+        Self {
+            print: shares.as_ref().map(ShareTerms::print),
+            shares: shares.map(|terms| Shares::new(terms, me, seed, at.steady)),
+            gate: Gate::new(me.name, "ledger", most),
+            board: Board::new(most * 2, period.scaled(WORDS_LAST)),
+            pace: Pace::default(),
+            word: Word::default(),
+            common: None,
+            whose: Whose::None,
+            unreached: 0.0,
+            called: Moment::default(),
+            period,
+            next_round: at.steady + period,
+            members: Members::new(members, generation, seed, at.wall),
+            other_terms: 0,
+        }
+    }
+
+    // ---- inputs ----
+
+    pub fn heard(&mut self, at: At, came: &Datagram) -> Result<(), Dropped> {
+        if let Body::ShowChoices { number } = came.body {
+            let shown = self.shown(at);
+            self.members.answer(came.from.at, Body::Choices { number, shown });
+            return Ok(());
+        }
+        self.members.heard(at.wall, came)?;
+        if matches!(came.body, Body::Show { .. }) {
+            return Ok(());
+        }
+        if let Some(word) = came.word {
+            self.board.heard(at.steady, came.from.name, came.from.site, word);
+            if word.sound() && word.unreached.is_some_and(|n| n < 0.5) {
+                self.gate.hint(at.wall);
+            }
+        }
+        if let (Body::Share { print, word }, Some(shares)) = (&came.body, &mut self.shares) {
+            if Some(*print) == self.print {
+                let from = Life { name: came.from.name, generation: came.from.generation };
+                shares.heard(at.steady, from, word);
+            } else {
+                self.other_terms += 1;
+            }
+        }
+        self.pass_on();
+        Ok(())
+    }
+
+    /// What this server has seen lately; goes to others as its word.
+    pub fn saw(&mut self, at: At, seen: Seen) {
+        let lately = at.steady - self.called < LATELY;
+        let share = |n: f64| if n.is_finite() { n.clamp(0.0, 1.0) as f32 } else { 0.0 };
+        self.word = Word {
+            pace: seen.call_secs.map_or(0.0, |secs| self.pace.seen(at.steady, secs)),
+            unreached: if self.gate.is_open() { lately.then(|| share(self.unreached)) } else { Some(1.0) },
+            refused: share(seen.refused),
+        };
+        self.members.says(self.word);
+    }
+
+    /// A call to what all share is over, or a try while the gate was shut: whether anybody was reached.
+    pub fn call_ended(&mut self, at: At, reached: bool) {
+        let was_open = self.gate.is_open();
+        self.called = at.steady;
+        self.unreached += LAST_CALL * (f64::from(u8::from(!reached)) - self.unreached);
+        self.gate.ended(at.wall, reached);
+        if !was_open && self.gate.is_open() {
+            self.unreached = 0.0;
+            self.word.unreached = Some(0.0);
+            self.members.says(self.word);
+            self.members.push(HERALDS);
+        }
+    }
+
+    pub fn tick(&mut self, at: At) {
+        self.members.tick(at.wall);
+        if let Some(shares) = &mut self.shares
+            && at.steady >= shares.next_tick()
+        {
+            shares.tick(at.steady);
+        }
+        if at.steady >= self.next_round {
+            self.next_round = at.steady + self.period;
+            self.members.push(PUSHES);
+            self.look(at);
+        }
+        self.pass_on();
+    }
+
+    /// From now on nothing new is taken.
+    pub fn leave(&mut self, at: At) {
+        self.members.leave(at.wall);
+        if let Some(shares) = &mut self.shares {
+            shares.leave(at.steady);
+        }
+        self.pass_on();
+    }
+
+    // ---- what comes of it ----
+
+    /// After how long `tick` is to be called.
+    pub fn wait(&self, at: At) -> Span {
+        let rest = [Some(self.next_round), self.shares.as_ref().map(Shares::next_tick)];
+        let rest = rest.into_iter().flatten().map(|next| next - at.steady);
+        rest.fold(self.members.next_tick() - at.wall, Span::min)
+    }
+
+    pub fn next_out(&mut self, at: At) -> Option<(SocketAddr, Datagram)> {
+        self.members.next_out(at.wall)
+    }
+
+    /// What may be used of a limit at this moment; none where it is not shared.
+    pub fn share(&self, at: At, limit: &str) -> Option<Share> {
+        let shares = self.shares.as_ref()?;
+        shares.terms().find(limit).map(|limit| shares.share(at.steady, limit))
+    }
+
+    pub fn want(&mut self, limit: &str, amount: f64) {
+        if let Some(shares) = &mut self.shares
+            && let Some(limit) = shares.terms().find(limit)
+        {
+            shares.want(limit, amount);
+        }
+    }
+
+    /// What all said, by the last look, which is a period old at most.
+    pub fn common(&self) -> Option<Common> {
+        self.common
+    }
+
+    pub fn word(&self) -> Word {
+        self.word
+    }
+
+    /// Whose the trouble is that calls have here, by the last look.
+    pub fn whose(&self) -> Whose {
+        self.whose
+    }
+
+    pub fn absurd(&self) -> u64 {
+        self.board.absurd
+    }
+
+    pub fn check(&self, at: At) -> Result<(), String> {
+        self.members.check()?;
+        self.shares.as_ref().map_or(Ok(()), |shares| shares.check(at.steady))
+    }
+
+    /// All limits with their shares, in the order of the terms.
+    pub fn all_shares(&self, at: At) -> Vec<(String, Share)> {
+        let Some(shares) = &self.shares else { return Vec::new() };
+        let limits = shares.terms().limits.iter().enumerate();
+        limits.map(|(i, limit)| (limit.name.to_string(), shares.share(at.steady, LimitId(i)))).collect()
+    }
+
+    /// For an operator.
+    pub fn shown(&self, at: At) -> Shown {
+        let left = |until: Moment| ((until - at.steady).us() / 1000).min(u64::from(u32::MAX)) as u32;
+        let mut shown = Shown {
+            shut: !self.gate.is_open(),
+            whose: self.whose,
+            word: self.word,
+            common: self.common,
+            ..Shown::default()
+        };
+        let Some(shares) = &self.shares else { return shown };
+        shown.divider = shares.divider(at.steady);
+        shown.given =
+            shares.given(at.steady, LimitId(0)).map(|(given, holders, _)| (given as f32, holders as u32));
+        for (i, limit) in shares.terms().limits.iter().enumerate() {
+            let share = shares.share(at.steady, LimitId(i));
+            let amounts = (share.amount as f32, share.floor as f32);
+            shown.shares.push((limit.name, amounts.0, amounts.1, share.until.map(left)));
+        }
+        shown
+    }
+
+    // ---- inside ----
+
+    fn look(&mut self, at: At) {
+        let common = self.board.common(at.steady);
+        self.common = common;
+        self.whose = self.board.whose(at.steady, &self.word);
+        let told = common.map(|common| {
+            let unreached = common.unreached >= 0.5;
+            // Only who is shut needs to know whether it is chosen.
+            (!self.gate.is_open() && self.is_chosen(at), unreached)
+        });
+        self.gate.common(at.wall, told);
+    }
+
+    fn is_chosen(&self, at: At) -> bool {
+        let all = self.members.alive().map(|(name, site)| Candidate { name, site, weight: 1.0 });
+        let round = at.wall.us() / CHOSEN_FOR_US;
+        let me = self.members.me().name;
+        over_sites("ledger", round, CHOSEN, all).iter().any(|chosen| chosen.name == me)
+    }
+
+    fn pass_on(&mut self) {
+        let (Some(shares), Some(print)) = (&mut self.shares, self.print) else { return };
+        while let Some((to, word)) = shares.next_out() {
+            // Who is not known yet is not reached, like anybody whose datagram is lost.
+            let _ = self.members.send_word(to, Body::Share { print, word });
+        }
+    }
+}
--- a/crates/hazelspur-fleet/src/lib.rs
+++ b/crates/hazelspur-fleet/src/lib.rs
@@ -6,20 +6,34 @@
 //! - `members`: who is here, as far as this process can know;
 //! - `picture`: what that yields: members, and the size of the fleet and of each site within bounds;
 //! - `doubt`: how far this process trusts itself;
-//! - `news`: what goes along with each datagram.
+//! - `news`: what goes along with each datagram;
+//! - `subsets`, `turns`: who of many, and when, worked out alike by each for itself;
+//! - `signals`: what servers say of what all depend on, and what many such words come to;
+//! - `shares`: what has an end for all together, divided by leases;
+//! - `gate`: who tries what nobody reaches;
+//! - `joint`: all of it as one server has it; `guidance`: what the decision module is told of that.
 
 pub mod claim;
 pub mod doubt;
+pub mod gate;
+pub mod guidance;
+mod hash;
+pub mod joint;
 pub mod members;
 pub mod names;
 pub mod news;
 pub mod picture;
 pub mod replay;
+pub mod shares;
+pub mod signals;
+pub mod subsets;
 pub mod talk;
+pub mod turns;
 
 pub use claim::{Claim, Says};
 pub use doubt::Condition;
+pub use joint::{At, Joint};
 pub use members::{Event, Members, Terms};
-pub use names::{Generation, Incarnation, Installation, MemberName, SiteName};
+pub use names::{Generation, Incarnation, Installation, LimitName, MemberName, SiteName};
 pub use picture::{Picture, Size, Standing};
 pub use talk::{Body, Datagram, Key};
--- a/crates/hazelspur-fleet/src/members/mod.rs
+++ b/crates/hazelspur-fleet/src/members/mod.rs
@@ -19,6 +19,7 @@
 use crate::news::News;
 use crate::picture::{Picture, Row, Size, Standing};
 use crate::replay::Seen;
+use crate::signals;
 use crate::talk::{self, Body, Datagram, Dropped, MOST_CLAIMS, MOST_ROWS, ShownRow};
 use hazelspur::pcg::Pcg;
 use hazelspur::{Moment, Span};
@@ -197,6 +198,8 @@
     awake: Moment,
     out: VecDeque<Out>,
     events: VecDeque<Event>,
+    /// Goes along with each datagram.
+    word: Option<signals::Word>,
     pub figures: Figures,
 }
 
@@ -246,6 +249,7 @@
             awake: now,
             out: VecDeque::new(),
             events: VecDeque::new(),
+            word: None,
             figures: Figures::default(),
             terms,
         }
@@ -315,6 +319,30 @@
         self.say_of_me(now, Says::Left);
     }
 
+    /// What this server says of what all depend on, with each datagram from here on.
+    pub fn says(&mut self, word: signals::Word) {
+        self.word = Some(word);
+    }
+
+    /// To one that is known; false where it is not.
+    pub fn send_word(&mut self, name: MemberName, body: Body) -> bool {
+        let known = self.table.contains_key(&name);
+        self.send_to(name, body);
+        known
+    }
+
+    /// Nothing but what goes along, to so many that are drawn.
+    pub fn push(&mut self, most: usize) {
+        let names = self.pick(most, |entry| entry.standing == Standing::Alive);
+        names.into_iter().for_each(|name| self.send_to(name, Body::Gossip));
+    }
+
+    /// All that are alive here, this server among them, with their sites.
+    pub fn alive(&self) -> impl Iterator<Item = (MemberName, SiteName)> {
+        let others = self.table.values().filter(|entry| entry.standing == Standing::Alive);
+        others.map(|entry| (entry.claim.name, entry.claim.site)).chain([(self.me.name, self.me.site)])
+    }
+
     // ---- what comes of it ----
 
     pub fn next_tick(&self) -> Moment {
@@ -333,6 +361,7 @@
             from: self.me,
             number: self.number,
             sent_ms: now.us() / 1000,
+            word: self.word.filter(|_| !matches!(body, Body::Shown { .. } | Body::Choices { .. })),
             body,
             claims: Vec::new(),
         };
@@ -343,7 +372,7 @@
                 datagram.body = Body::Page { next };
                 claims
             }
-            Body::Shown { .. } => Vec::new(),
+            Body::Shown { .. } | Body::Choices { .. } => Vec::new(),
             _ => self.goes_along(name, room),
         };
         Some((to, datagram))
--- a/crates/hazelspur-fleet/src/members/telling.rs
+++ b/crates/hazelspur-fleet/src/members/telling.rs
@@ -67,6 +67,14 @@
         (claims, None)
     }
 
+    /// Answers an operator's command with what is ready; as many in a period as are shown otherwise.
+    pub fn answer(&mut self, to: SocketAddr, body: Body) {
+        if self.shows_left > 0 {
+            self.shows_left -= 1;
+            self.send(to, None, body);
+        }
+    }
+
     /// Answers an operator's command, a part at a time.
     pub(super) fn show(&mut self, now: Moment, to: SocketAddr, number: u32, after: Option<MemberName>) {
         if self.shows_left == 0 {
--- a/crates/hazelspur-fleet/src/names.rs
+++ b/crates/hazelspur-fleet/src/names.rs
@@ -77,6 +77,10 @@
     /// Where servers stand and fall together: a zone, a hall, a rack.
     SiteName
 );
+name!(
+    /// Something that all servers share and that has an end: slots of a ledger, a tenant's quota, turns.
+    LimitName
+);
 name!(
     /// All servers that belong together; a datagram of any other installation is foreign.
     Installation
--- a/crates/hazelspur-fleet/src/talk.rs
+++ b/crates/hazelspur-fleet/src/talk.rs
@@ -4,13 +4,15 @@
 
 use crate::claim::Claim;
 use crate::doubt::Condition;
-use crate::names::{Installation, MemberName, SiteName};
+use crate::names::{Installation, LimitName, MemberName, SiteName};
 use crate::picture::{Size, Standing};
+use crate::signals::{Common, Whose};
+use crate::{shares, signals};
 use hazelspur::Moment;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 const TAG: usize = 16;
 /// The longest datagram, in bytes: fits an Ethernet frame with room to spare.
 pub const LONGEST: usize = 1200;
@@ -60,6 +62,20 @@
     pub heard_ms: Option<u64>,
 }
 
+/// What a server goes by that all have in common, as an operator is shown it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Shown {
+    pub divider: Option<MemberName>,
+    /// What this server divides, and among how many, if it does.
+    pub given: Option<(f32, u32)>,
+    /// Name, amount, floor and how many ms the lease still lasts.
+    pub shares: Vec<(LimitName, f32, f32, Option<u32>)>,
+    pub shut: bool,
+    pub whose: Whose,
+    pub word: signals::Word,
+    pub common: Option<Common>,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Body {
     /// Are you there? Answered by `Ack`, if `to` is the name of who gets it or is not known.
@@ -78,6 +94,11 @@
     },
     /// Nothing but what goes along.
     Gossip,
+    /// About shares, by these terms.
+    Share {
+        print: shares::Print,
+        word: shares::Word,
+    },
     /// The list behind this name.
     Ask {
         after: Option<MemberName>,
@@ -91,6 +112,14 @@
         number: u32,
         after: Option<MemberName>,
     },
+    /// By an operator's command: what this server holds of what all share, and what it goes by.
+    ShowChoices {
+        number: u32,
+    },
+    Choices {
+        number: u32,
+        shown: Shown,
+    },
     /// Sites only where the answer begins.
     Shown {
         number: u32,
@@ -112,6 +141,8 @@
     /// The sender's wall clock, in Unix milliseconds.
     pub sent_ms: u64,
     pub body: Body,
+    /// What the sender says of what all depend on.
+    pub word: Option<signals::Word>,
     pub claims: Vec<Claim>,
 }
 
@@ -203,7 +234,12 @@
     let read: Result<(Datagram, &[u8]), _> = postcard::take_from_bytes(&bytes[1 + TAG..]);
     let (datagram, rest) = read.map_err(|_| Dropped::Content)?;
     let shown = |rows: &Vec<ShownRow>, sites: &Vec<_>| rows.len() <= MOST_ROWS && sites.len() <= MOST_SITES;
-    let fits = if let Body::Shown { rows, sites, .. } = &datagram.body { shown(rows, sites) } else { true };
+    let fits = match &datagram.body {
+        Body::Shown { rows, sites, .. } => shown(rows, sites),
+        Body::Share { word, .. } => word.fits(),
+        Body::Choices { shown, .. } => shown.shares.len() <= shares::MOST_LIMITS,
+        _ => true,
+    };
     if !rest.is_empty() || datagram.claims.len() > MOST_CLAIMS || !fits {
         return Err(Dropped::Content);
     }
--- a/crates/hazelspur-fleet/tests/traces.rs
+++ b/crates/hazelspur-fleet/tests/traces.rs
@@ -182,6 +182,7 @@
                     number,
                     sent_ms: town.now.us() / 1000,
                     body: Body::Gossip,
+                    word: None,
                     claims: vec![lie, absurd],
                 };
                 let ear = (victim + round) % 9;
@@ -216,6 +217,7 @@
         number: 1,
         sent_ms: START.us() / 1000,
         body: Body::Gossip,
+        word: None,
         claims: (2..40).map(claim).collect(),
     };
     member.heard(START, &datagram).expect("it is taken");
--- a/src/book.rs
+++ b/src/book.rs
@@ -187,6 +187,17 @@
     }
 }
 
+/// What a server says of itself to those it shares with.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct View {
+    /// The bound on calls that its ops of late would need; none before the first call.
+    pub calls: Option<f64>,
+    /// How long calls take now, in seconds.
+    pub call_secs: Option<f64>,
+    /// Share of its last ops that it refused.
+    pub refused: f64,
+}
+
 /// Writes down who was seen now and says when before. Past a number those not seen for `idle` are dropped, and
 /// then ever later ones until half are gone, so that names which are always new take no more room nor time.
 pub fn note<K: Ord>(seen: &mut BTreeMap<K, Moment>, who: K, now: Moment, mut idle: Span) -> Option<Moment> {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,7 @@
 //! The interface is this type's `pub fn`s and `Decision` in decision.rs; docs/design.md says why.
 
 use crate::book::{
-    Cycle, Op, OpType, Outcome, Read, Recent, Repeats, SAMPLES, State, mean, middle, note, parts,
+    Cycle, Op, OpType, Outcome, Read, Recent, Repeats, SAMPLES, State, View, mean, middle, note, parts,
 };
 use crate::pcg::Pcg;
 use crate::{CallerId, Decision, Fact, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
@@ -29,6 +29,7 @@
 const MEMORY_MARGIN: f64 = 0.92;
 const CALLS_PART: f64 = 0.45;
 const CALLS_SAVED: f64 = 0.3;
+const CALLS_ROOM: f64 = 1.3;
 const CALL_TRIES: u32 = 3;
 const CALL_PATIENCE: f64 = 8.0;
 const STOP_AGAIN: Span = Span::from_ms(200);
@@ -308,6 +309,15 @@
         self.out.push_back(Decision::Health { good: false, from_store: true });
     }
 
+    /// What servers found out together, by names under `joint.`; `None` once they don't know any more.
+    pub fn told(&mut self, now: Moment, name: &str, value: Option<f64>) {
+        self.refill(now);
+        match value.filter(|n| name.starts_with("joint.") && n.is_finite() && *n >= 0.0) {
+            Some(n) => self.facts.0.insert(name.into(), Fact::Num(n)),
+            None => self.facts.0.remove(name).filter(|_| name.starts_with("joint.")),
+        };
+    }
+
     // ---- decisions, one by one ----
 
     pub fn next_decision(&mut self, now: Moment) -> Option<Decision> {
@@ -418,7 +428,7 @@
             return Some(self.give_up(now, id));
         }
         let calls = self.count(|op| op.state == State::Calling) as f64 + 1.0;
-        if self.calls_short() || calls > (2.0 * self.calls_bound()).max(1.0) {
+        if self.shut() || self.calls_short() || calls > (2.0 * self.calls_bound()).max(1.0) {
             return None;
         }
         let drain = calls - self.calls_bound();
@@ -493,7 +503,7 @@
         let waiting = self.count(|op| op.state == State::WantsCall) as f64;
         if on_cores + 1.0 > self.run_bound(now)
             || live + 1.0 > self.crowd_ceiling(now)
-            || waiting > self.cores
+            || waiting > self.cores && !self.shut()
             || waiting > 0.0 && self.calls_short()
         {
             return None;
@@ -524,9 +534,11 @@
     fn head(&self, line: usize, now: Moment) -> Option<OpId> {
         let room = self.memory_limit() - self.memory();
         let factor = self.facts.num("server.run_factor", 8.0) - 1.0;
+        let shut = self.shut();
+        let calls = |op: &Op| self.op_types[op.op_type].calls.mean_without_top(COSTLY) > Some(0.0);
         self.lines[line].iter().copied().find(|id| {
             let op = &self.ops[id];
-            op.admitted && (op.paused || op.kb * factor <= room) && now < op.due
+            !(shut && calls(op)) && op.admitted && (op.paused || op.kb * factor <= room) && now < op.due
         })
     }
 
@@ -694,7 +706,9 @@
             return 1.0;
         }
         let rate = seen.samples.len() as f64 / (now - seen.samples[0]).secs().max(0.01);
-        let within = (quota / self.facts.num("servers", 1.0).max(1.0) / rate).min(1.0);
+        let here = quota / self.facts.num("servers", 1.0).max(1.0);
+        let here = self.facts.num(&format!("joint.tenants.{}.per_s", tenant.0), here);
+        let within = (here / rate).min(1.0);
         within + (1.0 - within) * over
     }
 
@@ -714,7 +728,12 @@
 
     /// Calls in hand on average; with what may be saved up they stay under 0.6 of this server's share.
     fn calls_bound(&self) -> f64 {
-        self.facts.num("server.calls_bound", 1e9) * CALLS_PART
+        self.facts.num("joint.calls_bound", self.facts.num("server.calls_bound", 1e9)) * CALLS_PART
+    }
+
+    /// What all calls go to can't be reached: nothing that will call is run for nothing meanwhile.
+    fn shut(&self) -> bool {
+        self.facts.num("joint.shut", 0.0) > 0.0
     }
 
     fn calls_saved(&self) -> f64 {
@@ -752,6 +771,22 @@
         self.run_bound(now) * ((target / self.usual_run_secs().max(1e-3) - 1.0) * ROOM).clamp(1.0, 20.0)
     }
 
+    /// What others may be told of this server, and what it would use of what all share.
+    pub fn view(&self, now: Moment) -> View {
+        let since = self.reads.samples.front().map_or(Span::ZERO, |read| now - read.at).secs().max(0.2);
+        let can = self.cores / self.usual_run_secs();
+        let rate = (self.reads.samples.len() as f64 / since).min(can);
+        let calls = self.call_secs().map(|secs| rate * secs / CALLS_PART * CALLS_ROOM);
+        View { calls, call_secs: self.call_secs(), refused: self.refused_share() }
+    }
+
+    /// Ops a second that came of this tenant lately.
+    pub fn tenant_rate(&self, now: Moment, tenant: TenantId) -> f64 {
+        let seen =
+            self.tenants.get(tenant.0).and_then(|seen| Some((seen.samples.len(), *seen.samples.front()?)));
+        seen.map_or(0.0, |(count, first)| count as f64 / (now - first).secs().max(0.2))
+    }
+
     /// Callers of the last ops read, by weight: two alike are 2, a heavy and a light one little over 1.
     fn active_callers(&self) -> f64 {
         let mut read: BTreeMap<CallerId, f64> = BTreeMap::new();
@@ -786,7 +821,8 @@
         }
         // Where much is refused, demand is the cause, and tries elsewhere cost more than they bring. Guards
         // against storms of tries; does harm where only this server is sought out.
-        let nowhere_else = hopeless || !self.cold && self.leaving.is_none() && self.refused_share() > CROWDED;
+        let refused = self.facts.num("joint.refused", self.refused_share());
+        let nowhere_else = hopeless || !self.cold && self.leaving.is_none() && refused > CROWDED;
         Decision::Nack { op: id, come_back, nowhere_else }
     }
 
