--- a/crates/hazelspur-fleetbed/src/bed.rs
+++ b/crates/hazelspur-fleetbed/src/bed.rs
@@ -25,6 +25,8 @@
 pub const INSTALLATION: &str = "bed";
 pub const GRACE_MS: u64 = 300;
 pub const STOP_MS: u64 = 1500;
+/// By when an op's caller has given up, and its run ends at its call.
+const TIMEOUT_MS: u64 = 3000;
 pub const CORES: usize = 2;
 pub const CROWD_MULTIPLE: usize = 8;
 /// Calls that a server may have out, by its settings.
@@ -44,6 +46,21 @@
     pub rate: f64,
     /// What the operator's file says is the most servers.
     pub most: usize,
+    /// Servers go by what they hear of each other, and share the ledger's slots.
+    pub joint: bool,
+}
+
+impl Plan {
+    /// Slots of the ledger, and with `joint` what is shared of them.
+    pub fn slots(&self) -> usize {
+        self.servers * 2
+    }
+
+    /// One that votes in each site and two more, as far as there are servers.
+    fn keepers(&self) -> Vec<String> {
+        let keepers = if self.servers >= 5 { 5 } else { 1 };
+        (0..keepers).map(|of| format!("n{of}")).collect()
+    }
 }
 
 pub struct Bed {
@@ -79,11 +96,11 @@
         // Once: a server that starts may be reading it.
         std::fs::write(folder.join("key"), KEY)?;
         let relays = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-        let pace = Pace { run_ms: 15, calls: true, fails: 0, cores: CORES };
+        let pace = Pace { run_ms: 15, calls: true, fails: 0, cores: CORES, over_ms: TIMEOUT_MS };
         let weather = Weather::new(plan.script.clone());
         let mut bed = Self {
             runtimes: (0..plan.servers).map(|_| Runtime::start("127.0.0.1:0", pace)).collect(),
-            ledger: Ledger::start("127.0.0.1:0", plan.servers * 2, 10.0),
+            ledger: Ledger::start("127.0.0.1:0", plan.slots(), 10.0),
             control: Control::start("127.0.0.1:0"),
             processes: (0..plan.servers).map(|_| None).collect(),
             stopped: vec![None; plan.servers],
@@ -154,8 +171,17 @@
         std::fs::write(&json, self.settings(of))?;
         let contacts: Vec<String> =
             (0..self.plan.servers.min(3)).map(|of| self.at(2, of, 7946).to_string()).collect();
+        let joint = if self.plan.joint {
+            format!(
+                "    together = True,\n    keepers = {:?},\n    lease_s = 4,\n    shares = [{{\"limit\": \"calls\", \"total\": {}}}],\n",
+                self.plan.keepers(),
+                self.plan.slots()
+            )
+        } else {
+            String::new()
+        };
         let star = format!(
-            "fleet(\n    installation = {INSTALLATION:?},\n    site = {:?},\n    at = \"{}\",\n    listen = \"{}\",\n    contacts = {contacts:?},\n    key_file = {key:?},\n    most = {},\n)\n",
+            "fleet(\n    installation = {INSTALLATION:?},\n    site = {:?},\n    at = \"{}\",\n    listen = \"{}\",\n    contacts = {contacts:?},\n    key_file = {key:?},\n    most = {},\n{joint})\n",
             SITES[site(of)],
             self.at(2, of, 7946),
             self.at(1, of, 7946),
@@ -183,10 +209,10 @@
                 "meters": ["core_use", "on_cores"], "calls-out": CALLS, "calls-over-us": 5_000_000,
                 "passes-deadline": true},
             "lanes": [
-                {"name": "view", "aim-us": 1_500_000, "deadline-us": 3_000_000, "semantics": "safe", "importance": 1},
-                {"name": "set-qty", "aim-us": 1_500_000, "deadline-us": 3_000_000, "semantics": "keyed",
+                {"name": "view", "aim-us": 1_500_000, "deadline-us": TIMEOUT_MS * 1000, "semantics": "safe", "importance": 1},
+                {"name": "set-qty", "aim-us": 1_500_000, "deadline-us": TIMEOUT_MS * 1000, "semantics": "keyed",
                     "memory-span-us": 60_000_000},
-                {"name": "book", "aim-us": 1_500_000, "deadline-us": 3_000_000, "semantics": "unsafe"}],
+                {"name": "book", "aim-us": 1_500_000, "deadline-us": TIMEOUT_MS * 1000, "semantics": "unsafe"}],
             "rules": {"fall-multiple": CROWD_MULTIPLE, "cold-share": 0.2, "cold-us": 5_000_000,
                 "drain-grace-us": GRACE_MS * 1000},
             "limits": {"retry-after": true, "max-retry-after-us": 1_000_000},
@@ -210,7 +236,7 @@
                 heed: number % 4 < 2,
                 rate: self.plan.rate / self.plan.gateways as f64,
                 list_late_ms: 1000 + 400 * (number as u64 % 4),
-                timeout_ms: 3000,
+                timeout_ms: TIMEOUT_MS,
             };
             let servers = (0..self.plan.servers).map(|of| self.at(10 + number, of, 9000)).collect();
             let list = self.control.list.clone();
--- a/crates/hazelspur-fleetbed/src/main.rs
+++ b/crates/hazelspur-fleetbed/src/main.rs
@@ -41,6 +41,9 @@
         /// Leaves out faults one by one while a rule stays broken.
         #[arg(long)]
         shrink: bool,
+        /// Servers go by what they hear of each other, and share the ledger's slots by leases.
+        #[arg(long)]
+        joint: bool,
         /// Only the verdict.
         #[arg(long)]
         quiet: bool,
@@ -66,7 +69,8 @@
 
 fn run() -> anyhow::Result<bool> {
     let Line {
-        command: Command::Run { servers, gateways, rate, script, seed, seeds, seconds, shrink, quiet, server },
+        command:
+            Command::Run { servers, gateways, rate, script, seed, seeds, seconds, shrink, joint, quiet, server },
     } = Line::parse();
     let beside = std::env::current_exe()?.with_file_name("hazelspur-server");
     let server_binary = server.unwrap_or(beside);
@@ -82,6 +86,7 @@
         seed,
         rate,
         most: servers * 2,
+        joint,
     };
     let scripts: Vec<(u64, Script)> = match (script, seed) {
         (Some(text), _) => vec![(1, text.parse().map_err(anyhow::Error::msg).context("--script")?)],
@@ -112,7 +117,8 @@
             };
             let least = if shrink { script.shrunk(fails) } else { script };
             println!(
-                "again: hazelspur-fleetbed run --servers {servers} --gateways {gateways} --rate {rate} --script {:?}",
+                "again: hazelspur-fleetbed run --servers {servers} --gateways {gateways} --rate {rate}{} --script {:?}",
+                if joint { " --joint" } else { "" },
                 least.to_string()
             );
         }
--- a/crates/hazelspur-fleetbed/src/play.rs
+++ b/crates/hazelspur-fleetbed/src/play.rs
@@ -31,6 +31,8 @@
     /// From the last fault's end until all showed one picture; none if that did not come.
     pub together_ms: Option<u64>,
     pub up_ms: u64,
+    /// What each server's lives have logged; no part of the verdict.
+    pub logs: Vec<String>,
 }
 
 impl Verdict {
@@ -112,7 +114,9 @@
     let tries = bed.gateways.iter_mut().map(|gateway| gateway.end()).collect();
     bed.end();
     let evidence = evidence(&bed, (began_ms, tries, seen, last));
-    Ok(Verdict { breaches: evidence.breaches(), evidence, together_ms, up_ms })
+    let read = |of| std::fs::read_to_string(bed.log(of)).unwrap_or_default();
+    let logs = (0..servers).map(read).collect();
+    Ok(Verdict { breaches: evidence.breaches(), evidence, together_ms, up_ms, logs })
 }
 
 /// Starts all servers and waits until they are listed and show one picture; the pictures, and how long that took in ms.
@@ -163,7 +167,7 @@
         stop_ms: STOP_MS,
         most_memory_kb: MEMORY_KB,
         most_running: CORES * CROWD_MULTIPLE,
-        calls_bound: CALLS * bed.plan.servers,
+        calls_bound: if bed.plan.joint { bed.plan.slots() } else { CALLS * bed.plan.servers },
     }
 }
 
--- a/crates/hazelspur-fleetbed/src/watch.rs
+++ b/crates/hazelspur-fleetbed/src/watch.rs
@@ -60,6 +60,7 @@
                 number: 1,
                 sent_ms: hazelspur_standins::now_ms(),
                 body: Body::Show { number: asked, after },
+                word: None,
                 claims: Vec::new(),
             };
             self.socket.send_to(&talk::seal(&self.key, &question), at).ok()?;
--- a/crates/hazelspur-fleetbed/tests/scripts.rs
+++ b/crates/hazelspur-fleetbed/tests/scripts.rs
@@ -136,7 +136,7 @@
     expect_test::expect![[r#"
         a (a-at-n0) of g0 at n0 has 2 answers
         a (a-at-n0) of g0 at n0 has no answer
-        a (a-at-n0) of g0 at n0 was lost with its connection
+        a (a-at-n0) of g0 at n0 was lost with its connection: sent at 50000 ms, broke after 20 ms, started: true, farewell: false
         a (a-at-n0) of g0 at n0 was answered 6000 ms late
         a (a-at-n0) of g0 at n0 was acked with what no run made
         a (a-at-n0) was nacked at n0 after it ran
--- a/crates/hazelspur-lab/src/drive/mod.rs
+++ b/crates/hazelspur-lab/src/drive/mod.rs
@@ -2,15 +2,20 @@
 //! its module is done here as `hazelspur-server` does it: inputs are reported, decisions pulled until there
 //! is none and carried out.
 
+pub mod together;
+
 use crate::kernel::Kernel;
 use crate::models::cores::Cores;
 use crate::models::gateways::{Asked, Gateways, Habits};
 use crate::models::ledger::Ledger;
 use crate::models::list::{List, REPORT_EVERY};
+use crate::network::{Cut, Network};
 use crate::town::START;
 use hazelspur::pcg::Pcg;
 use hazelspur::{CallerId, Decision, Fact, Facts, Logic, Moment, OpId, OpTypeId, Outcome, Span, TenantId};
+use hazelspur_fleet::Datagram;
 use std::collections::BTreeMap;
+use together::{ORACLE_LATE, Part, Truth};
 
 /// The part of an op's work that comes before its call.
 const BEFORE_CALL: f64 = 0.5;
@@ -27,6 +32,59 @@
     /// Slots of the ledger for each server, and calls that each may have out by its settings.
     pub slots_each: f64,
     pub call: Span,
+    /// The share of all ops that seek out the first third of the servers.
+    pub lean: f64,
+    pub way: Way,
+    /// The part of shared limits that is each server's for good.
+    pub floor: f64,
+    /// Servers that run from the start; others are started by the script.
+    pub first: usize,
+}
+
+impl Plan {
+    /// Two cores each, all from the start.
+    pub fn new(servers: usize, seed: u64, load: f64) -> Self {
+        let call = Span::from_ms(10);
+        let way = Way::Apart;
+        Self {
+            servers,
+            cores: 2.0,
+            seed,
+            load,
+            slots_each: 8.0,
+            call,
+            lean: 0.0,
+            way,
+            floor: 0.2,
+            first: servers,
+        }
+    }
+}
+
+/// How servers choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Each by what reaches it, by the settings of the start.
+    Apart,
+    /// The same, with the choices that need no talk.
+    Alone,
+    /// With talk.
+    Talk,
+    /// By the true state of all, a little late.
+    Oracle,
+}
+
+impl Way {
+    pub const ALL: [Self; 4] = [Self::Apart, Self::Alone, Self::Talk, Self::Oracle];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Apart => "apart",
+            Self::Alone => "without talk",
+            Self::Talk => "with talk",
+            Self::Oracle => "oracle",
+        }
+    }
 }
 
 /// What happens to servers and ledger, by a script.
@@ -40,6 +98,20 @@
     Start(usize),
     /// How fast its cores are.
     Speed(usize, f64),
+    /// Its process stands still for so long; its runs go on.
+    Stop(usize, Span),
+    /// Its own link to the ledger: so many times as slow, or down.
+    LinkSlow(usize, f64),
+    LinkDown(usize, bool),
+    /// Which servers' datagrams don't reach which others'.
+    Cut(Option<Cut>),
+}
+
+/// A server's own way to the ledger.
+#[derive(Clone, Copy, Debug)]
+struct LedgerLink {
+    slow: f64,
+    down: bool,
 }
 
 enum Event {
@@ -51,6 +123,27 @@
     Report(usize, u64),
     Again(usize, Asked),
     Turn(Turn),
+    Tick(usize, u64, Moment),
+    Datagram(usize, Box<Datagram>),
+    Look(usize, u64),
+    Oracle,
+}
+
+impl Event {
+    /// Whose process has to run for it.
+    fn of(&self) -> Option<usize> {
+        match self {
+            Self::Reaches(of, ..)
+            | Self::Timer(of, _)
+            | Self::Cores(of, ..)
+            | Self::CallEnds(of, ..)
+            | Self::Report(of, _)
+            | Self::Tick(of, ..)
+            | Self::Datagram(of, _)
+            | Self::Look(of, _) => Some(*of),
+            Self::Arrives | Self::Again(..) | Self::Turn(_) | Self::Oracle => None,
+        }
+    }
 }
 
 struct Running {
@@ -68,6 +161,7 @@
     ops: BTreeMap<OpId, Running>,
     /// When its cores are to be looked at.
     look: Option<Moment>,
+    stopped: Option<Moment>,
 }
 
 /// What came out, for all servers together.
@@ -83,8 +177,21 @@
     pub tries: u64,
     pub calls: u64,
     pub most_calls: usize,
-    /// Served in each second of the run.
+    /// Tries at a ledger that nobody reached.
+    pub vain: u64,
+    pub datagrams: u64,
+    /// Served, tried and called in each second of the run.
     pub by_second: Vec<u32>,
+    pub tries_by_second: Vec<u32>,
+    pub calls_by_second: Vec<u32>,
+}
+
+fn count(of: &mut Vec<u32>, now: Moment) {
+    let second = (now - START).us() as usize / 1_000_000;
+    if of.len() <= second {
+        of.resize(second + 1, 0);
+    }
+    of[second] += 1;
 }
 
 impl Figures {
@@ -102,6 +209,10 @@
     pub ledger: Ledger,
     list: List,
     ids: u64,
+    parts: Vec<Option<Part>>,
+    links: Vec<LedgerLink>,
+    pub network: Network,
+    truth: Truth,
     pub figures: Figures,
 }
 
@@ -142,19 +253,27 @@
             cores: Cores::new(plan.cores, 8.0),
             ops: BTreeMap::new(),
             look: None,
+            stopped: None,
         };
         let mut drive = Self {
             kernel: Kernel::new(START),
             chance: Pcg::new(plan.seed),
             servers: (0..plan.servers).map(server).collect(),
-            gateways: Gateways::new((plan.servers / 2).max(4), rate, Span::from_ms(2000), work),
+            gateways: Gateways::new((plan.servers / 2).max(4), plan.servers, rate, Span::from_ms(2000), work),
             ledger: Ledger::new(plan.slots_each * plan.servers as f64, plan.call),
             list: List::new(plan.servers, Span::from_ms(1200)),
             ids: 0,
+            parts: (0..plan.servers).map(|_| None).collect(),
+            links: vec![LedgerLink { slow: 1.0, down: false }; plan.servers],
+            network: Network::new(3),
+            truth: Truth::default(),
             figures: Figures::default(),
             plan,
         };
-        (0..plan.servers).for_each(|of| drive.start(of, false));
+        (0..plan.first.min(plan.servers)).for_each(|of| drive.start(of, false));
+        if plan.way == Way::Oracle {
+            drive.kernel.at(START + ORACLE_LATE, Event::Oracle);
+        }
         drive.kernel.at(START + Span::from_ms(2000), Event::Arrives);
         drive
     }
@@ -177,12 +296,22 @@
         server.cores.speed = speed;
         server.ops.clear();
         server.look = None;
+        server.stopped = None;
         let life = server.life;
+        self.begin_part(of, seed);
         let first = REPORT_EVERY.scaled(self.chance.unit());
         self.kernel.at(now + first, Event::Report(of, life));
         self.pull(of);
     }
 
+    /// What came out so far counts no more, but for its seconds.
+    pub fn forget(&mut self) {
+        let old = std::mem::take(&mut self.figures);
+        (self.figures.by_second, self.figures.tries_by_second) = (old.by_second, old.tries_by_second);
+        self.figures.calls_by_second = old.calls_by_second;
+        (self.ledger.calls, self.ledger.most_out) = (0, 0);
+    }
+
     pub fn play(&mut self, span: Span) {
         let end = self.kernel.now + span;
         while let Some(event) = self.kernel.next(end) {
@@ -193,7 +322,22 @@
 
     fn take(&mut self, event: Event) {
         let now = self.kernel.now;
+        if let Some(until) = event.of().and_then(|of| self.servers[of].stopped).filter(|until| now < *until) {
+            return self.kernel.at(until, event);
+        }
         match event {
+            Event::Tick(of, life, at) => {
+                if self.servers[of].life == life && self.is_set(of, at) {
+                    self.ticks(of);
+                }
+            }
+            Event::Datagram(of, came) => self.hears(of, &came),
+            Event::Look(of, life) => {
+                if self.servers[of].life == life {
+                    self.look(of);
+                }
+            }
+            Event::Oracle => self.oracle(),
             Event::Arrives => {
                 let asked = self.gateways.next(now, &mut self.chance);
                 self.figures.asked += 1;
@@ -256,6 +400,9 @@
             }
             Event::CallEnds(of, life, id, began, outcome) => {
                 self.ledger.end();
+                if outcome == Outcome::Ok && self.servers[of].life == life {
+                    self.reached(of, true);
+                }
                 let server = &mut self.servers[of];
                 let Some(running) = server.ops.get_mut(&id).filter(|_| server.life == life) else { return };
                 if running.call.take_if(|at| *at == began).is_none() {
@@ -294,10 +441,15 @@
                     let server = &mut self.servers[of];
                     server.logic = None;
                     server.life += 1;
+                    self.parts[of] = None;
                     let lost = std::mem::take(&mut server.ops).into_values().filter(|r| !r.answered).count();
                     self.figures.failed += lost as u64;
                 }
                 Turn::Start(of) => self.start(of, true),
+                Turn::Stop(of, span) => self.servers[of].stopped = Some(now + span),
+                Turn::LinkSlow(of, slow) => self.links[of].slow = slow,
+                Turn::LinkDown(of, down) => self.links[of].down = down,
+                Turn::Cut(cut) => self.network.cut = cut,
             },
         }
     }
@@ -305,11 +457,14 @@
     fn send(&mut self, asked: Asked, not: Option<usize>) {
         let now = self.kernel.now;
         let (list, servers) = (&self.list, self.plan.servers);
-        let Some(of) = self.gateways.pick(servers, not, |of| list.shows(now, of)) else {
+        let leans = self.plan.lean > 0.0 && not.is_none() && self.chance.unit() < self.plan.lean;
+        let among = if leans { servers.div_ceil(3) } else { servers };
+        let Some(of) = self.gateways.pick(among, not, |of| list.shows(now, of)) else {
             self.figures.failed += 1;
             return;
         };
         self.figures.tries += 1;
+        count(&mut self.figures.tries_by_second, now);
         self.ids += 1;
         let id = OpId::padded(&format!("{:x}", self.ids)).expect("under 36 characters");
         self.kernel.at(now + ONE_WAY, Event::Reaches(of, self.servers[of].life, id, asked));
@@ -333,11 +488,7 @@
             return;
         }
         self.figures.served += 1;
-        let second = (now - START).us() as usize / 1_000_000;
-        if self.figures.by_second.len() <= second {
-            self.figures.by_second.resize(second + 1, 0);
-        }
-        self.figures.by_second[second] += 1;
+        count(&mut self.figures.by_second, now);
     }
 
     fn look_at_cores(&mut self, of: usize) {
@@ -360,6 +511,7 @@
     /// Pulls until there is no decision, and does each.
     fn pull(&mut self, of: usize) {
         let now = self.kernel.now;
+        self.end_leases(of);
         loop {
             let Some(logic) = &mut self.servers[of].logic else { return };
             let Some(decision) = logic.next_decision(now) else { break };
@@ -411,8 +563,11 @@
             }
             Decision::Call { op, patience } => {
                 let Some(running) = server.ops.get_mut(&op) else { return };
-                match self.ledger.begin() {
+                let link = self.links[of];
+                let begun = if link.down { None } else { self.ledger.begin() };
+                match begun.map(|takes| takes.scaled(link.slow)) {
                     Some(takes) => {
+                        count(&mut self.figures.calls_by_second, now);
                         // A call is given up, and its slot free, when patience is over.
                         let outcome = if takes <= patience { Outcome::Ok } else { Outcome::TimedOut };
                         running.call = Some(now);
@@ -423,6 +578,7 @@
                         if let Some(logic) = &mut server.logic {
                             logic.call_ended(now, op, Outcome::Unreached);
                         }
+                        self.reached(of, false);
                     }
                 }
             }
--- /dev/null
+++ b/crates/hazelspur-lab/src/drive/together.rs
@@ -0,0 +1,231 @@
+//! What servers choose together, in the drive: `Joint` of each server over the network of datagrams, or an
+//! oracle that sees the true state of all a little late.
+
+use super::{Drive, Event, Way};
+use crate::town::START;
+use crate::ways::own::{address, name, number, terms};
+use hazelspur::{Moment, OpId, Span};
+use hazelspur_fleet::guidance::{Guidance, Told};
+use hazelspur_fleet::joint::Seen;
+use hazelspur_fleet::shares::{Limit, LimitId, Terms, level};
+use hazelspur_fleet::{At, Datagram, Generation, Joint, LimitName};
+use std::collections::BTreeMap;
+
+/// A server looks at its own work so often; the oracle at that of all, of which it sees the last look.
+const LOOK: Span = Span::from_ms(200);
+pub const ORACLE_LATE: Span = Span::from_ms(250);
+const CALLS: &str = "calls";
+const BOUND: &str = "joint.calls_bound";
+
+/// One server's part.
+pub struct Part {
+    pub joint: Joint,
+    guidance: Guidance,
+    /// The tick that is set.
+    set: Moment,
+    leases: Option<(Moment, Vec<(String, f64)>)>,
+}
+
+/// The truth a moment ago.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    wants: Vec<f64>,
+    refused: f64,
+    down: bool,
+}
+
+/// Five keepers that lie apart, and a fourth more servers than there are as the most.
+pub fn share_terms(servers: usize, slots: f64, floor: f64) -> Terms {
+    let calls = Limit {
+        name: LimitName::new(CALLS).expect("a short name"),
+        total: slots,
+        floor,
+        linger: Span::from_ms(500),
+        whole: None,
+    };
+    Terms {
+        keepers: if servers < 5 { vec![name(0)] } else { (0..5).map(|i| name(i * servers / 5)).collect() },
+        most: most(servers),
+        span: Span::from_ms(4000),
+        limits: vec![calls],
+    }
+}
+
+pub fn most(servers: usize) -> usize {
+    servers + servers.div_ceil(4)
+}
+
+impl Drive {
+    pub(super) fn at(&self) -> At {
+        // The lab's servers agree on the time; leases would bear any other steady clock.
+        At { wall: self.kernel.now, steady: self.kernel.now }
+    }
+
+    pub(super) fn begin_part(&mut self, of: usize, seed: u64) {
+        let at = self.at();
+        let (servers, talks) = (self.plan.servers, self.plan.way == Way::Talk);
+        let mut members = terms(of, most(servers));
+        if !talks {
+            members.contacts = vec![address(of)];
+        }
+        let slots = self.plan.slots_each * servers as f64;
+        let shares = talks.then(|| share_terms(servers, slots, self.plan.floor));
+        let limits = if talks { vec![(LimitId(0), BOUND.to_string())] } else { Vec::new() };
+        let joint = Joint::new(members, shares, Generation(at.wall.us() / 1000), seed, at);
+        let part =
+            Part { joint, guidance: Guidance::new(true, limits), set: Moment::default(), leases: None };
+        self.parts[of] = matches!(self.plan.way, Way::Talk | Way::Alone).then_some(part);
+        if self.parts[of].is_some() {
+            let life = self.servers[of].life;
+            let first = LOOK.scaled(self.chance.unit());
+            self.kernel.at(at.wall + first, Event::Look(of, life));
+            self.spoke(of);
+        }
+    }
+
+    /// What this server did lately goes to its part, and what comes of that to its module.
+    pub(super) fn look(&mut self, of: usize) {
+        let (at, now) = (self.at(), self.kernel.now);
+        let server = &mut self.servers[of];
+        let (Some(logic), Some(part)) = (&server.logic, &mut self.parts[of]) else { return };
+        let view = logic.view(now);
+        part.joint.saw(at, Seen { call_secs: view.call_secs, refused: view.refused });
+        part.joint.want(CALLS, view.calls.unwrap_or(1.0));
+        let life = server.life;
+        self.kernel.at(now + LOOK, Event::Look(of, life));
+        self.spoke(of);
+        self.guide(of);
+    }
+
+    pub(super) fn hears(&mut self, of: usize, came: &Datagram) {
+        let at = self.at();
+        let Some(part) = &mut self.parts[of] else { return };
+        let _ = part.joint.heard(at, came); // what is dropped is dropped
+        self.spoke(of);
+        self.guide(of);
+    }
+
+    pub(super) fn ticks(&mut self, of: usize) {
+        let at = self.at();
+        let Some(part) = &mut self.parts[of] else { return };
+        part.set = Moment::default();
+        part.joint.tick(at);
+        if part.joint.gate.next_try().is_some_and(|next| next <= at.wall) {
+            part.joint.gate.tried(at.wall);
+            let reached = !self.ledger.down && !self.links[of].down;
+            self.figures.vain += u64::from(!reached);
+            part.joint.call_ended(at, reached);
+        }
+        self.spoke(of);
+        self.guide(of);
+    }
+
+    /// A call is over, or reached nobody.
+    pub(super) fn reached(&mut self, of: usize, reached: bool) {
+        let at = self.at();
+        self.figures.vain += u64::from(!reached);
+        let Some(part) = &mut self.parts[of] else { return };
+        part.joint.call_ended(at, reached);
+        self.spoke(of);
+    }
+
+    /// Takes what a part has to say, and sets its next tick.
+    pub(super) fn spoke(&mut self, of: usize) {
+        let at = self.at();
+        let Some(part) = &mut self.parts[of] else { return };
+        while let Some((to, datagram)) = part.joint.next_out(at) {
+            let to = number(to);
+            if to >= self.servers.len() {
+                continue;
+            }
+            self.figures.datagrams += 1;
+            let arrive = self.network.carry(&mut self.chance, of, to);
+            for after in arrive {
+                self.kernel.at(at.wall + after, Event::Datagram(to, Box::new(datagram.clone())));
+            }
+        }
+        while part.joint.members.next_event().is_some() {}
+        let next_try = part.joint.gate.next_try().map(|next| next - at.wall);
+        let wait = next_try.into_iter().fold(part.joint.wait(at), Span::min).max(Span::from_us(1));
+        let next = at.wall + wait;
+        if part.set == Moment::default() || next < part.set || part.set <= at.wall {
+            part.set = next;
+            let life = self.servers[of].life;
+            self.kernel.at(next, Event::Tick(of, life, next));
+        }
+    }
+
+    pub(super) fn is_set(&self, of: usize, at: Moment) -> bool {
+        self.parts[of].as_ref().is_some_and(|part| part.set == at)
+    }
+
+    pub(super) fn guide(&mut self, of: usize) {
+        let (at, now) = (self.at(), self.kernel.now);
+        let Some(part) = &mut self.parts[of] else { return };
+        let Told { facts, leases } = part.guidance.next(at, &part.joint);
+        part.leases = leases;
+        if facts.is_empty() {
+            return;
+        }
+        if let Some(logic) = &mut self.servers[of].logic {
+            facts.iter().for_each(|(name, value)| logic.told(now, name, *value));
+        }
+        self.pull(of);
+    }
+
+    /// Leases end by themselves, whatever else is late.
+    pub(super) fn end_leases(&mut self, of: usize) {
+        let now = self.kernel.now;
+        let Some(part) = &mut self.parts[of] else { return };
+        let Some((_, floors)) = part.leases.take_if(|(ends, _)| now >= *ends) else { return };
+        if let Some(logic) = &mut self.servers[of].logic {
+            floors.iter().for_each(|(name, floor)| logic.told(now, name, Some(*floor)));
+        }
+    }
+
+    /// Divides by what was true a look ago.
+    pub(super) fn oracle(&mut self) {
+        let now = self.kernel.now;
+        let truth = std::mem::take(&mut self.truth);
+        let slots = self.plan.slots_each * self.plan.servers as f64;
+        let wants = level(slots, truth.wants.clone());
+        for of in 0..self.servers.len() {
+            let Some(logic) = &mut self.servers[of].logic else { continue };
+            if let Some(want) = truth.wants.get(of) {
+                logic.told(now, BOUND, Some(want.min(wants).max(0.05)));
+            }
+            logic.told(now, "joint.refused", Some(truth.refused));
+            logic.told(now, "joint.shut", truth.down.then_some(1.0));
+            self.pull(of);
+        }
+        let views: Vec<_> =
+            self.servers.iter().map(|server| server.logic.as_ref().map(|logic| logic.view(now))).collect();
+        let here = views.iter().flatten().count().max(1) as f64;
+        self.truth = Truth {
+            wants: views.iter().map(|v| v.map_or(0.0, |v| v.calls.unwrap_or(1.0))).collect(),
+            refused: views.iter().flatten().map(|view| view.refused).sum::<f64>() / here,
+            down: self.ledger.down,
+        };
+        self.kernel.at(now + ORACLE_LATE, Event::Oracle);
+    }
+
+    /// Sum of what all may use of the slots now, over the slots; and how many hold a lease.
+    pub fn in_force(&self) -> (f64, usize) {
+        let at = self.at();
+        let shares = self.parts.iter().flatten().filter_map(|part| part.joint.share(at, CALLS));
+        let (sum, held) = shares.fold((0.0, 0), |(sum, held), share| {
+            (sum + share.amount, held + usize::from(share.until.is_some()))
+        });
+        (sum / (self.plan.slots_each * self.plan.servers as f64), held)
+    }
+
+    /// Ops in hand of each server: for tests.
+    pub fn in_hand(&self) -> BTreeMap<usize, Vec<OpId>> {
+        let hands = self.servers.iter().enumerate();
+        hands.map(|(of, server)| (of, server.ops.keys().copied().collect())).collect()
+    }
+
+    pub fn seconds(&self) -> f64 {
+        (self.kernel.now - START).secs()
+    }
+}
--- a/crates/hazelspur-lab/src/main.rs
+++ b/crates/hazelspur-lab/src/main.rs
@@ -24,6 +24,35 @@
     WhoIsHere(WhoIsHere),
     /// The real decision modules of many servers, at several sizes.
     Together(Together),
+    /// The hard cases of choices that add up, under each way of choosing.
+    Choices(Choices),
+    /// What choices that all make alike come to in sum: reports, subsets, turns.
+    Sums {
+        #[arg(long, value_delimiter = ',', default_value = "1,10,100,300,1000")]
+        sizes: Vec<usize>,
+    },
+}
+
+#[derive(Args)]
+struct Choices {
+    #[arg(long, value_delimiter = ',', default_value = "100")]
+    sizes: Vec<usize>,
+    /// Seeds from 1 on.
+    #[arg(long, default_value_t = 4)]
+    seeds: u64,
+    /// Only the cases whose name has this in it.
+    #[arg(long, default_value = "")]
+    case: String,
+    /// Only the ways whose name has this in it.
+    #[arg(long, default_value = "")]
+    way: String,
+    /// The part of shared limits that is each server's for good.
+    #[arg(long, default_value_t = 0.3)]
+    floor: f64,
+    #[arg(long)]
+    by_second: bool,
+    #[arg(long, default_value_t = std::thread::available_parallelism().map_or(1, |n| n.get()))]
+    threads: usize,
 }
 
 #[derive(Args)]
@@ -76,9 +105,138 @@
     match Line::parse().command {
         Command::WhoIsHere(asked) => who_is_here(&asked),
         Command::Together(asked) => together(&asked),
+        Command::Choices(asked) => choices(&asked),
+        Command::Sums { sizes } => sums(&sizes),
     }
 }
 
+/// Mean and the half width of a 95% interval, by Student's t for few.
+fn interval(of: &[f64]) -> (f64, f64) {
+    const T: [f64; 9] = [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26];
+    let n = of.len().max(1) as f64;
+    let mean = of.iter().sum::<f64>() / n;
+    let spread = of.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (n - 1.0).max(1.0);
+    let t = T.get(of.len().saturating_sub(2)).copied().unwrap_or(2.09);
+    (mean, if of.len() < 2 { f64::NAN } else { t * (spread / n).sqrt() })
+}
+
+fn choices(asked: &Choices) {
+    use hazelspur_lab::drive::Way;
+    use hazelspur_lab::studies::choices::{Case, Hard, Outcome, play};
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "case",
+        "servers",
+        "way",
+        "service",
+        "more than apart",
+        "of the way to the oracle",
+        "worst second",
+        "tries an op",
+        "most calls, of slots",
+        "vain tries/s",
+        "in force, of slots",
+        "datagrams/s",
+        "server-seconds/s",
+    ]);
+    for size in &asked.sizes {
+        for hard in Hard::ALL.into_iter().filter(|hard| hard.name().contains(&asked.case)) {
+            let mut apart: Vec<f64> = Vec::new();
+            let mut rows: Vec<(Way, Vec<Outcome>, f64)> = Vec::new();
+            for way in Way::ALL.into_iter().filter(|way| way.name().contains(&asked.way)) {
+                let cases: Vec<Case> = (1..=asked.seeds)
+                    .map(|seed| Case { hard, way, servers: *size, seed, floor: asked.floor })
+                    .collect();
+                let began = Instant::now();
+                let all = on_all_cores(&cases, asked.threads, play);
+                let speed = 40.0 * (*size as u64 * asked.seeds) as f64 / began.elapsed().as_secs_f64();
+                if way == Way::Apart {
+                    apart = all.iter().map(Outcome::service).collect();
+                }
+                if asked.by_second {
+                    println!("{} {size} {}: {:?}", hard.name(), way.name(), all[0].figures.by_second);
+                }
+                rows.push((way, all, speed));
+            }
+            let mean = |all: &[Outcome]| all.iter().map(Outcome::service).sum::<f64>() / all.len() as f64;
+            let oracle = rows.iter().find(|(way, ..)| *way == Way::Oracle).map(|(_, all, _)| mean(all));
+            for (way, all, speed) in &rows {
+                let of =
+                    |figure: &dyn Fn(&Outcome) -> f64| all.iter().map(figure).sum::<f64>() / all.len() as f64;
+                let gains: Vec<f64> = all.iter().zip(&apart).map(|(o, apart)| o.service() - apart).collect();
+                let (gain, around) = interval(&gains);
+                let gap = oracle.map_or(f64::NAN, |oracle| oracle - interval(&apart).0);
+                let part = if gap.abs() < 0.005 { "-".into() } else { format!("{:.2}", gain / gap) };
+                table.add_row([
+                    hard.name().to_string(),
+                    size.to_string(),
+                    way.name().to_string(),
+                    format!("{:.3}", mean(all)),
+                    if apart.is_empty() { "-".into() } else { format!("{gain:+.3} ± {around:.3}") },
+                    part,
+                    format!("{:.2}", of(&|o| o.worst_second())),
+                    format!("{:.2}", of(&|o| o.figures.tries as f64 / o.figures.asked.max(1) as f64)),
+                    format!("{:.2}", of(&|o| o.figures.most_calls as f64 / o.slots)),
+                    format!("{:.0}", of(&|o| o.figures.vain as f64 / 24.0)),
+                    format!("{:.2}", all.iter().map(|o| o.most_in_force).fold(0.0, f64::max)),
+                    format!("{:.1}", of(&|o| o.figures.datagrams as f64 / 24.0 / o.servers as f64)),
+                    format!("{speed:.0}"),
+                ]);
+            }
+        }
+    }
+    println!("{table}");
+}
+
+fn sums(sizes: &[usize]) {
+    use hazelspur_lab::studies::sums::{Reports, Subsets, reports, subsets, turns};
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    table.set_header(["servers", "reports", "most in 20 ms over the mean", "longest without a place, ms"]);
+    for size in sizes {
+        for (how, name) in [(Reports::InStep, "in step"), (Reports::Spread, "spread")] {
+            let all: Vec<_> = (1..=20).map(|seed| reports(*size, how, seed)).collect();
+            let peak = all.iter().map(|(peak, _)| peak).sum::<f64>() / all.len() as f64;
+            let longest = all.iter().map(|(_, longest)| longest.us() / 1000).max().unwrap_or(0);
+            table.add_row([size.to_string(), name.into(), format!("{peak:.1}"), longest.to_string()]);
+        }
+    }
+    println!("{table}\n");
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "servers",
+        "4 of them by",
+        "least load",
+        "most load",
+        "choices that move when one goes",
+        "that differ between pictures a tenth apart",
+    ]);
+    for size in sizes.iter().filter(|size| **size >= 10) {
+        for way in Subsets::ALL {
+            let (least, most, moved, differ) = subsets(*size, 4, way, 1);
+            let cells = [least, most, moved, differ].map(|figure| format!("{figure:.3}"));
+            table.add_row([vec![size.to_string(), way.name().into()], cells.to_vec()].concat());
+        }
+    }
+    println!("{table}\n");
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "servers",
+        "turns, 100 a second wanted",
+        "most in 100 ms over the mean",
+        "longest wait, ms",
+    ]);
+    for size in sizes {
+        let (peak, wait) = turns(*size, 100.0, Span::from_ms(2000));
+        let name = "slots of a period of 2 s at most";
+        table.add_row([size.to_string(), name.into(), format!("{peak:.1}"), (wait.us() / 1000).to_string()]);
+    }
+    println!("{table}");
+}
+
 fn together(asked: &Together) {
     let mut table = Table::new();
     table.load_style(presets::ASCII_MARKDOWN);
--- a/crates/hazelspur-lab/src/models/gateways.rs
+++ b/crates/hazelspur-lab/src/models/gateways.rs
@@ -42,12 +42,16 @@
     pub timeout: Span,
     /// Mean seconds of work of each op type.
     pub work: Vec<f64>,
+    /// Servers there may be.
+    all: usize,
     turn: usize,
+    /// The same among the first ones only.
+    first_turn: usize,
 }
 
 impl Gateways {
-    pub fn new(count: usize, rate: f64, timeout: Span, work: Vec<f64>) -> Self {
-        Self { count, rate, timeout, work, turn: 0 }
+    pub fn new(count: usize, all: usize, rate: f64, timeout: Span, work: Vec<f64>) -> Self {
+        Self { count, rate, timeout, work, all, turn: 0, first_turn: 0 }
     }
 
     pub fn gap(&self, chance: &mut Pcg) -> Span {
@@ -62,17 +66,18 @@
         Asked { gateway, op_type, begun: now, due, work, left: Habits::of(gateway).retries }
     }
 
-    /// The next listed server in turn, other than the one that was just tried.
+    /// The next listed server in turn among the first `servers`, other than the one that was just tried.
     pub fn pick(
         &mut self,
         servers: usize,
         not: Option<usize>,
         shows: impl Fn(usize) -> bool,
     ) -> Option<usize> {
+        let turn = if servers == self.all { &mut self.turn } else { &mut self.first_turn };
         for _ in 0..servers {
-            self.turn = (self.turn + 1) % servers;
-            if Some(self.turn) != not && shows(self.turn) {
-                return Some(self.turn);
+            *turn = (*turn + 1) % servers;
+            if Some(*turn) != not && shows(*turn) {
+                return Some(*turn);
             }
         }
         None
--- a/crates/hazelspur-lab/src/studies.rs
+++ b/crates/hazelspur-lab/src/studies.rs
@@ -1,4 +1,6 @@
-//! What is measured, as tables.
+//! What is measured.
 
+pub mod choices;
+pub mod sums;
 pub mod together;
 pub mod who_is_here;
--- /dev/null
+++ b/crates/hazelspur-lab/src/studies/choices.rs
@@ -0,0 +1,170 @@
+//! The hard cases of choices that add up, under each way of choosing: service beside no joint choice at all
+//! and beside an oracle that sees the true state of all a little late.
+
+use crate::drive::{Drive, Figures, Plan, Turn, Way};
+use hazelspur::Span;
+
+/// Servers have found each other and shares are held by then; what came before does not count.
+pub const WARM: Span = Span::from_ms(16_000);
+const PLAYED: Span = Span::from_ms(24_000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hard {
+    /// Half of all ops seek out a third of the servers.
+    Uneven,
+    /// The same, and the ledger is gone for 4 s.
+    LedgerGone,
+    /// The same, and the ledger is three times as slow for 10 s.
+    LedgerSlow,
+    /// The same, and a tenth of the servers have a link to the ledger that is ten times as slow.
+    LinksSlow,
+    /// The same, and two in five servers are replaced by cold ones within 7 s.
+    Replaced,
+    /// The same, and two halves don't hear each other for 15 s.
+    Halves,
+    /// The same, and a twentieth stand still for 10 s.
+    Stopped,
+    /// The same, while the fleet doubles, a fifth of the servers is half as fast and a tenth of the pairs
+    /// don't hear each other.
+    Doubles,
+    /// Half as much again as the cores can do.
+    Crowded,
+}
+
+impl Hard {
+    pub const ALL: [Self; 9] = [
+        Self::Uneven,
+        Self::LedgerGone,
+        Self::LedgerSlow,
+        Self::LinksSlow,
+        Self::Replaced,
+        Self::Halves,
+        Self::Stopped,
+        Self::Doubles,
+        Self::Crowded,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Uneven => "uneven",
+            Self::LedgerGone => "ledger-gone",
+            Self::LedgerSlow => "ledger-slow",
+            Self::LinksSlow => "links-slow",
+            Self::Replaced => "replaced",
+            Self::Halves => "halves",
+            Self::Stopped => "stopped",
+            Self::Doubles => "doubles",
+            Self::Crowded => "crowded",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub hard: Hard,
+    pub way: Way,
+    pub servers: usize,
+    pub seed: u64,
+    pub floor: f64,
+}
+
+/// What one run came to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    pub figures: Figures,
+    /// The greatest sum of all that might be used of the slots, over the slots.
+    pub most_in_force: f64,
+    pub slots: f64,
+    pub servers: usize,
+}
+
+impl Outcome {
+    pub fn service(&self) -> f64 {
+        self.figures.service()
+    }
+
+    /// The least second that was served over the mean one, from `WARM` on and without the last second.
+    pub fn worst_second(&self) -> f64 {
+        let from = (WARM.us() / 1_000_000) as usize;
+        let seconds = &self.figures.by_second;
+        let counted =
+            &seconds[from.min(seconds.len())..seconds.len().saturating_sub(1).max(from.min(seconds.len()))];
+        let mean = counted.iter().map(|n| f64::from(*n)).sum::<f64>() / counted.len().max(1) as f64;
+        counted.iter().copied().min().map_or(0.0, |least| f64::from(least) / mean.max(1.0))
+    }
+}
+
+pub fn play(case: &Case) -> Outcome {
+    let n = case.servers;
+    let load = if case.hard == Hard::Crowded { 1.5 } else { 0.42 };
+    let lean = if case.hard == Hard::Crowded { 0.0 } else { 0.5 };
+    let first = if case.hard == Hard::Doubles { n.div_ceil(2) } else { n };
+    let plan = Plan {
+        slots_each: 4.0,
+        call: Span::from_ms(20),
+        lean,
+        way: case.way,
+        floor: case.floor,
+        first,
+        ..Plan::new(n, case.seed, if case.hard == Hard::Doubles { load / 2.0 } else { load })
+    };
+    let mut drive = Drive::new(plan);
+    script(&mut drive, case.hard, n);
+    drive.play(WARM);
+    drive.forget();
+    let mut most_in_force: f64 = 0.0;
+    for _ in 0..PLAYED.us() / 100_000 {
+        drive.play(Span::from_ms(100));
+        most_in_force = most_in_force.max(drive.in_force().0);
+    }
+    let slots = plan.slots_each * n as f64;
+    Outcome { figures: drive.figures.clone(), most_in_force, slots, servers: n }
+}
+
+fn script(drive: &mut Drive, hard: Hard, n: usize) {
+    let at = |ms: u64| WARM + Span::from_ms(ms);
+    let every = |by: usize| (0..n).filter(move |of| of % by == by / 2);
+    match hard {
+        Hard::Uneven | Hard::Crowded => {}
+        Hard::LedgerGone => {
+            drive.script(at(3000), Turn::LedgerDown(true));
+            drive.script(at(7000), Turn::LedgerDown(false));
+        }
+        Hard::LedgerSlow => {
+            drive.script(at(3000), Turn::LedgerSlow(3.0));
+            drive.script(at(13_000), Turn::LedgerSlow(1.0));
+        }
+        Hard::LinksSlow => {
+            for of in every(10) {
+                drive.script(at(3000), Turn::LinkSlow(of, 10.0));
+                drive.script(at(18_000), Turn::LinkSlow(of, 1.0));
+            }
+        }
+        Hard::Replaced => {
+            let gone: Vec<usize> = (0..n).filter(|of| of % 5 < 2).collect();
+            for (i, of) in gone.iter().enumerate() {
+                let ms = 3000 + 7000 * i as u64 / gone.len().max(1) as u64;
+                drive.script(at(ms), Turn::Kill(*of));
+                drive.script(at(ms + 1500), Turn::Start(*of));
+            }
+        }
+        Hard::Halves => {
+            drive.script(at(3000), Turn::Cut(Some(|from, to| from % 2 != to % 2)));
+            drive.script(at(18_000), Turn::Cut(None));
+        }
+        Hard::Stopped => {
+            for of in every(20) {
+                drive.script(at(3000), Turn::Stop(of, Span::from_ms(10_000)));
+            }
+        }
+        Hard::Doubles => {
+            for (i, of) in (n.div_ceil(2)..n).enumerate() {
+                drive.script(at(3000 + 8000 * i as u64 / n as u64), Turn::Start(of));
+            }
+            for of in every(5) {
+                drive.script(at(3000), Turn::Speed(of, 0.5));
+            }
+            drive.script(at(3000), Turn::Cut(Some(|from, to| (from * 31 + to * 17) % 10 == 0)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/studies/sums.rs
@@ -0,0 +1,157 @@
+//! What many servers come to in sum where each chooses alike: reports after a list that was gone, and which
+//! few of many are chosen.
+
+use hazelspur::pcg::Pcg;
+use hazelspur::{Moment, Span};
+use hazelspur_fleet::subsets::{Candidate, first};
+use hazelspur_fleet::{MemberName, SiteName};
+
+/// How a server waits between its reports to the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// 800 ms, 250 ms after a miss, the same for all.
+    InStep,
+    /// The same on average, each wait by chance within a fifth, after a miss within the half.
+    Spread,
+}
+
+impl Reports {
+    pub fn wait(self, missed: bool, chance: &mut Pcg) -> Span {
+        let (wait, part) = if missed { (250.0, 0.5) } else { (800.0, 0.2) };
+        match self {
+            Self::InStep => Span::from_secs(wait / 1000.0),
+            Self::Spread => Span::from_secs(wait * (1.0 - part + 2.0 * part * chance.unit()) / 1000.0),
+        }
+    }
+}
+
+/// Reports of `servers` while the list takes none for 5 s and takes them again: the most within 20 ms over the
+/// mean of the 20 s after that, and the longest that any server's place was without a report.
+pub fn reports(servers: usize, how: Reports, seed: u64) -> (f64, Span) {
+    const DOWN: std::ops::Range<u64> = 10_000..15_000;
+    const BIN: u64 = 20;
+    let mut chance = Pcg::new(seed);
+    let (mut bins, mut longest) = (vec![0u32; 40_000 / BIN as usize], Span::ZERO);
+    for _ in 0..servers {
+        // A release starts them within a second.
+        let mut at = Span::from_secs(chance.unit());
+        let mut last = at;
+        while at < Span::from_ms(40_000) {
+            let ms = at.us() / 1000;
+            // Nobody answers while it is gone: a report is given up after 700 ms.
+            let missed = DOWN.contains(&ms);
+            bins[(ms / BIN) as usize] += 1;
+            if !missed {
+                if ms > DOWN.end {
+                    longest = longest.max(at - last);
+                }
+                last = at;
+            }
+            let held_up =
+                if missed { Span::from_ms(700).min(Span::from_ms(DOWN.end - ms)) } else { Span::ZERO };
+            at = at + held_up + how.wait(missed, &mut chance);
+        }
+    }
+    let after = &bins[(DOWN.end / BIN) as usize..((DOWN.end + 20_000) / BIN) as usize];
+    let mean = after.iter().map(|n| f64::from(*n)).sum::<f64>() / after.len() as f64;
+    (f64::from(after.iter().copied().max().unwrap_or(0)) / mean.max(1e-9), longest)
+}
+
+/// Ways of choosing k of n.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subsets {
+    Chance,
+    /// In rounds: all are shuffled once a round, and each client of the round takes its part (Google's SRE
+    /// book, chapter 20).
+    Rounds,
+    Rendezvous,
+}
+
+impl Subsets {
+    pub const ALL: [Self; 3] = [Self::Chance, Self::Rounds, Self::Rendezvous];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Chance => "chance",
+            Self::Rounds => "rounds",
+            Self::Rendezvous => "rendezvous",
+        }
+    }
+
+    /// Whom client `me` goes to, of the servers that it knows by number.
+    fn chosen(self, me: usize, known: &[usize], k: usize, seed: u64) -> Vec<usize> {
+        match self {
+            Self::Chance => {
+                let mut chance = Pcg::new(seed ^ (me as u64) << 20);
+                let mut left = known.to_vec();
+                (0..k.min(left.len()))
+                    .map(|_| left.swap_remove(chance.draw() as usize % left.len()))
+                    .collect()
+            }
+            Self::Rounds => {
+                let parts = (known.len() / k).max(1);
+                let mut shuffled = known.to_vec();
+                let mut chance = Pcg::new(seed ^ (me / parts) as u64);
+                for i in (1..shuffled.len()).rev() {
+                    shuffled.swap(i, chance.draw() as usize % (i + 1));
+                }
+                shuffled.into_iter().skip(me % parts * k).take(k).collect()
+            }
+            Self::Rendezvous => {
+                let site = SiteName::new("one").expect("a name");
+                let named = |of: &usize| MemberName::new(&format!("n{of}")).expect("a name");
+                let all = known.iter().map(|of| Candidate { name: named(of), site, weight: 1.0 });
+                let chosen = first(&format!("client {me}"), seed, k, all);
+                chosen.iter().filter_map(|c| c.name.as_str()[1..].parse().ok()).collect()
+            }
+        }
+    }
+}
+
+/// Of n clients that each choose k of n servers: least and most load over the mean, the share of choices that
+/// change when one server goes, and the share by which two clients of one number differ whose pictures differ
+/// by a tenth.
+pub fn subsets(n: usize, k: usize, way: Subsets, seed: u64) -> (f64, f64, f64, f64) {
+    let all: Vec<usize> = (0..n).collect();
+    let less: Vec<usize> = all.iter().copied().filter(|of| *of != n / 2).collect();
+    let tenth: Vec<usize> = all.iter().copied().filter(|of| of % 10 != 3).collect();
+    let mut load = vec![0u32; n];
+    let (mut moved, mut differ) = (0, 0);
+    for me in 0..n {
+        let chosen = way.chosen(me, &all, k, seed);
+        chosen.iter().for_each(|of| load[*of] += 1);
+        let moves = |known: &[usize]| {
+            let other = way.chosen(me, known, k, seed);
+            chosen.iter().filter(|of| !other.contains(of)).count()
+        };
+        moved += moves(&less);
+        differ += moves(&tenth);
+    }
+    let (all, mean) = ((n * k) as f64, k as f64);
+    let over = |n: Option<&u32>| f64::from(n.copied().unwrap_or(0)) / mean;
+    (over(load.iter().min()), over(load.iter().max()), moved as f64 / all, differ as f64 / all)
+}
+
+/// Turns without talk: the most in any 100 ms over the mean, and the longest wait, of `servers` that each take
+/// every turn for a minute.
+pub fn turns(servers: usize, per_second: f64, longest: Span) -> (f64, Span) {
+    use hazelspur_fleet::turns::Round;
+    let round = Round::new(servers, per_second, longest);
+    let start = Moment::from_us(1_700_000_000_000_000);
+    let mut bins = vec![0u32; 600];
+    let mut wait = Span::ZERO;
+    for of in 0..servers {
+        let name = MemberName::new(&format!("n{of}")).expect("a name");
+        let mut now = start;
+        while now < start + Span::from_ms(60_000) {
+            let next = round.next(name, "ledger", now);
+            wait = wait.max(next - now);
+            if let Some(bin) = bins.get_mut(((next - start).us() / 100_000) as usize) {
+                *bin += 1;
+            }
+            now = next + Span::from_us(1);
+        }
+    }
+    let mean = bins.iter().map(|n| f64::from(*n)).sum::<f64>() / bins.len() as f64;
+    (f64::from(bins.iter().copied().max().unwrap_or(0)) / mean.max(1e-9), wait)
+}
--- a/crates/hazelspur-lab/src/studies/together.rs
+++ b/crates/hazelspur-lab/src/studies/together.rs
@@ -14,14 +14,7 @@
 }
 
 pub fn play(case: &Case) -> Figures {
-    let plan = Plan {
-        servers: case.servers,
-        cores: 2.0,
-        seed: case.seed,
-        load: case.load,
-        slots_each: 8.0,
-        call: Span::from_ms(10),
-    };
+    let plan = Plan::new(case.servers, case.seed, case.load);
     let mut drive = Drive::new(plan);
     if case.ledger_down > Span::ZERO {
         let from = Span::from_ms(10_000);
--- a/crates/hazelspur-lab/src/ways/own.rs
+++ b/crates/hazelspur-lab/src/ways/own.rs
@@ -17,7 +17,7 @@
     SocketAddr::from(([127, 1, (of >> 8) as u8, (of & 255) as u8], 7000))
 }
 
-fn number(at: SocketAddr) -> usize {
+pub fn number(at: SocketAddr) -> usize {
     match at {
         SocketAddr::V4(at) => usize::from(at.ip().octets()[2]) << 8 | usize::from(at.ip().octets()[3]),
         SocketAddr::V6(_) => usize::MAX,
--- a/crates/hazelspur-lab/tests/runs.rs
+++ b/crates/hazelspur-lab/tests/runs.rs
@@ -73,9 +73,7 @@
 #[test]
 fn a_site_that_is_killed_costs_service_until_it_is_back_and_slow_cores_cost_less() {
     let run = |turns: &[(u64, Turn)]| {
-        let call = Span::from_ms(10);
-        let plan = Plan { servers: 6, cores: 2.0, seed: 1, load: 0.6, slots_each: 8.0, call };
-        let mut drive = Drive::new(plan);
+        let mut drive = Drive::new(Plan::new(6, 1, 0.6));
         turns.iter().for_each(|(ms, turn)| drive.script(Span::from_ms(*ms), *turn));
         drive.play(Span::from_ms(20_000));
         drive.figures
--- a/crates/hazelspur-server/src/back/control.rs
+++ b/crates/hazelspur-server/src/back/control.rs
@@ -6,21 +6,24 @@
 use crate::ops::desk::Desk;
 use crate::start::phases::{Phase, Phases};
 use hazelspur::Span;
+use hazelspur::pcg::Pcg;
 use hazelspur_parsers::http;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 
-/// The entry lapses 3 s after the last report.
-const EVERY: Span = Span::from_ms(800);
-const AGAIN: Span = Span::from_ms(250);
+/// The entry lapses 3 s after the last report. Each wait is by chance within these, so that servers which a
+/// list that was gone has brought into step don't stay in step: three hundred would come within 20 ms.
+const EVERY: [Span; 2] = [Span::from_ms(640), Span::from_ms(960)];
+const AGAIN: [Span; 2] = [Span::from_ms(125), Span::from_ms(375)];
 const WITHIN: Span = Span::from_ms(700);
 /// A report may count though its answer is missing; only so many in a row are told.
 const MISSED_TO_TELL: u32 = 3;
 
 /// Reports until the leave notice, after which the entry is to lapse.
-pub async fn report(name: String, peers: Rc<Peers>, desk: Rc<Desk>, phases: Rc<Phases>) {
+pub async fn report(name: String, seed: u64, peers: Rc<Peers>, desk: Rc<Desk>, phases: Rc<Phases>) {
     let mut missed = 0;
+    let mut chance = Pcg::new(seed ^ desk.clock.now().us());
     let path = format!("/v2/endpoints/{name}");
     phases.reached(|phase| phase != Phase::Waiting).await;
     while phases.now() == Phase::Serving {
@@ -42,8 +45,9 @@
                 }
             }
         }
+        let [least, most] = if missed == 0 { EVERY } else { AGAIN };
         tokio::select! {
-            () = sleep(if missed == 0 { EVERY } else { AGAIN }) => {}
+            () = sleep(least + (most - least).scaled(chance.unit())) => {}
             () = peers.left(|at| at.control, address) => {}
         }
     }
--- a/crates/hazelspur-server/src/back/ledger.rs
+++ b/crates/hazelspur-server/src/back/ledger.rs
@@ -5,7 +5,7 @@
 use crate::clock::{Clock, long};
 use hazelspur::{Moment, OpId, Outcome, Span};
 use hazelspur_parsers::http;
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -19,15 +19,32 @@
 const PATIENCE_SLACK: Span = Span::from_ms(15);
 const UNTOUCHED: &str = "X-Untouched";
 
+/// Who is told whether calls reach anybody.
+pub trait Reached {
+    fn call_ended(&self, reached: bool);
+}
+
 pub struct Ledger {
     peers: Rc<Peers>,
+    told: OnceCell<Rc<dyn Reached>>,
     /// Since when each is idle, and where it leads.
     idle: RefCell<Vec<(Moment, SocketAddr, TcpStream)>>,
 }
 
 impl Ledger {
     pub fn new(peers: Rc<Peers>) -> Self {
-        Self { peers, idle: RefCell::default() }
+        Self { peers, told: OnceCell::new(), idle: RefCell::default() }
+    }
+
+    /// From now on this one is told; once.
+    pub fn tells(&self, whom: Rc<dyn Reached>) {
+        let _ = self.told.set(whom);
+    }
+
+    fn tell(&self, reached: bool) {
+        if let Some(told) = self.told.get() {
+            told.call_ended(reached);
+        }
     }
 
     /// Makes the call for a run; dropping the future gives it up. A kept connection may have been forgotten at
@@ -49,7 +66,10 @@
             Some(stream) => stream,
             None => match tokio::time::timeout(long(patience), TcpStream::connect(address)).await {
                 Ok(Ok(stream)) => stream,
-                _ => return (Outcome::Unreached, Vec::new()),
+                _ => {
+                    self.tell(false);
+                    return (Outcome::Unreached, Vec::new());
+                }
             },
         };
         let _ = stream.set_nodelay(true);
@@ -60,12 +80,15 @@
         http::write_call(&mut call, "POST", "/post", &address.to_string(), &more, body);
         match tokio::time::timeout(long(left), exchange(&mut stream, &call, UNTOUCHED)).await {
             Ok(Ok((status, untouched, stays, reply))) => {
+                self.tell(true);
                 if stays {
                     self.keep(clock.now(), address, stream);
                 }
                 (outcome(status, untouched), reply)
             }
             Ok(Err(why)) => {
+                // Something between may take connections for a ledger that is gone.
+                self.tell(false);
                 log::debug!(op:%, reused, why; "ledger call broke");
                 (Outcome::Broken, Vec::new())
             }
--- a/crates/hazelspur-server/src/clock.rs
+++ b/crates/hazelspur-server/src/clock.rs
@@ -1,14 +1,16 @@
-//! The system's Unix clock, kept from going back, and waits by it.
+//! The system's Unix clock, kept from going back, and waits by it; and a steady one that nobody sets, for leases.
 
 use hazelspur::{Moment, Span};
-use std::cell::Cell;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::cell::{Cell, OnceCell};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 #[derive(Default)]
 pub struct Clock {
     last: Cell<Moment>,
     /// By how many milliseconds it is set apart from the system's.
     apart_ms: Cell<i64>,
+    /// Where the steady clock began.
+    began: OnceCell<Instant>,
 }
 
 impl Clock {
@@ -20,6 +22,12 @@
         now
     }
 
+    /// Since this was first asked for, and a second more: it says nothing of the time of day.
+    pub fn steady(&self) -> Moment {
+        let began = self.began.get_or_init(Instant::now);
+        Moment::from_us(1_000_000 + began.elapsed().as_micros() as u64)
+    }
+
     pub fn set_apart(&self, ms: i64) {
         self.apart_ms.set(ms);
     }
--- a/crates/hazelspur-server/src/fleet/ask.rs
+++ b/crates/hazelspur-server/src/fleet/ask.rs
@@ -5,8 +5,9 @@
 use crate::start::fleet_keys::Fleet;
 use comfy_table::{Table, presets};
 use hazelspur::Moment;
+use hazelspur_fleet::signals::Common;
 use hazelspur_fleet::talk::{self, Body, Datagram, ShownRow};
-use hazelspur_fleet::{Claim, Condition, Generation, MemberName, Says, SiteName, Size};
+use hazelspur_fleet::{Claim, Condition, Generation, LimitName, MemberName, Says, SiteName, Size};
 use serde::Serialize;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -27,6 +28,51 @@
     fleet: Size,
     sites: std::collections::BTreeMap<String, Size>,
     members: Vec<Member>,
+    choices: Choices,
+}
+
+/// What the server goes by that all have in common.
+#[derive(Serialize, Default)]
+struct Choices {
+    divider: Option<MemberName>,
+    given: Option<f32>,
+    holders: Option<u32>,
+    shares: Vec<Share>,
+    ledger: &'static str,
+    trouble: &'static str,
+    pace: f32,
+    refused: f32,
+    common: Option<Common>,
+}
+
+#[derive(Serialize)]
+struct Share {
+    limit: LimitName,
+    amount: f32,
+    floor: f32,
+    ends_in_s: Option<f64>,
+}
+
+impl From<talk::Shown> for Choices {
+    fn from(shown: talk::Shown) -> Self {
+        let share = |(limit, amount, floor, ends): (LimitName, f32, f32, Option<u32>)| Share {
+            limit,
+            amount,
+            floor,
+            ends_in_s: ends.map(|ms| f64::from(ms) / 1000.0),
+        };
+        Self {
+            divider: shown.divider,
+            given: shown.given.map(|(given, _)| given),
+            holders: shown.given.map(|(_, holders)| holders),
+            shares: shown.shares.into_iter().map(share).collect(),
+            ledger: if shown.shut { "out of reach" } else { "in reach" },
+            trouble: shown.whose.name(),
+            pace: shown.word.pace,
+            refused: shown.word.refused,
+            common: shown.common,
+        }
+    }
 }
 
 #[derive(Serialize)]
@@ -70,23 +116,25 @@
     let mut number = std::process::id();
     let mut after = None;
     let mut shown: Option<Shown> = None;
+    let question = |body| Datagram {
+        installation: fleet.installation,
+        from: Claim {
+            name: MemberName::new("operator").expect("a short name"),
+            site: fleet.site,
+            at,
+            generation: Generation(0),
+            incarnation: Default::default(),
+            says: Says::Alive,
+        },
+        number: 1,
+        sent_ms: now().us() / 1000,
+        body,
+        word: None,
+        claims: Vec::new(),
+    };
     loop {
         number = number.wrapping_add(1);
-        let question = Datagram {
-            installation: fleet.installation,
-            from: Claim {
-                name: MemberName::new("operator").expect("a short name"),
-                site: fleet.site,
-                at,
-                generation: Generation(0),
-                incarnation: Default::default(),
-                says: Says::Alive,
-            },
-            number: 1,
-            sent_ms: now().us() / 1000,
-            body: Body::Show { number, after },
-            claims: Vec::new(),
-        };
+        let question = question(Body::Show { number, after });
         let (from, body) = exchange(&socket, to, &question, number, fleet, key)?;
         let Body::Shown { condition, fleet, sites, rows, next, .. } = body else { continue };
         let shown = shown.get_or_insert_with(|| Shown {
@@ -98,6 +146,7 @@
             fleet,
             sites: sites.iter().map(|(site, size)| (site.to_string(), *size)).collect(),
             members: Vec::new(),
+            choices: Choices::default(),
         });
         shown.members.extend(rows.into_iter().map(Member::from));
         if next.is_none() || next <= after || shown.members.len() >= MOST_SHOWN {
@@ -105,7 +154,13 @@
         }
         after = next;
     }
-    shown.ok_or_else(|| "nothing was shown".into())
+    let mut shown = shown.ok_or("nothing was shown")?;
+    number = number.wrapping_add(1);
+    let question = question(Body::ShowChoices { number });
+    if let (_, Body::Choices { shown: choices, .. }) = exchange(&socket, to, &question, number, fleet, key)? {
+        shown.choices = choices.into();
+    }
+    Ok(shown)
 }
 
 fn exchange(
@@ -132,7 +187,7 @@
 }
 
 fn is_answer(body: &Body, asked: u32) -> bool {
-    matches!(body, Body::Shown { number, .. } if *number == asked)
+    matches!(body, Body::Shown { number, .. } | Body::Choices { number, .. } if *number == asked)
 }
 
 fn now() -> Moment {
@@ -155,6 +210,30 @@
             for (site, size) in &shown.sites {
                 text += &format!("site {site}: {}\n", bounds(size));
             }
+            let choices = &shown.choices;
+            text += &format!("ledger {}, trouble: {}", choices.ledger, choices.trouble);
+            if let Some(common) = &choices.common {
+                text += &format!(
+                    "; of {} servers in {} sites: pace {:.1}, unreached {:.2}, refused {:.2}",
+                    common.voices,
+                    common.sites,
+                    common.pace.unwrap_or(0.0),
+                    common.unreached,
+                    common.refused
+                );
+            }
+            text += "\n";
+            for share in &choices.shares {
+                let lasts = share.ends_in_s.map_or("floor only".into(), |s| format!("ends in {s:.1} s"));
+                let by = choices.divider.map_or("nobody".into(), |name| name.to_string());
+                text += &format!(
+                    "share of {}: {:.2} (floor {:.2}), {lasts}, divided by {by}\n",
+                    share.limit, share.amount, share.floor
+                );
+            }
+            if let (Some(given), Some(holders)) = (choices.given, choices.holders) {
+                text += &format!("gives {given:.2} of the first limit's pool to {holders}\n");
+            }
             let mut table = Table::new();
             table.load_style(presets::UTF8_BORDERS_ONLY);
             table.set_header([
--- /dev/null
+++ b/crates/hazelspur-server/src/fleet/guidance.rs
@@ -0,0 +1,119 @@
+//! Between the module and what servers found out together: this server's work is shown to `Joint`, and what
+//! comes of it is told to the module where it has changed.
+
+use crate::ops::desk::Desk;
+use crate::start::fleet_keys::{CALLS, TENANT};
+use hazelspur::{Moment, Span, TenantId};
+use hazelspur_fleet::gate::Change;
+use hazelspur_fleet::guidance::Guidance as Facts;
+use hazelspur_fleet::joint::Seen;
+use hazelspur_fleet::shares::{Event, LimitId, Terms};
+use hazelspur_fleet::signals::Whose;
+use hazelspur_fleet::{At, Joint};
+
+/// This server's own work is looked at so often.
+const LOOK: Span = Span::from_ms(200);
+/// More of a tenant's ops than lately are room to grow.
+const ROOM: f64 = 1.25;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Of {
+    Calls,
+    Tenant(TenantId),
+}
+
+pub struct Guidance {
+    together: bool,
+    limits: Vec<(String, Of)>,
+    facts: Facts,
+    looked: Moment,
+    whose: Option<Whose>,
+}
+
+impl Guidance {
+    /// Errors name the key at fault.
+    pub fn new(together: bool, terms: Option<&Terms>, tenants: &[String]) -> Result<Self, String> {
+        let (mut limits, mut facts) = (Vec::new(), Vec::new());
+        for (at, limit) in terms.iter().flat_map(|terms| &terms.limits).enumerate() {
+            let name = limit.name.as_str();
+            let of = match name.strip_prefix(TENANT) {
+                None if name == CALLS => Of::Calls,
+                None => return Err(format!("fleet.shares: {name}: nothing goes by it")),
+                Some(tenant) => {
+                    let at = tenants.iter().position(|other| other == tenant);
+                    Of::Tenant(TenantId(at.ok_or(format!("fleet.shares: {name}: no such tenant"))?))
+                }
+            };
+            let fact = match of {
+                Of::Calls => "joint.calls_bound".to_string(),
+                Of::Tenant(tenant) => format!("joint.tenants.{}.per_s", tenant.0),
+            };
+            facts.push((LimitId(at), fact));
+            limits.push((name.to_string(), of));
+        }
+        let facts = Facts::new(together, facts);
+        Ok(Self { together, limits, facts, looked: Moment::default(), whose: None })
+    }
+
+    /// What this server did lately, and what it would use.
+    pub fn see(&mut self, at: At, desk: &Desk, joint: &mut Joint) {
+        if at.steady - self.looked < LOOK {
+            return;
+        }
+        self.looked = at.steady;
+        let Some(view) = desk.view() else { return };
+        joint.saw(at, Seen { call_secs: view.call_secs, refused: view.refused });
+        for (name, of) in &self.limits {
+            match of {
+                // Until the first call nothing is known: the floor is enough for it.
+                Of::Calls => joint.want(name, view.calls.unwrap_or(1.0)),
+                Of::Tenant(tenant) => joint.want(name, desk.tenant_rate(*tenant) * ROOM),
+            }
+        }
+    }
+
+    /// Tells the module what has changed, and the desk when leases end.
+    pub fn guide(&mut self, at: At, desk: &Desk, joint: &mut Joint) {
+        if desk.is_open() {
+            let told = self.facts.next(at, joint);
+            desk.guide(told.facts, told.leases);
+        }
+        self.say(at, joint);
+    }
+
+    /// A line for each change of mode, with figures.
+    fn say(&mut self, at: At, joint: &mut Joint) {
+        while let Some(change) = joint.gate.next_change() {
+            match change {
+                Change::Shut => log::warn!(tries = joint.gate.tries; "ledger out of reach, calls wait"),
+                Change::Opened(after) => {
+                    log::info!(after_ms = after.us() / 1000, tries = joint.gate.tries; "ledger reached again");
+                }
+            }
+        }
+        if self.together && self.whose != Some(joint.whose()) {
+            let (was, is) = (self.whose.replace(joint.whose()), joint.whose());
+            if let (Some(common), true) = (joint.common(), was.is_some() || is != Whose::None) {
+                let word = joint.word();
+                log::info!(whose = is.name(), pace = word.pace, unreached = word.unreached.unwrap_or(0.0),
+                    common_pace = common.pace.unwrap_or(0.0), common_unreached = common.unreached,
+                    voices = common.voices, sites = common.sites; "ledger trouble");
+            }
+        }
+        let shares = joint.all_shares(at);
+        let shares: Vec<String> =
+            shares.iter().map(|(name, share)| format!("{name}:{:.2}", share.amount)).collect();
+        let Some(all) = &mut joint.shares else { return };
+        while let Some(event) = all.next_event() {
+            let given =
+                all.given(at.steady, LimitId(0)).map_or((0.0, 0), |(given, holders, _)| (given, holders));
+            let (given, holders, shares) = (given.0, given.1, shares.join(" "));
+            match event {
+                Event::Divides => log::info!(holders; "shares: this server divides"),
+                Event::DividesNoMore => log::info!(given, holders; "shares: this server divides no more"),
+                Event::Held(by) => log::info!(by:%, shares; "shares held"),
+                Event::FloorOnly => log::warn!(shares; "shares ended, floors only"),
+            }
+        }
+    }
+}
--- a/crates/hazelspur-server/src/fleet/mod.rs
+++ b/crates/hazelspur-server/src/fleet/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod ask;
 pub mod changes;
+pub mod guidance;
 pub mod talk;
--- a/crates/hazelspur-server/src/fleet/talk.rs
+++ b/crates/hazelspur-server/src/fleet/talk.rs
@@ -1,56 +1,79 @@
-//! One UDP socket: what comes is opened and told to `Members`, what that wants sent goes out.
+//! One UDP socket: what comes is opened and told to `Joint`, what that wants sent goes out, and what servers
+//! found out together goes to the module through the desk.
 
-use crate::clock::Clock;
+use crate::back::ledger::Reached;
+use crate::back::peers::Peers;
+use crate::clock::{Clock, long};
 use crate::fleet::changes::Changes;
+use crate::fleet::guidance::Guidance;
 use crate::ops::desk::Desk;
 use crate::start::fleet_keys::Fleet;
 use crate::start::phases::{Phase, Phases};
 use hazelspur::Span;
-use hazelspur_fleet::{Generation, Installation, Key, MemberName, Members, talk};
+use hazelspur_fleet::{At, Generation, Installation, Joint, Key, MemberName, talk};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpStream, UdpSocket};
 
 /// Datagrams read in one go before other tasks have their turn.
 const IN_ONE_GO: usize = 64;
-/// A log line that was held back waits no longer than this.
-const ROUND: Span = Span::from_ms(1000);
+/// What this server sees of its own work is looked at so often; a log line that was held back waits no longer.
+const ROUND: Span = Span::from_ms(250);
+/// A try at what nobody reaches: a connection that is made, stands for a moment, and is closed again. What lies
+/// between may take connections for one that is gone, but does not keep them.
+const TRY_WITHIN: Span = Span::from_ms(500);
+const STANDS: Span = Span::from_ms(50);
 
 pub struct Talk {
     socket: UdpSocket,
     key: Key,
     installation: Installation,
-    members: RefCell<Members>,
+    joint: RefCell<Joint>,
     changes: RefCell<Changes>,
+    guidance: RefCell<Guidance>,
+    /// Whether calls and tries go by the gate.
+    together: bool,
     desk: Rc<Desk>,
+    peers: Rc<Peers>,
     phases: Rc<Phases>,
     leaving: Cell<bool>,
 }
 
+/// Whom a talk serves, and with what.
+pub struct Around {
+    pub desk: Rc<Desk>,
+    pub peers: Rc<Peers>,
+    pub phases: Rc<Phases>,
+    /// Names of the tenants in the settings.
+    pub tenants: Vec<String>,
+}
+
 impl Talk {
     /// Listens from here on. Errors name the key at fault.
-    pub async fn new(
-        fleet: &Fleet,
-        (name, seed): (&str, u64),
-        desk: Rc<Desk>,
-        phases: Rc<Phases>,
-    ) -> Result<Self, String> {
+    pub async fn new(fleet: &Fleet, (name, seed): (&str, u64), around: Around) -> Result<Self, String> {
+        let Around { desk, peers, phases, tenants } = around;
         let name = MemberName::new(name).ok_or("name: longer than 31 characters, or not visible ones")?;
         let key = fleet.key.clone().ok_or("fleet.key_file: not read")?;
+        let shares = fleet.share_terms().map_err(|(key, why)| format!("fleet.{key}: {why}"))?;
+        let guidance = Guidance::new(fleet.together, shares.as_ref(), &tenants)?;
         let listen = fleet.listen.unwrap_or(fleet.at);
         let socket = UdpSocket::bind(listen).await.map_err(|e| format!("fleet.listen: {listen}: {e}"))?;
-        let now = desk.clock.now();
+        let at = At { wall: desk.clock.now(), steady: desk.clock.steady() };
         // Servers that start together must not draw the same chances.
-        let members = Members::new(fleet.terms(name), Generation(now.us() / 1000), seed ^ now.us(), now);
-        log::info!(site:% = fleet.site, at:% = fleet.at, contacts = fleet.contacts.len(), most = fleet.most;
+        let (generation, seed) = (Generation(at.wall.us() / 1000), seed ^ at.wall.us());
+        log::info!(site:% = fleet.site, at:% = fleet.at, contacts = fleet.contacts.len(), most = fleet.most,
+            together = fleet.together, shares = fleet.shares.len(), keepers = fleet.keepers.len();
             "fleet talk begins");
         Ok(Self {
             socket,
             key,
             installation: fleet.installation,
-            members: RefCell::new(members),
+            joint: RefCell::new(Joint::new(fleet.terms(name), shares, generation, seed, at)),
             changes: RefCell::default(),
+            guidance: RefCell::new(guidance),
+            together: fleet.together,
             desk,
+            peers,
             phases,
             leaving: Cell::new(false),
         })
@@ -60,16 +83,20 @@
         &self.desk.clock
     }
 
+    fn at(&self) -> At {
+        At { wall: self.clock().now(), steady: self.clock().steady() }
+    }
+
     pub async fn run(self: Rc<Self>) {
         let mut bytes = vec![0; talk::LONGEST + 1];
         let left = |phase| !matches!(phase, Phase::Waiting | Phase::Serving);
         loop {
             self.act();
-            let next = self.members.borrow().next_tick().min(self.clock().now() + ROUND);
+            let wait = self.joint.borrow().wait(self.at()).min(ROUND);
             tokio::select! {
                 came = self.socket.recv_from(&mut bytes) => {
                     // First the timers: after a standstill it is they that tell of it.
-                    self.members.borrow_mut().tick(self.clock().now());
+                    self.joint.borrow_mut().tick(self.at());
                     if let Ok((length, _)) = came {
                         self.hear(&bytes[..length]);
                     }
@@ -80,41 +107,89 @@
                     self.act();
                     tokio::task::yield_now().await;
                 }
-                () = self.clock().sleep_until(next) => {}
+                () = tokio::time::sleep(long(wait)) => {}
                 () = self.phases.reached(left), if !self.leaving.get() => {
                     self.leaving.set(true);
-                    self.members.borrow_mut().leave(self.clock().now());
+                    self.joint.borrow_mut().leave(self.at());
                 }
             }
         }
     }
 
+    /// Tries what nobody reaches, when it is this server's turn.
+    pub async fn try_again(self: Rc<Self>) {
+        loop {
+            let next = self.joint.borrow().gate.next_try().filter(|_| self.together);
+            let now = self.clock().now();
+            match next {
+                Some(at) if at <= now => {
+                    self.joint.borrow_mut().gate.tried(now);
+                    let to = self.peers.now().ledger;
+                    let connecting = tokio::time::timeout(long(TRY_WITHIN), TcpStream::connect(to)).await;
+                    let reached = match connecting {
+                        Ok(Ok(stream)) => {
+                            tokio::time::timeout(long(STANDS), stream.readable()).await.is_err()
+                        }
+                        _ => false,
+                    };
+                    self.call_ended(reached);
+                }
+                Some(at) => crate::clock::sleep((at - now).min(Span::from_ms(20))).await,
+                None => crate::clock::sleep(ROUND).await,
+            }
+        }
+    }
+
     /// The last word: sent at once, since nothing runs after it.
     pub fn left(&self) {
-        self.members.borrow_mut().left(self.clock().now());
+        self.joint.borrow_mut().members.left(self.clock().now());
         self.act();
     }
 
     fn hear(&self, bytes: &[u8]) {
-        let now = self.clock().now();
-        let opened = talk::open(&self.key, &self.installation, now, bytes);
-        let heard = opened.and_then(|datagram| self.members.borrow_mut().heard(now, &datagram));
+        let at = self.at();
+        let opened = talk::open(&self.key, &self.installation, at.wall, bytes);
+        let heard = opened.and_then(|datagram| self.joint.borrow_mut().heard(at, &datagram));
         if let Err(why) = heard {
             self.changes.borrow_mut().dropped(why);
         }
     }
 
     fn act(&self) {
-        let now = self.clock().now();
-        let (mut members, mut changes) = (self.members.borrow_mut(), self.changes.borrow_mut());
-        members.tick(now);
-        while let Some((to, datagram)) = members.next_out(now) {
+        let at = self.at();
+        let (mut joint, mut changes) = (self.joint.borrow_mut(), self.changes.borrow_mut());
+        self.guidance.borrow_mut().see(at, &self.desk, &mut joint);
+        joint.tick(at);
+        while let Some((to, datagram)) = joint.next_out(at) {
             // What can't be sent now is lost, as on any network.
             let _ = self.socket.try_send_to(&talk::seal(&self.key, &datagram), to);
         }
-        while let Some(event) = members.next_event() {
+        while let Some(event) = joint.members.next_event() {
             changes.note(event);
         }
-        changes.tell(now, &members);
+        changes.tell(at.wall, &joint.members);
+        self.guidance.borrow_mut().guide(at, &self.desk, &mut joint);
+    }
+}
+
+impl Reached for Talk {
+    fn call_ended(&self, reached: bool) {
+        if !self.together {
+            return;
+        }
+        let at = self.at();
+        let mut joint = self.joint.borrow_mut();
+        let was_open = joint.gate.is_open();
+        joint.call_ended(at, reached);
+        if joint.gate.is_open() != was_open {
+            // The module is to know before the next decision, not with the next round.
+            self.guidance.borrow_mut().guide(at, &self.desk, &mut joint);
+        }
     }
 }
+
+/// Keeps the socket's and the tries' tasks up.
+pub fn begin(talk: &Rc<Talk>) {
+    crate::keep_up("fleet", talk, Talk::run);
+    crate::keep_up("tries", talk, Talk::try_again);
+}
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -14,7 +14,7 @@
 use back::runtime::Link;
 use clap::Parser;
 use clock::sleep;
-use fleet::talk::Talk;
+use fleet::talk::{Around, Talk};
 use fronts::gateways::Gateways;
 use fronts::kinds::Kinds;
 use fronts::queues::Queues;
@@ -133,7 +133,7 @@
     let peers = Rc::new(Peers::new(startup.addresses));
     let link = Rc::new(Link::new(desk.clone(), peers.clone(), startup.gauges.clone()));
     let ledger = Rc::new(Ledger::new(peers.clone()));
-    let means = Rc::new(Means { desk: desk.clone(), link: link.clone(), ledger });
+    let means = Rc::new(Means { desk: desk.clone(), link: link.clone(), ledger: ledger.clone() });
     let kinds = Rc::new(Kinds::new(&startup));
     let queues = operator.amqp.as_ref().map(|amqp| {
         let who = (startup.name.as_str(), seed);
@@ -158,13 +158,20 @@
     let talk = match &operator.fleet {
         Some(fleet) => {
             let who = (startup.name.as_str(), seed);
-            let talk = Talk::new(fleet, who, desk.clone(), phases.clone()).await;
-            Some(Rc::new(talk.map_err(Error::other)?))
+            let around = Around {
+                desk: desk.clone(),
+                peers: peers.clone(),
+                phases: phases.clone(),
+                tenants: startup.tenants.clone(),
+            };
+            let talk = Rc::new(Talk::new(fleet, who, around).await.map_err(Error::other)?);
+            ledger.tells(talk.clone());
+            Some(talk)
         }
         None => None,
     };
     if let Some(talk) = &talk {
-        keep_up("fleet", talk, Talk::run);
+        fleet::talk::begin(talk);
     }
     keep_up("accept", &gateways, move |gateways| gateways.accept(listener.clone()));
     keep_up("connections", &gateways, Gateways::keep);
@@ -173,7 +180,7 @@
     keep_up("desk", &desk, Desk::run);
     let (reporting, name) = (desk.clone(), startup.name.clone());
     keep_up("control", &phases, move |phases| {
-        control::report(name.clone(), peers.clone(), reporting.clone(), phases)
+        control::report(name.clone(), seed, peers.clone(), reporting.clone(), phases)
     });
 
     let (hot, up) = tokio::select! {
--- a/crates/hazelspur-server/src/ops/desk.rs
+++ b/crates/hazelspur-server/src/ops/desk.rs
@@ -3,7 +3,8 @@
 
 use crate::clock::Clock;
 use crate::ops::repeats::Repeats;
-use hazelspur::{Decision, Logic, Moment, OpId, Outcome, Span};
+use hazelspur::book::View;
+use hazelspur::{Decision, Logic, Moment, OpId, Outcome, Span, TenantId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -22,6 +23,9 @@
     Gone,
 }
 
+/// When the first lease that the module goes by ends, and what holds from then on.
+pub type Leases = (Moment, Vec<(String, f64)>);
+
 #[derive(Default)]
 pub struct Desk {
     pub clock: Clock,
@@ -37,6 +41,8 @@
     pub keep_idle: Cell<Option<Span>>,
     pub wake: Cell<Option<Moment>>,
     pub wake_set: Notify,
+    /// When leases that the module goes by end, by the steady clock, and what holds then.
+    leases: RefCell<Option<Leases>>,
 }
 
 impl Desk {
@@ -60,6 +66,33 @@
         self.stirred.notify_one();
     }
 
+    /// What servers found out together, for the module. Of leases: when they end, and what holds then.
+    pub fn guide(&self, told: Vec<(String, Option<f64>)>, leases: Option<Leases>) {
+        *self.leases.borrow_mut() = leases;
+        if !told.is_empty() {
+            self.tell(|logic, now| told.iter().for_each(|(name, value)| logic.told(now, name, *value)));
+        }
+    }
+
+    /// After a standstill the end of a lease comes before anything that would go by it.
+    fn end_leases(&self) {
+        let over = self.leases.borrow().as_ref().is_some_and(|(ends, _)| self.clock.steady() >= *ends);
+        let Some((_, floors)) = over.then(|| self.leases.take()).flatten() else { return };
+        let now = self.clock.now();
+        if let Some(logic) = self.logic.borrow_mut().as_mut() {
+            floors.iter().for_each(|(name, floor)| logic.told(now, name, Some(*floor)));
+        }
+    }
+
+    pub fn view(&self) -> Option<View> {
+        self.logic.borrow().as_ref().map(|logic| logic.view(self.clock.now()))
+    }
+
+    pub fn tenant_rate(&self, tenant: TenantId) -> f64 {
+        let now = self.clock.now();
+        self.logic.borrow().as_ref().map_or(0.0, |logic| logic.tenant_rate(now, tenant))
+    }
+
     pub fn count(&self, acked: bool) {
         let (acks, nacks) = self.counts.get();
         self.counts.set((acks.wrapping_add(u32::from(acked)), nacks.wrapping_add(u32::from(!acked))));
@@ -110,6 +143,7 @@
     }
 
     fn pull(&self) -> Option<Decision> {
+        self.end_leases();
         let now = self.clock.now();
         let mut logic = self.logic.borrow_mut();
         let logic = logic.as_mut()?;
--- a/crates/hazelspur-server/src/start/fleet_keys.rs
+++ b/crates/hazelspur-server/src/start/fleet_keys.rs
@@ -2,7 +2,8 @@
 
 use garde::Validate;
 use hazelspur::Span;
-use hazelspur_fleet::{Installation, Key, MemberName, SiteName, Terms};
+use hazelspur_fleet::shares::{Limit, Terms as ShareTerms};
+use hazelspur_fleet::{Installation, Key, LimitName, MemberName, SiteName, Terms};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -42,11 +43,58 @@
     #[serde(default = "remember")]
     #[garde(range(min = 30.0, max = 86_400.0))]
     pub remember_s: f64,
+    /// Whether servers go by what they hear of each other: who tries a ledger that nobody reaches, whether
+    /// a refused op has better luck elsewhere.
+    #[serde(default)]
+    #[garde(skip)]
+    pub together: bool,
+    /// Who votes on the one that gives out shares: an odd number, over three sites.
+    #[serde(default)]
+    #[garde(skip)]
+    pub keepers: Vec<MemberName>,
+    /// How long a vote holds.
+    #[serde(default = "lease")]
+    #[garde(range(min = 1.0, max = 600.0))]
+    pub lease_s: f64,
+    /// What all servers together may use.
+    #[serde(default)]
+    #[garde(skip)]
+    pub shares: Vec<ShareKey>,
     #[serde(skip)]
     #[garde(skip)]
     pub key: Option<Key>,
 }
 
+/// One entry of `shares`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ShareKey {
+    /// `calls`: at once at the ledger; `tenant.NAME`: ops a second of a tenant of the settings.
+    pub limit: LimitName,
+    pub total: f64,
+    /// The part that is divided by `most` for good.
+    #[serde(default = "floor")]
+    pub floor: f64,
+    /// How long what was begun under a share may go on.
+    #[serde(default = "linger")]
+    pub linger_s: f64,
+}
+
+pub const CALLS: &str = "calls";
+pub const TENANT: &str = "tenant.";
+
+fn lease() -> f64 {
+    4.0
+}
+
+fn floor() -> f64 {
+    0.3
+}
+
+fn linger() -> f64 {
+    1.0
+}
+
 fn period() -> f64 {
     1.0
 }
@@ -72,6 +120,41 @@
         Ok(())
     }
 
+    /// What is shared; none where nothing is. Errors name the key at fault.
+    pub fn share_terms(&self) -> Result<Option<ShareTerms>, (&'static str, String)> {
+        let limit = |key: &ShareKey| Limit {
+            name: key.limit,
+            total: key.total,
+            floor: key.floor,
+            linger: Span::from_secs(key.linger_s),
+            whole: None,
+        };
+        if self.shares.is_empty() {
+            let unused = !self.keepers.is_empty();
+            return if unused { Err(("keepers", "there are no shares to keep".into())) } else { Ok(None) };
+        }
+        for key in &self.shares {
+            let name = key.limit.as_str();
+            if name != CALLS && !name.starts_with(TENANT) {
+                return Err(("shares", format!("{name}: neither {CALLS} nor {TENANT}NAME")));
+            }
+            if !(0.0..=60.0).contains(&key.linger_s) {
+                return Err(("shares", format!("{name}: linger_s is not from 0 to 60")));
+            }
+        }
+        let terms = ShareTerms {
+            keepers: self.keepers.clone(),
+            most: self.most,
+            span: Span::from_secs(self.lease_s),
+            limits: self.shares.iter().map(limit).collect(),
+        };
+        let keepers = terms.keepers.len();
+        if keepers.is_multiple_of(2) && keepers > 0 {
+            return Err(("keepers", format!("{keepers}: an odd number can lose as many as one more")));
+        }
+        terms.check().map(|()| Some(terms)).map_err(|why| ("shares", why))
+    }
+
     pub fn terms(&self, name: MemberName) -> Terms {
         Terms {
             installation: self.installation,
--- a/crates/hazelspur-server/src/start/operator.rs
+++ b/crates/hazelspur-server/src/start/operator.rs
@@ -343,6 +343,9 @@
             report.iter().next().map(|(key, why)| (key.to_string(), why.to_string())).unwrap_or_default();
         return Err(format!("{}: {why}", at(&key)));
     }
+    if let Some(Err((key, why))) = operator.fleet.as_ref().map(Fleet::share_terms) {
+        return Err(format!("{}: {why}", at(&format!("fleet.{key}"))));
+    }
     if operator.amqp.is_none() && !operator.queues.is_empty() {
         return Err(format!("{}: there is no amqp(...)", at("queues[0].name")));
     }
--- a/crates/hazelspur-server/tests/fleet.rs
+++ b/crates/hazelspur-server/tests/fleet.rs
@@ -15,6 +15,7 @@
         seed,
         rate: 45.0,
         most: servers * 2,
+        joint: false,
     };
     let verdict = play(plan, &mut |_, _| {}).unwrap_or_else(|why| panic!("{script}: {why:#}"));
     assert!(verdict.breaches.is_empty(), "{script}\n{}\n{:#?}", verdict.figures(), verdict.breaches);
@@ -72,6 +73,7 @@
         seed: 1,
         rate: 1.0,
         most: 18,
+        joint: false,
     };
     let mut bed = Bed::new(plan).expect("a bed");
     let mut watch = Watch::new(KEY, INSTALLATION).expect("a socket");
--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -362,6 +362,13 @@
         fleet("sight = \"east\""),
         fleet("key_file = \"/nowhere\""),
         fleet("key_file = \"/dev/null\""),
+        fleet("shares = [{\"limit\": \"slots\", \"total\": 5}]"),
+        fleet("shares = [{\"limit\": \"calls\", \"total\": -5}]"),
+        fleet("shares = [{\"limit\": \"calls\", \"total\": 5, \"linger_s\": 3}]"),
+        fleet("shares = [{\"limit\": \"calls\", \"total\": 5, \"part\": 3}]"),
+        fleet("keepers = [\"a\"]"),
+        fleet("keepers = [\"a\", \"b\"],\nshares = [{\"limit\": \"calls\", \"total\": 5}]"),
+        fleet("keepers = [\"a\", \"a\", \"b\"],\nshares = [{\"limit\": \"calls\", \"total\": 5}]"),
         format!("{}{}", fleet(""), fleet("")),
     ];
     let file = std::env::temp_dir().join(format!("hazelspur-check-{}.star", std::process::id()));
@@ -403,9 +410,16 @@
         FILE:6: fleet.at: no address that others can reach, exit Some(2)
         FILE:7: fleet.contacts[1]: invalid socket address syntax, exit Some(2)
         FILE:6: fleet.site: invalid value: string "two words", expected a name of 1 to 31 visible ASCII characters, exit Some(2)
-        FILE:7: fleet.sight: unknown field `sight`, expected one of `installation`, `site`, `at`, `listen`, `contacts`, `key_file`, `most`, `period_s`, `remember_s`, exit Some(2)
+        FILE:7: fleet.sight: unknown field `sight`, expected one of `installation`, `site`, `at`, `listen`, `contacts`, `key_file`, `most`, `period_s`, `remember_s`, `together`, `keepers`, `lease_s`, `shares`, exit Some(2)
         fleet.key_file: /nowhere: No such file or directory, exit Some(2)
         fleet.key_file: /dev/null: shorter than 16 characters, exit Some(2)
+        FILE:7: fleet.shares: slots: neither calls nor tenant.NAME, exit Some(2)
+        FILE:7: fleet.shares: calls: total is no number from 0 to a billion, exit Some(2)
+        FILE:7: fleet.shares: calls: what lingers for over half of the span leaves no time for leases, exit Some(2)
+        FILE:7: fleet.shares[0].part: unknown field `part`, expected one of `limit`, `total`, `floor`, `linger_s`, exit Some(2)
+        FILE:7: fleet.keepers: there are no shares to keep, exit Some(2)
+        FILE:7: fleet.keepers: 2: an odd number can lose as many as one more, exit Some(2)
+        FILE:8: fleet.shares: a keeper is named twice: its vote would count twice, exit Some(2)
         FILE:8: fleet: called twice, exit Some(2)
     "#]].assert_eq(&seen);
 }
--- a/crates/hazelspur-standins/src/runtime.rs
+++ b/crates/hazelspur-standins/src/runtime.rs
@@ -23,11 +23,13 @@
     /// Every nth run ends in an error; none for 0.
     pub fails: u64,
     pub cores: usize,
+    /// A run that is at its call this long after it began ends there, since its request is over; never for 0.
+    pub over_ms: u64,
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        Self { run_ms: 0, calls: false, fails: 0, cores: 2 }
+        Self { run_ms: 0, calls: false, fails: 0, cores: 2, over_ms: 0 }
     }
 }
 
@@ -39,6 +41,7 @@
     called: bool,
     /// Since when no server that is known to run it has a link; its requests are over.
     orphan: Option<Instant>,
+    began: Instant,
 }
 
 #[derive(Default)]
@@ -132,7 +135,15 @@
         }
         let calls = self.pace.calls;
         let left_ms = self.pace.run_ms as f64;
-        self.running.push(Run { id: id.into(), body, left_ms, calling: false, called: !calls, orphan: None });
+        self.running.push(Run {
+            id: id.into(),
+            body,
+            left_ms,
+            calling: false,
+            called: !calls,
+            orphan: None,
+            began: Instant::now(),
+        });
         self.most_running = self.most_running.max(self.running.len());
         if self.pace.run_ms == 0 {
             self.work(0.0);
@@ -143,10 +154,12 @@
     fn work(&mut self, passed_ms: f64) {
         let busy = self.running.iter().filter(|run| !run.calling).count().max(1);
         let share = (self.pace.cores as f64 / busy as f64).min(1.0);
+        let over = Duration::from_millis(self.pace.over_ms);
         let mut at = 0;
         while at < self.running.len() {
             let run = &mut self.running[at];
-            if run.calling && run.orphan.is_some_and(|since| since.elapsed() >= ORPHANED) {
+            let over = over > Duration::ZERO && run.began.elapsed() >= over;
+            if run.calling && (over || run.orphan.is_some_and(|since| since.elapsed() >= ORPHANED)) {
                 // Its request is over: it ends at its call.
                 let id = self.running.swap_remove(at).id;
                 self.notice(|number| format!("end {number} {id} cancelled 0 0\r\n\r\n").into_bytes());
