--- a/crates/hazelspur-fleet/tests/shares.rs
+++ b/crates/hazelspur-fleet/tests/shares.rs
@@ -509,3 +509,46 @@
     world.run.values_mut().for_each(|shares| shares.want(SLOTS, 90.0));
     assert!(world.run(30_000).is_err(), "{}", world.shares());
 }
+
+/// Words of holders of the key that lie: any numbers, any lengths, any order.
+#[test]
+fn whatever_is_said_about_shares_stays_within_the_bounds() {
+    let mut chance = Pcg::new(11);
+    let mut world = World::new(3, terms(3, 10));
+    world.run(20_000).expect("the sum holds");
+    let odd = |chance: &mut Pcg| match chance.draw() % 6 {
+        0 => f32::NAN,
+        1 => f32::INFINITY,
+        2 => -1.0,
+        3 => 1e30,
+        4 => f32::from_bits(chance.draw()),
+        _ => chance.unit() as f32 * 100.0,
+    };
+    for i in 0..20_000u64 {
+        let few = |chance: &mut Pcg| -> Vec<f32> {
+            let length = if chance.draw().is_multiple_of(4) { chance.draw() as usize % 20 } else { 2 };
+            (0..length).map(|_| odd(chance)).collect()
+        };
+        let number = if chance.draw().is_multiple_of(2) { chance.draw() % 64 } else { chance.draw() };
+        let divider = Some(name(chance.draw() as usize % 5));
+        let word = match chance.draw() % 6 {
+            0 => Word::Ask { round: number },
+            1 => Word::Vote { round: number, yes: chance.draw().is_multiple_of(2), divider },
+            2 => Word::Drop { round: number },
+            3 => Word::Want { number, wants: few(&mut chance), keeps: few(&mut chance) },
+            4 => Word::Have { number, span_ms: chance.draw(), amounts: few(&mut chance) },
+            _ => Word::Elsewhere { number, divider },
+        };
+        let from = Life {
+            name: name(chance.draw() as usize % 40),
+            generation: Generation(u64::from(chance.draw() % 9)),
+        };
+        let now = START + Span::from_ms(20_000 + i * 3);
+        for shares in world.run.values_mut() {
+            shares.heard(now, from, &word);
+            shares.tick(now);
+            shares.check(now).unwrap_or_else(|why| panic!("{why} after {word:?}"));
+            while shares.next_out().is_some() {}
+        }
+    }
+}
--- a/crates/hazelspur-fleetbed/src/bed.rs
+++ b/crates/hazelspur-fleetbed/src/bed.rs
@@ -15,7 +15,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -66,6 +66,8 @@
 pub struct Bed {
     pub plan: Plan,
     net: u8,
+    /// Holds the net against other runs on this machine for as long as the bed stands.
+    _claim: TcpListener,
     folder: PathBuf,
     pub weather: Weather,
     pub refusals: Refusals,
@@ -90,7 +92,8 @@
         anyhow::ensure!((1..=MOST_SERVERS).contains(&plan.servers), "1 to {MOST_SERVERS} servers");
         anyhow::ensure!(plan.gateways <= MOST_GATEWAYS, "up to {MOST_GATEWAYS} gateways");
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
-        let net = 64 + ((std::process::id().wrapping_mul(13) + run) % 180) as u8;
+        let (net, claim) =
+            claim_net(std::process::id().wrapping_mul(13) + run).context("a net of its own")?;
         let folder = std::env::temp_dir().join(format!("hazelspur-bed-{}-{run}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         // Once: a server that starts may be reading it.
@@ -107,6 +110,7 @@
             lives: Vec::new(),
             gateways: Vec::new(),
             net,
+            _claim: claim,
             folder,
             weather,
             refusals: Refusals::default(),
@@ -370,6 +374,14 @@
     }
 }
 
+/// The first net from a number on that no other run on this machine has.
+fn claim_net(from: u32) -> std::io::Result<(u8, TcpListener)> {
+    const NETS: u32 = 180;
+    let net = |i: u32| 64 + (from.wrapping_add(i) % NETS) as u8;
+    let claim = |net: u8| TcpListener::bind((Ipv4Addr::new(127, net, 250, 250), 7999)).map(|l| (net, l));
+    (0..NETS).map(|i| claim(net(i))).find(Result::is_ok).unwrap_or_else(|| claim(net(0)))
+}
+
 fn memory_kb(id: u32) -> u64 {
     let status = std::fs::read_to_string(Path::new("/proc").join(id.to_string()).join("status"));
     let status = status.unwrap_or_default();
