Leases outlast their divider: the next one goes on with what each holds

Seen: in the laboratory a divider that ended left the whole fleet on floors for 4 to 7 s (0.16 of what could be in use, 100 servers), and a deploy ends several of them.

Cause: what was given ended before the divider's own time, so that the next one could begin with nothing given.

Change: a lease lasts two spans, whoever divides. A new divider gives nobody more than it says it holds until all leases of the one before must have ended; to go on with what one holds adds nothing to the sum.

--- a/crates/hazelspur-fleet/src/shares/divide.rs
+++ b/crates/hazelspur-fleet/src/shares/divide.rs
@@ -65,15 +65,18 @@
     levels: Vec<f64>,
     sums: Vec<f64>,
     looked: Moment,
+    /// Until then others may use what a former divider gave, so that nobody gets more than it holds.
+    inherits: Moment,
 }
 
 impl Divider {
-    pub fn new(limits: usize) -> Self {
+    pub fn new(limits: usize, inherits: Moment) -> Self {
         Self {
             rows: BTreeMap::new(),
             levels: vec![0.0; limits],
             sums: vec![0.0; limits],
             looked: Moment::default(),
+            inherits,
         }
     }
 
@@ -85,7 +88,7 @@
         self.rows.values().filter_map(|row| row.charges.get(limit)).map(|c| c.now(now)).sum()
     }
 
-    /// What a holder gets of each pool, for `lasts` at most from when it asked; none where the question is
+    /// What a holder gets of each pool, for `lasts` from when it asked; none where the question is
     /// older than one that came before, or can't be read.
     pub fn wanted(
         &mut self,
@@ -144,18 +147,22 @@
             let row = &self.rows[&from];
             let own = row.charges[at].now(now);
             let free = (pool - self.sums[at]).max(0.0);
+            // A holder that says what it keeps says what it holds; what can't be is nothing.
+            let holds = f64::from(keeps[at]);
+            let holds = if holds.is_finite() && (0.0..=pool * 1.001).contains(&holds) { holds } else { 0.0 };
+            let inherits = now < self.inherits;
             let amount = match limit.whole {
+                Some(_) if inherits => f64::from(u8::from(holds >= 1.0 && own + free >= 1.0)),
                 Some(longest) => self.turn(now, from, at, longest, free),
+                None if inherits => row.wants[at].min(self.levels[at]).min(own + free).min(holds),
                 None => row.wants[at].min(self.levels[at]).min(own + free),
             };
             // Rounded down, so that what is said is never more than what is counted.
             let said = rounded_down(amount);
-            let lasts = if lasts > Span::ZERO { lasts + limit.linger } else { Span::ZERO };
-            self.give(now, from, at, f64::from(said), now + lasts);
+            self.give(now, from, at, f64::from(said), now + lasts + limit.linger);
             said
         });
-        let amounts: Vec<f32> = amounts.collect::<Vec<_>>();
-        (lasts > Span::ZERO).then_some(amounts)
+        Some(amounts.collect())
     }
 
     fn give(&mut self, now: Moment, to: Life, at: usize, amount: f64, end: Moment) {
--- a/crates/hazelspur-fleet/src/shares/mod.rs
+++ b/crates/hazelspur-fleet/src/shares/mod.rs
@@ -179,7 +179,7 @@
             }
             Word::Want { number, wants, keeps } => self.wanted(now, from, *number, (wants, keeps)),
             Word::Have { number, span_ms, amounts } => {
-                let span = Span::from_ms(u64::from(*span_ms)).min(self.terms.span);
+                let span = Span::from_ms(u64::from(*span_ms)).min(self.terms.lease());
                 if self.holder.had(now, &self.terms, from.name, (*number, span, amounts)) {
                     self.figures.had += 1;
                     if self.holder.changed(now) == Some(true) {
@@ -288,7 +288,9 @@
         let Some(candidate) = &mut self.candidate else { return };
         let had = candidate.holds(now);
         if candidate.voted(now, by, (round, yes), majority, sure) && !had {
-            self.divider = Some(Divider::new(self.terms.limits.len()));
+            // What the one before gave may be in use for so long.
+            let inherits = now + self.terms.lease() + self.terms.linger();
+            self.divider = Some(Divider::new(self.terms.limits.len(), inherits));
             self.tell(Event::Divides);
         }
         if !yes {
@@ -334,13 +336,12 @@
     }
 
     fn wanted(&mut self, now: Moment, from: Life, number: u32, (wants, keeps): (&[f32], &[f32])) {
-        let Some(until) = self.divides(now) else {
+        if self.divides(now).is_none() {
             let divider = self.keeper.as_ref().and_then(|keeper| keeper.promised_to(now));
             let divider = divider.filter(|name| *name != self.me.name);
             return self.say(from.name, Word::Elsewhere { number, divider });
-        };
-        // What is given ends, and is no longer used, before this server's own time does.
-        let lasts = (until.back(self.terms.linger()) - now).min(self.terms.span);
+        }
+        let lasts = self.terms.lease();
         let Some(divider) = &mut self.divider else { return };
         let answer = divider.wanted(now, &self.terms, from, (number, wants, keeps), lasts, &mut self.figures);
         if let Some(amounts) = answer {
--- a/crates/hazelspur-fleet/src/shares/terms.rs
+++ b/crates/hazelspur-fleet/src/shares/terms.rs
@@ -83,6 +83,11 @@
         self.span.scaled(0.25)
     }
 
+    /// How long what is given may be used: past the end of a divider, until the next one is known to all.
+    pub fn lease(&self) -> Span {
+        self.span.scaled(2.0)
+    }
+
     pub fn majority(&self) -> usize {
         self.keepers.len() / 2 + 1
     }
--- a/crates/hazelspur-lab/src/main.rs
+++ b/crates/hazelspur-lab/src/main.rs
@@ -26,6 +26,14 @@
     Together(Together),
     /// The hard cases of choices that add up, under each way of choosing.
     Choices(Choices),
+    /// Shares of one limit through troubles, without the servers' other work.
+    Shares {
+        #[arg(long, value_delimiter = ',', default_value = "10,100,300,1000")]
+        sizes: Vec<usize>,
+        /// Seeds from 1 on.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+    },
     /// What choices that all make alike come to in sum: reports, subsets, turns.
     Sums {
         #[arg(long, value_delimiter = ',', default_value = "1,10,100,300,1000")]
@@ -106,6 +114,7 @@
         Command::WhoIsHere(asked) => who_is_here(&asked),
         Command::Together(asked) => together(&asked),
         Command::Choices(asked) => choices(&asked),
+        Command::Shares { sizes, seeds } => shares(&sizes, seeds),
         Command::Sums { sizes } => sums(&sizes),
     }
 }
@@ -189,6 +198,46 @@
     println!("{table}");
 }
 
+fn shares(sizes: &[usize], seeds: u64) {
+    use hazelspur_lab::studies::shares::{Case, Outcome, Trouble, play};
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "trouble",
+        "servers",
+        "most in force, of the limit",
+        "in use at last",
+        "least over fair",
+        "Jain's index",
+        "worst dip",
+        "settled after s, worst",
+        "messages/s at the divider",
+    ]);
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get());
+    for size in sizes {
+        for trouble in Trouble::ALL {
+            let cases: Vec<Case> = (1..=seeds).map(|seed| Case { servers: *size, trouble, seed }).collect();
+            let all = on_all_cores(&cases, threads, play);
+            let mean =
+                |of: &dyn Fn(&Outcome) -> f64| all.iter().map(of).sum::<f64>() / all.len().max(1) as f64;
+            let most = |of: &dyn Fn(&Outcome) -> f64| all.iter().map(of).fold(0.0, f64::max);
+            let least = |of: &dyn Fn(&Outcome) -> f64| all.iter().map(of).fold(f64::INFINITY, f64::min);
+            table.add_row([
+                trouble.name().to_string(),
+                size.to_string(),
+                format!("{:.4}", most(&|o| o.most)),
+                format!("{:.3}", mean(&|o| o.used)),
+                format!("{:.2}", least(&|o| o.least)),
+                format!("{:.3}", mean(&|o| o.jain)),
+                format!("{:.2}", least(&|o| o.dip)),
+                format!("{:.1}", most(&|o| o.settled_s)),
+                format!("{:.0}", mean(&|o| o.divider)),
+            ]);
+        }
+    }
+    println!("{table}");
+}
+
 fn sums(sizes: &[usize]) {
     use hazelspur_lab::studies::sums::{Reports, Subsets, reports, subsets, turns};
     let mut table = Table::new();
--- a/crates/hazelspur-lab/src/studies.rs
+++ b/crates/hazelspur-lab/src/studies.rs
@@ -1,6 +1,7 @@
 //! What is measured.
 
 pub mod choices;
+pub mod shares;
 pub mod sums;
 pub mod together;
 pub mod who_is_here;
--- /dev/null
+++ b/crates/hazelspur-lab/src/studies/shares.rs
@@ -0,0 +1,336 @@
+//! Shares of one limit among many servers, without the servers' other work: whether the sum ever passes the
+//! limit, how much of it is in use once things have settled, how fairly, and how long settling takes.
+
+use crate::kernel::Kernel;
+use crate::network::{Cut, Network};
+use crate::town::START;
+use crate::ways::own::name;
+use hazelspur::pcg::Pcg;
+use hazelspur::{Moment, Span};
+use hazelspur_fleet::shares::{Life, Limit, LimitId, Shares, Terms, Word, level_of};
+use hazelspur_fleet::{Generation, LimitName};
+use std::collections::VecDeque;
+
+const SLOTS: LimitId = LimitId(0);
+const LINGER: Span = Span::from_ms(500);
+const LOOK: Span = Span::from_ms(100);
+/// The fleet is at rest by then.
+const FROM: Span = Span::from_ms(20_000);
+/// In use over what could be: settled.
+const SETTLED: f64 = 0.9;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    None,
+    /// A twentieth of all messages is lost.
+    Loss,
+    /// From ten servers to all within 30 s, and back to ten.
+    GrowAndShrink,
+    /// Two in five end within 7 s, and as many others start.
+    Replaced,
+    /// The divider ends.
+    DividerEnds,
+    /// Two halves for 20 s.
+    Halves,
+    /// A tenth stand still for 10 s.
+    Stopped,
+}
+
+impl Trouble {
+    pub const ALL: [Self; 7] = [
+        Self::None,
+        Self::Loss,
+        Self::GrowAndShrink,
+        Self::Replaced,
+        Self::DividerEnds,
+        Self::Halves,
+        Self::Stopped,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Loss => "loss of 5%",
+            Self::GrowAndShrink => "grows from 10 and shrinks",
+            Self::Replaced => "two in five replaced in 7 s",
+            Self::DividerEnds => "divider ends",
+            Self::Halves => "halves for 20 s",
+            Self::Stopped => "a tenth stopped for 10 s",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub servers: usize,
+    pub trouble: Trouble,
+    pub seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outcome {
+    /// The greatest sum of what might be in use, with what lingers, over the limit.
+    pub most: f64,
+    /// What may be used over what could be, in the last 10 s.
+    pub used: f64,
+    /// The least share over the fair one, and Jain's index of shares over fair ones, at the end.
+    pub least: f64,
+    pub jain: f64,
+    /// From the beginning of the trouble until `used` stays settled; the worst dip on the way.
+    pub settled_s: f64,
+    pub dip: f64,
+    /// Messages to and from the divider in a second, at the end.
+    pub divider: f64,
+}
+
+enum Event {
+    Tick(usize, u64),
+    Word(usize, Life, Word),
+    Start(usize),
+    End(usize),
+    EndDivider,
+    Stop(usize, Span),
+    Cut(Option<Cut>),
+}
+
+struct Node {
+    shares: Option<Shares>,
+    life: Life,
+    stopped: Moment,
+    /// What might have been in use at the last looks.
+    past: VecDeque<f64>,
+    set: Moment,
+}
+
+struct Sim {
+    kernel: Kernel<Event>,
+    network: Network,
+    chance: Pcg,
+    terms: Terms,
+    nodes: Vec<Node>,
+    lives: u64,
+    at_divider: u64,
+}
+
+/// What a server would use, as unequal as a thirtieth to one.
+fn want(of: usize, servers: usize, total: f64) -> f64 {
+    total / servers as f64 * [0.1, 0.3, 0.5, 0.8, 1.0, 1.5, 2.0, 3.0][of * 7 % 8] * 1.3
+}
+
+impl Sim {
+    fn start(&mut self, of: usize) {
+        let now = self.kernel.now;
+        self.lives += 1;
+        let life = Life { name: name(of), generation: Generation(self.lives) };
+        let seed = u64::from(self.chance.draw());
+        let mut shares = Shares::new(self.terms.clone(), life, seed, now);
+        let total = self.terms.limits[0].total;
+        shares.want(SLOTS, want(of, self.terms.most * 4 / 5, total));
+        self.nodes[of] = Node {
+            shares: Some(shares),
+            life,
+            stopped: Moment::default(),
+            past: VecDeque::new(),
+            set: Moment::default(),
+        };
+        self.spoke(of);
+    }
+
+    fn spoke(&mut self, of: usize) {
+        let now = self.kernel.now;
+        let node = &mut self.nodes[of];
+        let Some(shares) = &mut node.shares else { return };
+        let divides = shares.divides(now).is_some();
+        while let Some((to, word)) = shares.next_out() {
+            let to: usize = to.as_str()[1..].parse().unwrap_or(usize::MAX);
+            self.at_divider += u64::from(divides);
+            for after in self.network.carry(&mut self.chance, of, to) {
+                self.kernel.at(now + after, Event::Word(to, node.life, word.clone()));
+            }
+        }
+        while shares.next_event().is_some() {}
+        let next = shares.next_tick().max(now + Span::from_us(1));
+        if next < node.set || node.set <= now {
+            node.set = next;
+            self.kernel.at(next, Event::Tick(of, node.life.generation.0));
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.kernel.now;
+        match event {
+            Event::Tick(of, life) => {
+                let node = &mut self.nodes[of];
+                if node.life.generation.0 != life {
+                    return;
+                }
+                if now < node.stopped {
+                    return self.kernel.at(node.stopped, event);
+                }
+                if let Some(shares) = &mut node.shares {
+                    node.set = Moment::default();
+                    shares.tick(now);
+                }
+                self.spoke(of);
+            }
+            Event::Word(to, from, ref word) => {
+                let Some(node) = self.nodes.get_mut(to) else { return };
+                if now < node.stopped {
+                    return self.kernel.at(node.stopped, event);
+                }
+                if let Some(shares) = &mut node.shares {
+                    self.at_divider += u64::from(shares.divides(now).is_some());
+                    shares.heard(now, from, word);
+                }
+                self.spoke(to);
+            }
+            Event::Start(of) => self.start(of),
+            Event::End(of) => self.nodes[of].shares = None,
+            Event::EndDivider => {
+                let divides = |node: &Node| node.shares.as_ref().is_some_and(|s| s.divides(now).is_some());
+                if let Some(of) = self.nodes.iter().position(divides) {
+                    self.nodes[of].shares = None;
+                    self.kernel.at(now + Span::from_ms(3000), Event::Start(of));
+                }
+            }
+            Event::Stop(of, span) => self.nodes[of].stopped = now + span,
+            Event::Cut(cut) => self.network.cut = cut,
+        }
+    }
+
+    /// The sum of all that might be in use, and of what may be used now; what could be; fair shares.
+    fn look(&mut self) -> (f64, f64, Vec<(f64, f64)>) {
+        let now = self.kernel.now;
+        let keep = (LINGER.us() / LOOK.us()) as usize + 1;
+        let (mut most, mut used) = (0.0, 0.0);
+        let (mut held, mut wants) = (Vec::new(), Vec::new());
+        let total = self.terms.limits[0].total;
+        for (of, node) in self.nodes.iter_mut().enumerate() {
+            let amount = node.shares.as_ref().map_or(0.0, |shares| shares.share(now, SLOTS).amount);
+            node.past.push_back(amount);
+            while node.past.len() > keep {
+                node.past.pop_front();
+            }
+            most += node.past.iter().copied().fold(0.0, f64::max);
+            if node.shares.is_some() {
+                let want = want(of, self.terms.most * 4 / 5, total);
+                // A floor beyond what is wanted is no use to anybody.
+                used += amount.min(want);
+                held.push(amount.min(want));
+                wants.push(want);
+            }
+        }
+        let fair = level_of(&self.terms.limits[0], self.terms.most, &wants);
+        (
+            most / total,
+            used,
+            held.into_iter().zip(fair.into_iter().zip(wants).map(|(f, w)| f.min(w))).collect(),
+        )
+    }
+}
+
+pub fn play(case: &Case) -> Outcome {
+    let n = case.servers;
+    let limit = Limit {
+        name: LimitName::new("calls").expect("a short name"),
+        total: 4.0 * n as f64,
+        floor: 0.2,
+        linger: LINGER,
+        whole: None,
+    };
+    let terms = Terms {
+        keepers: (0..5).map(name).collect(),
+        most: n + n.div_ceil(4),
+        span: Span::from_ms(4000),
+        limits: vec![limit],
+    };
+    let mut network = Network::new(3);
+    network.loss = if case.trouble == Trouble::Loss { 0.05 } else { 0.0 };
+    let gone = || Node {
+        shares: None,
+        life: Life { name: name(0), generation: Generation(0) },
+        stopped: Moment::default(),
+        past: VecDeque::new(),
+        set: Moment::default(),
+    };
+    let mut sim = Sim {
+        kernel: Kernel::new(START),
+        network,
+        chance: Pcg::new(case.seed),
+        nodes: (0..terms.most).map(|_| gone()).collect(),
+        terms,
+        lives: 0,
+        at_divider: 0,
+    };
+    let first = if case.trouble == Trouble::GrowAndShrink { n.min(10) } else { n };
+    (0..first).for_each(|of| sim.start(of));
+    let at = |ms: u64| START + FROM + Span::from_ms(ms);
+    let mut over = 0;
+    match case.trouble {
+        Trouble::None | Trouble::Loss => {}
+        Trouble::GrowAndShrink => {
+            for of in first..n {
+                let part = 30_000 * (of - first) as u64 / (n - first).max(1) as u64;
+                sim.kernel.at(at(part), Event::Start(of));
+                sim.kernel.at(at(50_000 + part), Event::End(of));
+            }
+            over = 80_000;
+        }
+        Trouble::Replaced => {
+            for (i, of) in (0..n).filter(|of| of % 5 < 2).enumerate() {
+                let ms = 7000 * i as u64 / (n * 2 / 5).max(1) as u64;
+                sim.kernel.at(at(ms), Event::End(of));
+                sim.kernel.at(at(ms + 1500), Event::Start(of));
+            }
+            over = 8500;
+        }
+        Trouble::DividerEnds => sim.kernel.at(at(0), Event::EndDivider),
+        Trouble::Halves => {
+            sim.kernel.at(at(0), Event::Cut(Some(|from, to| from % 2 != to % 2)));
+            sim.kernel.at(at(20_000), Event::Cut(None));
+            over = 20_000;
+        }
+        Trouble::Stopped => {
+            for of in (0..n).filter(|of| of % 10 == 3) {
+                sim.kernel.at(at(0), Event::Stop(of, Span::from_ms(10_000)));
+            }
+            over = 10_000;
+        }
+    }
+    let end = FROM + Span::from_ms(over + 30_000);
+    let mut out = Outcome { dip: 1.0, ..Outcome::default() };
+    let (mut last, mut unsettled, mut tail): (Vec<(f64, f64)>, f64, Vec<f64>) = (Vec::new(), 0.0, Vec::new());
+    let mut counted = 0;
+    while sim.kernel.now < START + end {
+        let next = sim.kernel.now + LOOK;
+        while let Some(event) = sim.kernel.next(next) {
+            sim.take(event);
+        }
+        let (most, used, held) = sim.look();
+        out.most = out.most.max(most);
+        let could: f64 = held.iter().map(|(_, fair)| fair).sum();
+        let part = used / could.max(1e-9);
+        let since = (sim.kernel.now - START).secs() - FROM.secs();
+        if since >= 0.0 {
+            out.dip = out.dip.min(part);
+            if part < SETTLED {
+                unsettled = since + LOOK.secs();
+            }
+        }
+        if sim.kernel.now + Span::from_ms(10_000) >= START + end {
+            if tail.is_empty() {
+                counted = sim.at_divider;
+            }
+            tail.push(part);
+        }
+        last = held;
+    }
+    out.used = tail.iter().sum::<f64>() / tail.len().max(1) as f64;
+    out.divider = (sim.at_divider - counted) as f64 / 10.0;
+    out.settled_s = unsettled;
+    let parts: Vec<f64> = last.iter().map(|(held, fair)| held / fair.max(1e-9)).collect();
+    out.least = parts.iter().copied().fold(f64::INFINITY, f64::min);
+    let (sum, squares) = (parts.iter().sum::<f64>(), parts.iter().map(|p| p * p).sum::<f64>());
+    out.jain = sum * sum / (parts.len().max(1) as f64 * squares.max(1e-9));
+    out
+}
