--- a/crates/hazelspur-fleet/src/guidance.rs
+++ b/crates/hazelspur-fleet/src/guidance.rs
@@ -32,11 +32,6 @@
         Self { together, limits, told: BTreeMap::new() }
     }
 
-    /// A new life of the module knows nothing.
-    pub fn forget(&mut self) {
-        self.told.clear();
-    }
-
     pub fn next(&mut self, at: At, joint: &Joint) -> Told {
         let mut now: BTreeMap<String, f64> = BTreeMap::new();
         let mut leases: Option<(Moment, Vec<(String, f64)>)> = None;
--- a/crates/hazelspur-lab/src/drive/mod.rs
+++ b/crates/hazelspur-lab/src/drive/mod.rs
@@ -180,10 +180,8 @@
     /// Tries at a ledger that nobody reached.
     pub vain: u64,
     pub datagrams: u64,
-    /// Served, tried and called in each second of the run.
+    /// Served in each second of the run.
     pub by_second: Vec<u32>,
-    pub tries_by_second: Vec<u32>,
-    pub calls_by_second: Vec<u32>,
 }
 
 fn count(of: &mut Vec<u32>, now: Moment) {
@@ -306,9 +304,8 @@
 
     /// What came out so far counts no more, but for its seconds.
     pub fn forget(&mut self) {
-        let old = std::mem::take(&mut self.figures);
-        (self.figures.by_second, self.figures.tries_by_second) = (old.by_second, old.tries_by_second);
-        self.figures.calls_by_second = old.calls_by_second;
+        let by_second = std::mem::take(&mut self.figures).by_second;
+        self.figures.by_second = by_second;
         (self.ledger.calls, self.ledger.most_out) = (0, 0);
     }
 
@@ -464,7 +461,6 @@
             return;
         };
         self.figures.tries += 1;
-        count(&mut self.figures.tries_by_second, now);
         self.ids += 1;
         let id = OpId::padded(&format!("{:x}", self.ids)).expect("under 36 characters");
         self.kernel.at(now + ONE_WAY, Event::Reaches(of, self.servers[of].life, id, asked));
@@ -567,7 +563,6 @@
                 let begun = if link.down { None } else { self.ledger.begin() };
                 match begun.map(|takes| takes.scaled(link.slow)) {
                     Some(takes) => {
-                        count(&mut self.figures.calls_by_second, now);
                         // A call is given up, and its slot free, when patience is over.
                         let outcome = if takes <= patience { Outcome::Ok } else { Outcome::TimedOut };
                         running.call = Some(now);
--- a/crates/hazelspur-lab/src/drive/together.rs
+++ b/crates/hazelspur-lab/src/drive/together.rs
@@ -2,14 +2,12 @@
 //! oracle that sees the true state of all a little late.
 
 use super::{Drive, Event, Way};
-use crate::town::START;
 use crate::ways::own::{address, name, number, terms};
-use hazelspur::{Moment, OpId, Span};
+use hazelspur::{Moment, Span};
 use hazelspur_fleet::guidance::{Guidance, Told};
 use hazelspur_fleet::joint::Seen;
 use hazelspur_fleet::shares::{Limit, LimitId, Terms, level};
 use hazelspur_fleet::{At, Datagram, Generation, Joint, LimitName};
-use std::collections::BTreeMap;
 
 /// A server looks at its own work so often; the oracle at that of all, of which it sees the last look.
 const LOOK: Span = Span::from_ms(200);
@@ -218,14 +216,4 @@
         });
         (sum / (self.plan.slots_each * self.plan.servers as f64), held)
     }
-
-    /// Ops in hand of each server: for tests.
-    pub fn in_hand(&self) -> BTreeMap<usize, Vec<OpId>> {
-        let hands = self.servers.iter().enumerate();
-        hands.map(|(of, server)| (of, server.ops.keys().copied().collect())).collect()
-    }
-
-    pub fn seconds(&self) -> f64 {
-        (self.kernel.now - START).secs()
-    }
 }
--- a/crates/hazelspur-server/src/fleet/guidance.rs
+++ b/crates/hazelspur-server/src/fleet/guidance.rs
@@ -7,7 +7,7 @@
 use hazelspur_fleet::gate::Change;
 use hazelspur_fleet::guidance::Guidance as Facts;
 use hazelspur_fleet::joint::Seen;
-use hazelspur_fleet::shares::{Event, LimitId, Terms};
+use hazelspur_fleet::shares::{Event, LimitId, Shares, Terms};
 use hazelspur_fleet::signals::Whose;
 use hazelspur_fleet::{At, Joint};
 
@@ -100,14 +100,13 @@
                     voices = common.voices, sites = common.sites; "ledger trouble");
             }
         }
-        let shares = joint.all_shares(at);
-        let shares: Vec<String> =
-            shares.iter().map(|(name, share)| format!("{name}:{:.2}", share.amount)).collect();
-        let Some(all) = &mut joint.shares else { return };
-        while let Some(event) = all.next_event() {
-            let given =
-                all.given(at.steady, LimitId(0)).map_or((0.0, 0), |(given, holders, _)| (given, holders));
-            let (given, holders, shares) = (given.0, given.1, shares.join(" "));
+        while let Some(event) = joint.shares.as_mut().and_then(Shares::next_event) {
+            let all = joint.all_shares(at);
+            let shares: Vec<String> =
+                all.iter().map(|(name, share)| format!("{name}:{:.2}", share.amount)).collect();
+            let shares = shares.join(" ");
+            let given = joint.shares.as_ref().and_then(|all| all.given(at.steady, LimitId(0)));
+            let (given, holders, _) = given.unwrap_or_default();
             match event {
                 Event::Divides => log::info!(holders; "shares: this server divides"),
                 Event::DividesNoMore => log::info!(given, holders; "shares: this server divides no more"),
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -456,19 +456,21 @@
             play.read(&format!("o{i}"), Read::default());
         }
         play.pull();
-        (from..from + 4).for_each(|i| drop(play.call_wanted(&format!("o{i}"))));
+        for i in from..from + 4 {
+            play.call_wanted(&format!("o{i}"));
+        }
         play.pull();
         play.seen(&["Call"]).lines().count()
     };
     let plenty = wants(&mut play, 0);
-    (0..4).for_each(|i| {
-        drop(play.call_ended(&format!("o{i}"), Outcome::Ok).ended(&format!("o{i}"), Outcome::Ok))
-    });
+    for i in 0..4 {
+        play.call_ended(&format!("o{i}"), Outcome::Ok).ended(&format!("o{i}"), Outcome::Ok);
+    }
     play.at(1000).told("joint.calls_bound", Some(0.5)).told("joint.calls_bound", Some(0.5));
     let few = wants(&mut play, 10);
-    (10..14).for_each(|i| {
-        drop(play.call_ended(&format!("o{i}"), Outcome::Ok).ended(&format!("o{i}"), Outcome::Ok))
-    });
+    for i in 10..14 {
+        play.call_ended(&format!("o{i}"), Outcome::Ok).ended(&format!("o{i}"), Outcome::Ok);
+    }
     // What is no number, below zero or none of these facts is as if it had not been told.
     play.at(2000).told("joint.calls_bound", Some(f64::NAN)).told("server.calls_bound", Some(0.0));
     play.told("joint.calls_bound", Some(-1.0)).told("server.calls_bound", None);
