A lease that lapsed in a standstill is told anew; partial answers while calls wait

- after a standstill the desk puts the module on the floor; a lease that came back at the old amount was then never told, since the talk believed it told already, and the module stayed on its floor.
The desk says that leases have lapsed, and all is told again (test fails without forget);
- while the gate is shut, an op that may go on without its call waited for it until it was due.
It skips it at once, and such ops are not held back (trace: Run and SkipCall, neither of them before);
- shares without keepers gave a fifth of the limit without a word: refused now unless floor is 1, with key and line.

--- a/crates/hazelspur-fleet/src/guidance.rs
+++ b/crates/hazelspur-fleet/src/guidance.rs
@@ -6,8 +6,8 @@
 use hazelspur::Moment;
 use std::collections::BTreeMap;
 
-/// A figure that has grown by less than this part is the same; a smaller one never is, since what is used must
-/// not be more than what is held.
+/// A figure that has grown by less than this part is the same; a smaller one never is, since what is used
+/// must not be more than what is held.
 const SAME: f64 = 0.01;
 
 /// Facts by name; `None` takes one back.
@@ -32,6 +32,11 @@
         Self { together, limits, told: BTreeMap::new() }
     }
 
+    /// The module was told otherwise meanwhile, since a lease had ended: all of it is told again.
+    pub fn forget(&mut self) {
+        self.told.clear();
+    }
+
     pub fn next(&mut self, at: At, joint: &Joint) -> Told {
         let mut now: BTreeMap<String, f64> = BTreeMap::new();
         let mut leases: Option<(Moment, Vec<(String, f64)>)> = None;
--- a/crates/hazelspur-fleet/src/shares/mod.rs
+++ b/crates/hazelspur-fleet/src/shares/mod.rs
@@ -14,7 +14,8 @@
 //!   gives from when that came; so the one who uses always ends before the one who promised. Clocks may run
 //!   apart by a fiftieth; they may show anything.
 //! - **Dividing**: to the level at which all demands together fill the pool (max-min fairness, "water
-//!   filling"): nobody gets more by asking for more than that. Turns (`Limit::whole`) go to who waited longest.
+//!   filling"): nobody gets more by asking for more than that. Turns (`Limit::whole`) go to who waited
+//!   longest.
 //!
 //! Inputs (`want`, `heard`, `tick`) only update; then pull `next_out` and `next_event` until `None`, and call
 //! `tick` at `next_tick`. All points in time are those of a clock that nobody sets.
--- a/crates/hazelspur-fleet/src/subsets.rs
+++ b/crates/hazelspur-fleet/src/subsets.rs
@@ -31,8 +31,8 @@
     all.into_iter().map(|(_, candidate)| candidate).collect()
 }
 
-/// The same with the sites taken in turn, so that no site decides for another what it alone can see. The order
-/// of the sites is by hash too.
+/// The same with the sites taken in turn, so that no site decides for another what it alone can see. The
+/// order of the sites is by hash too.
 pub fn over_sites(about: &str, round: u64, k: usize, of: impl Iterator<Item = Candidate>) -> Vec<Candidate> {
     let mut sites: BTreeMap<SiteName, Vec<Candidate>> = BTreeMap::new();
     for candidate in of {
--- a/crates/hazelspur-fleet/src/turns.rs
+++ b/crates/hazelspur-fleet/src/turns.rs
@@ -23,7 +23,8 @@
         Self { period: wanted.min(longest).max(Span::from_ms(1)), slots: most as u64 }
     }
 
-    /// When `me` has its next turn at `what`, at or after `now` by the wall clock; after less than two periods.
+    /// When `me` has its next turn at `what`, at or after `now` by the wall clock; after less than two
+    /// periods.
     pub fn next(&self, me: MemberName, what: &str, now: Moment) -> Moment {
         let number = now.us() / self.period.us();
         let turn = |number: u64| {
--- a/crates/hazelspur-fleet/tests/choices.rs
+++ b/crates/hazelspur-fleet/tests/choices.rs
@@ -5,11 +5,13 @@
 use expect_test::expect;
 use hazelspur::{Moment, Span};
 use hazelspur_fleet::gate::{Change, Gate};
+use hazelspur_fleet::guidance::Guidance;
+use hazelspur_fleet::shares::{Limit, LimitId, Terms};
 use hazelspur_fleet::signals::{Board, Pace, Whose, Word, middle};
 use hazelspur_fleet::subsets::{Candidate, first, over_sites};
 use hazelspur_fleet::turns::Round;
-use hazelspur_fleet::{MemberName, SiteName};
-use helpers::{START, name};
+use hazelspur_fleet::{At, Generation, Joint, LimitName, MemberName, SiteName};
+use helpers::{START, name, terms};
 use std::collections::{BTreeMap, BTreeSet};
 
 fn site(of: usize) -> SiteName {
@@ -213,3 +215,24 @@
     gate.ended(ms(722), false);
     assert!(!gate.is_open());
 }
+
+#[test]
+fn what_the_module_was_told_otherwise_is_told_again() {
+    let at = At { wall: START, steady: START };
+    let limit = Limit {
+        name: LimitName::new("calls").expect("a name"),
+        total: 50.0,
+        floor: 1.0,
+        linger: Span::ZERO,
+        whole: None,
+    };
+    let shares = Terms { keepers: vec![], most: 10, span: Span::from_ms(4000), limits: vec![limit] };
+    let joint = Joint::new(terms(0, 10), Some(shares), Generation(1), 1, at);
+    let mut guidance = Guidance::new(true, vec![(LimitId(0), "joint.calls_bound".into())]);
+    let mut told = || guidance.next(at, &joint).facts;
+    let (first, second) = (told(), told());
+    guidance.forget();
+    let third = guidance.next(at, &joint).facts;
+    assert_eq!(first, [("joint.calls_bound".to_string(), Some(5.0))]);
+    assert!(second.is_empty() && third == first, "{second:?} {third:?}");
+}
--- a/crates/hazelspur-fleet/tests/shares.rs
+++ b/crates/hazelspur-fleet/tests/shares.rs
@@ -1,5 +1,5 @@
-//! Shares among a few servers: short traces, all orders of few events, long walks, and planted faults that the
-//! checker of the sum has to find. The sum is taken over what every process may use, with what lingers.
+//! Shares among a few servers: short traces, all orders of few events, long walks, and planted faults that
+//! the checker of the sum has to find. The sum is taken over what every process may use, with what lingers.
 
 mod helpers;
 
--- a/crates/hazelspur-fleetbed/src/play.rs
+++ b/crates/hazelspur-fleetbed/src/play.rs
@@ -119,7 +119,8 @@
     Ok(Verdict { breaches: evidence.breaches(), evidence, together_ms, up_ms, logs })
 }
 
-/// Starts all servers and waits until they are listed and show one picture; the pictures, and how long that took in ms.
+/// Starts all servers and waits until they are listed and show one picture; the pictures, and how long that
+/// took in ms.
 pub fn come_up(bed: &mut Bed, watch: &mut Watch) -> anyhow::Result<(Vec<Option<View>>, u64)> {
     let (began, servers) = (now_ms(), bed.plan.servers);
     for of in 0..servers {
--- a/crates/hazelspur-lab/src/drive/together.rs
+++ b/crates/hazelspur-lab/src/drive/together.rs
@@ -176,6 +176,7 @@
         let now = self.kernel.now;
         let Some(part) = &mut self.parts[of] else { return };
         let Some((_, floors)) = part.leases.take_if(|(ends, _)| now >= *ends) else { return };
+        part.guidance.forget();
         if let Some(logic) = &mut self.servers[of].logic {
             floors.iter().for_each(|(name, floor)| logic.told(now, name, Some(*floor)));
         }
--- a/crates/hazelspur-lab/src/studies/sums.rs
+++ b/crates/hazelspur-lab/src/studies/sums.rs
@@ -25,8 +25,8 @@
     }
 }
 
-/// Reports of `servers` while the list takes none for 5 s and takes them again: the most within 20 ms over the
-/// mean of the 20 s after that, and the longest that any server's place was without a report.
+/// Reports of `servers` while the list takes none for 5 s and takes them again: the most within 20 ms over
+/// the mean of the 20 s after that, and the longest that any server's place was without a report.
 pub fn reports(servers: usize, how: Reports, seed: u64) -> (f64, Span) {
     const DOWN: std::ops::Range<u64> = 10_000..15_000;
     const BIN: u64 = 20;
@@ -132,8 +132,8 @@
     (over(load.iter().min()), over(load.iter().max()), moved as f64 / all, differ as f64 / all)
 }
 
-/// Turns without talk: the most in any 100 ms over the mean, and the longest wait, of `servers` that each take
-/// every turn for a minute.
+/// Turns without talk: the most in any 100 ms over the mean, and the longest wait, of `servers` that each
+/// take every turn for a minute.
 pub fn turns(servers: usize, per_second: f64, longest: Span) -> (f64, Span) {
     use hazelspur_fleet::turns::Round;
     let round = Round::new(servers, per_second, longest);
--- a/crates/hazelspur-server/src/back/ledger.rs
+++ b/crates/hazelspur-server/src/back/ledger.rs
@@ -47,9 +47,9 @@
         }
     }
 
-    /// Makes the call for a run; dropping the future gives it up. A kept connection may have been forgotten at
-    /// the other end, and its reset can't be told from that of a call that ran: where that matters, or where
-    /// one has just broken, the call gets a `fresh` one.
+    /// Makes the call for a run; dropping the future gives it up. A kept connection may have been forgotten
+    /// at the other end, and its reset can't be told from that of a call that ran: where that matters, or
+    /// where one has just broken, the call gets a `fresh` one.
     pub async fn call(
         &self,
         clock: &Clock,
--- a/crates/hazelspur-server/src/clock.rs
+++ b/crates/hazelspur-server/src/clock.rs
@@ -1,4 +1,5 @@
-//! The system's Unix clock, kept from going back, and waits by it; and a steady one that nobody sets, for leases.
+//! The system's Unix clock, kept from going back, and waits by it; and a steady one that nobody sets, for
+//! leases.
 
 use hazelspur::{Moment, Span};
 use std::cell::{Cell, OnceCell};
--- a/crates/hazelspur-server/src/fleet/guidance.rs
+++ b/crates/hazelspur-server/src/fleet/guidance.rs
@@ -75,6 +75,9 @@
     /// Tells the module what has changed, and the desk when leases end.
     pub fn guide(&mut self, at: At, desk: &Desk, joint: &mut Joint) {
         if desk.is_open() {
+            if desk.has_lapsed() {
+                self.facts.forget();
+            }
             let told = self.facts.next(at, joint);
             desk.guide(told.facts, told.leases);
         }
--- a/crates/hazelspur-server/src/fleet/talk.rs
+++ b/crates/hazelspur-server/src/fleet/talk.rs
@@ -17,10 +17,11 @@
 
 /// Datagrams read in one go before other tasks have their turn.
 const IN_ONE_GO: usize = 64;
-/// What this server sees of its own work is looked at so often; a log line that was held back waits no longer.
+/// What this server sees of its own work is looked at so often; a log line that was held back waits no
+/// longer.
 const ROUND: Span = Span::from_ms(250);
-/// A try at what nobody reaches: a connection that is made, stands for a moment, and is closed again. What lies
-/// between may take connections for one that is gone, but does not keep them.
+/// A try at what nobody reaches: a connection that is made, stands for a moment, and is closed again. What
+/// lies between may take connections for one that is gone, but does not keep them.
 const TRY_WITHIN: Span = Span::from_ms(500);
 const STANDS: Span = Span::from_ms(50);
 
--- a/crates/hazelspur-server/src/ops/desk.rs
+++ b/crates/hazelspur-server/src/ops/desk.rs
@@ -1,5 +1,5 @@
-//! The desk owns the `Logic`: tasks report inputs, the desk pulls decisions once all that has come in is told,
-//! and hands each to the op's task or to its owner.
+//! The desk owns the `Logic`: tasks report inputs, the desk pulls decisions once all that has come in is
+//! told, and hands each to the op's task or to its owner.
 
 use crate::clock::Clock;
 use crate::ops::repeats::Repeats;
@@ -43,6 +43,8 @@
     pub wake_set: Notify,
     /// When leases that the module goes by end, by the steady clock, and what holds then.
     leases: RefCell<Option<Leases>>,
+    /// They ended, and the module goes by what holds then.
+    lapsed: Cell<bool>,
 }
 
 impl Desk {
@@ -82,6 +84,12 @@
         if let Some(logic) = self.logic.borrow_mut().as_mut() {
             floors.iter().for_each(|(name, floor)| logic.told(now, name, Some(*floor)));
         }
+        self.lapsed.set(true);
+    }
+
+    /// Whether leases have ended here since this was last asked.
+    pub fn has_lapsed(&self) -> bool {
+        self.lapsed.take()
     }
 
     pub fn view(&self) -> Option<View> {
--- a/crates/hazelspur-server/src/start/fleet_keys.rs
+++ b/crates/hazelspur-server/src/start/fleet_keys.rs
@@ -152,7 +152,14 @@
         if keepers.is_multiple_of(2) && keepers > 0 {
             return Err(("keepers", format!("{keepers}: an odd number can lose as many as one more")));
         }
-        terms.check().map(|()| Some(terms)).map_err(|why| ("shares", why))
+        terms.check().map_err(|why| ("shares", why))?;
+        if keepers == 0 && self.shares.iter().any(|key| key.floor < 1.0) {
+            return Err((
+                "shares",
+                "without keepers nobody gives out what is beyond the floors: floor = 1".into(),
+            ));
+        }
+        Ok(Some(terms))
     }
 
     pub fn terms(&self, name: MemberName) -> Terms {
--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -367,6 +367,8 @@
         fleet("shares = [{\"limit\": \"calls\", \"total\": 5, \"linger_s\": 3}]"),
         fleet("shares = [{\"limit\": \"calls\", \"total\": 5, \"part\": 3}]"),
         fleet("keepers = [\"a\"]"),
+        fleet("shares = [{\"limit\": \"calls\", \"total\": 5, \"floor\": 1}]"),
+        fleet("shares = [{\"limit\": \"calls\", \"total\": 5}]"),
         fleet("keepers = [\"a\", \"b\"],\nshares = [{\"limit\": \"calls\", \"total\": 5}]"),
         fleet("keepers = [\"a\", \"a\", \"b\"],\nshares = [{\"limit\": \"calls\", \"total\": 5}]"),
         format!("{}{}", fleet(""), fleet("")),
@@ -418,6 +420,8 @@
         FILE:7: fleet.shares: calls: what lingers for over half of the span leaves no time for leases, exit Some(2)
         FILE:7: fleet.shares[0].part: unknown field `part`, expected one of `limit`, `total`, `floor`, `linger_s`, exit Some(2)
         FILE:7: fleet.keepers: there are no shares to keep, exit Some(2)
+        FILE: good: brokers=0 queues=0 fleet=east, exit Some(0)
+        FILE:7: fleet.shares: without keepers nobody gives out what is beyond the floors: floor = 1, exit Some(2)
         FILE:7: fleet.keepers: 2: an odd number can lose as many as one more, exit Some(2)
         FILE:8: fleet.shares: a keeper is named twice: its vote would count twice, exit Some(2)
         FILE:8: fleet: called twice, exit Some(2)
--- a/crates/hazelspur-standins/tests/gateway.rs
+++ b/crates/hazelspur-standins/tests/gateway.rs
@@ -1,5 +1,5 @@
-//! The stand-in gateway knows how its ops ended, whenever its thread comes to look: it reads what came before a connection's end, though both come at
-//! once.
+//! The stand-in gateway knows how its ops ended, whenever its thread comes to look: it reads what came
+//! before a connection's end, though both come at once.
 
 use hazelspur_standins::gateway::{Answer, Gateway, Habits};
 use serde_json::{Value, json};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -419,7 +419,8 @@
     /// survives. Guards against slow spells; gives up calls for which others may have left room.
     fn make_calls(&mut self, now: Moment) -> Option<Decision> {
         let ready = |op: &Op| op.state == State::WantsCall && op.owed && op.call_after <= now;
-        if let Some(id) = self.first_by_seq(|op| ready(op) && op.call_tries >= CALL_TRIES) {
+        let skips = |op: &Op| self.shut() && self.op_types[op.op_type].skip_worth > 0.0;
+        if let Some(id) = self.first_by_seq(|op| ready(op) && (op.call_tries >= CALL_TRIES || skips(op))) {
             let op = self.ops.get_mut(&id)?;
             if self.op_types[op.op_type].skip_worth > 0.0 {
                 op.call_over(now);
@@ -535,7 +536,9 @@
         let room = self.memory_limit() - self.memory();
         let factor = self.facts.num("server.run_factor", 8.0) - 1.0;
         let shut = self.shut();
-        let calls = |op: &Op| self.op_types[op.op_type].calls.mean_without_top(COSTLY) > Some(0.0);
+        let kind = |op: &Op| &self.op_types[op.op_type];
+        let calls =
+            |op: &Op| kind(op).skip_worth <= 0.0 && kind(op).calls.mean_without_top(COSTLY) > Some(0.0);
         self.lines[line].iter().copied().find(|id| {
             let op = &self.ops[id];
             !(shut && calls(op)) && op.admitted && (op.paused || op.kb * factor <= room) && now < op.due
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -448,6 +448,27 @@
     );
 }
 
+#[test]
+fn what_can_go_on_without_its_call_does_so_at_once_while_calls_reach_nobody() {
+    let mut play = Play::new("server.calls_bound=4 server.skip_worth.0=0.5");
+    play.read("a", Read::default()).pull();
+    play.at(50).call_wanted("a").pull();
+    play.at(100).call_ended("a", Outcome::Ok).pull();
+    play.at(150).ended("a", Outcome::Ok).told("joint.shut", Some(1.0)).pull();
+    play.at(200).read("b", Read::default()).pull();
+    play.at(250).call_wanted("b").pull();
+    check(
+        &mut play,
+        &["Run", "Call", "Skip", "Fail"],
+        &expect![[r#"
+            0     Run(a)
+            50    Call { op: a, patience: Span(3950000) }
+            200   Run(b)
+            250   SkipCall(b)
+        "#]],
+    );
+}
+
 #[test]
 fn a_share_of_calls_that_shrinks_holds_at_once_and_nonsense_changes_nothing() {
     let mut play = Play::new("server.calls_bound=4 server.cores=8");
