--- a/crates/hazelspur-server/src/back/control.rs
+++ b/crates/hazelspur-server/src/back/control.rs
@@ -10,19 +10,27 @@
 use hazelspur_parsers::http;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::net::TcpStream;
 
 /// The entry lapses 3 s after the last report. Each wait is by chance within these, so that servers which a
 /// list that was gone has brought into step don't stay in step: three hundred would come within 20 ms.
 const EVERY: [Span; 2] = [Span::from_ms(640), Span::from_ms(960)];
 const AGAIN: [Span; 2] = [Span::from_ms(125), Span::from_ms(375)];
-const WITHIN: Span = Span::from_ms(700);
+/// A dial goes on for so long; beside it others are made that get this long each, since a dial that began
+/// while nothing got through hears of that late.
+const DIALLING: Span = Span::from_ms(10_000);
+const FRESH: Span = Span::from_ms(700);
+/// How long an answer may take: more after each that took too long.
+const ANSWER: Span = Span::from_ms(700);
+const LONGEST_ANSWER: Span = Span::from_ms(5600);
 /// A report may count though its answer is missing; only so many in a row are told.
 const MISSED_TO_TELL: u32 = 3;
+const LATE: &str = "no answer in time";
 
 /// Reports until the leave notice, after which the entry is to lapse.
 pub async fn report(name: String, seed: u64, peers: Rc<Peers>, desk: Rc<Desk>, phases: Rc<Phases>) {
-    let mut missed = 0;
+    let (mut missed, mut patience) = (0, ANSWER);
     let mut chance = Pcg::new(seed ^ desk.clock.now().us());
     let path = format!("/v2/endpoints/{name}");
     phases.reached(|phase| phase != Phase::Waiting).await;
@@ -30,15 +38,23 @@
         let address = peers.now().control;
         let condition = if desk.good.get() { "Ready" } else { "NotReady" };
         let body = format!("{{\"condition\":\"{condition}\"}}");
-        let sent = tokio::time::timeout(long(WITHIN), put(address, &path, &body)).await;
-        match sent.unwrap_or_else(|_| Err("no answer in time".into())) {
-            Ok(()) => {
+        let sent = tokio::select! {
+            sent = put(address, &path, &body, patience) => sent,
+            () = peers.left(|at| at.control, address) => continue,
+            () = phases.reached(|phase| phase != Phase::Serving) => return,
+        };
+        match sent {
+            Ok(took) => {
+                patience = (took + took).max(ANSWER);
                 if missed >= MISSED_TO_TELL {
                     log::info!(missed; "control reached again");
                 }
                 missed = 0;
             }
             Err(why) => {
+                if why == LATE {
+                    patience = (patience + patience).min(LONGEST_ANSWER);
+                }
                 missed += 1;
                 if missed == MISSED_TO_TELL {
                     log::warn!(missed, why; "control not reached");
@@ -54,12 +70,33 @@
 }
 
 /// Sends one report, on a connection of its own: nothing that an earlier one left behind can spoil it.
-async fn put(address: SocketAddr, path: &str, body: &str) -> Result<(), String> {
-    let mut stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+/// Says how long the answer took.
+async fn put(address: SocketAddr, path: &str, body: &str, patience: Span) -> Result<Span, String> {
+    let mut stream = dial(address).await.map_err(|e| e.to_string())?;
     let mut call = Vec::new();
     http::write_call(&mut call, "PUT", path, &address.to_string(), &[], body.as_bytes());
-    match exchange(&mut stream, &call, "").await? {
-        (204, ..) => Ok(()),
-        (status, ..) => Err(format!("status {status}")),
+    let asked = Instant::now();
+    match tokio::time::timeout(long(patience), exchange(&mut stream, &call, "")).await {
+        Err(_) => Err(LATE.into()),
+        Ok(Err(why)) => Err(why),
+        Ok(Ok((204, ..))) => Ok(Span::from_us(asked.elapsed().as_micros() as u64)),
+        Ok(Ok((status, ..))) => Err(format!("status {status}")),
+    }
+}
+
+async fn dial(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let others = async {
+        loop {
+            sleep(FRESH).await;
+            let fresh = tokio::time::timeout(long(FRESH), TcpStream::connect(address));
+            if let Ok(Ok(stream)) = fresh.await {
+                return stream;
+            }
+        }
+    };
+    tokio::select! {
+        first = TcpStream::connect(address) => first,
+        fresh = others => Ok(fresh),
+        () = sleep(DIALLING) => Err(std::io::ErrorKind::TimedOut.into()),
     }
 }
--- a/crates/hazelspur-server/src/back/ledger.rs
+++ b/crates/hazelspur-server/src/back/ledger.rs
@@ -9,9 +9,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 
 /// The ledger closes connections that stood idle for 10 s.
 const REUSE_WITHIN: Span = Span::from_ms(5000);
+/// Of the connections that may lead here, one in so many may be kept idle.
+const IDLE_PART: usize = 4;
 const MOST_IDLE: usize = 16;
 /// What comes unasked after a reply has come within this.
 const REST: Span = Span::from_ms(5);
@@ -29,11 +32,16 @@
     told: OnceCell<Rc<dyn Reached>>,
     /// Since when each is idle, and where it leads.
     idle: RefCell<Vec<(Moment, SocketAddr, TcpStream)>>,
+    most_idle: usize,
+    /// How many calls may have a connection at a time.
+    places: Semaphore,
 }
 
 impl Ledger {
-    pub fn new(peers: Rc<Peers>) -> Self {
-        Self { peers, told: OnceCell::new(), idle: RefCell::default() }
+    pub fn new(peers: Rc<Peers>, descriptors: usize) -> Self {
+        let most_idle = (descriptors / IDLE_PART).min(MOST_IDLE);
+        let places = Semaphore::new(descriptors - most_idle);
+        Self { peers, told: OnceCell::new(), idle: RefCell::default(), most_idle, places }
     }
 
     /// From now on this one is told; once.
@@ -59,22 +67,28 @@
         fresh: bool,
     ) -> (Outcome, Vec<u8>) {
         let until = clock.now() + patience + PATIENCE_SLACK;
+        let Ok(Ok(_place)) = tokio::time::timeout(long(patience), self.places.acquire()).await else {
+            return (Outcome::Full, Vec::new());
+        };
         let address = self.peers.now().ledger;
         let kept = if fresh { None } else { self.kept(clock.now(), address) };
         let reused = kept.is_some();
         let mut stream = match kept {
             Some(stream) => stream,
-            None => match tokio::time::timeout(long(patience), TcpStream::connect(address)).await {
-                Ok(Ok(stream)) => stream,
-                _ => {
-                    self.tell(false);
-                    return (Outcome::Unreached, Vec::new());
+            None => {
+                match tokio::time::timeout(long(until - clock.now()), TcpStream::connect(address)).await {
+                    Ok(Ok(stream)) => stream,
+                    _ => {
+                        self.tell(false);
+                        return (Outcome::Unreached, Vec::new());
+                    }
                 }
-            },
+            }
         };
         let _ = stream.set_nodelay(true);
         let left = (until - clock.now()).max(Span::from_ms(1));
-        let (id, limit) = (op.to_string(), (patience.us() / 1000).max(1).to_string());
+        let limit = patience.min(left);
+        let (id, limit) = (op.to_string(), (limit.us() / 1000).max(1).to_string());
         let more = [("X-Txn-Ref", id.as_str()), ("X-Limit-Ms", limit.as_str())];
         let mut call = Vec::new();
         http::write_call(&mut call, "POST", "/post", &address.to_string(), &more, body);
@@ -110,7 +124,7 @@
 
     fn keep(&self, now: Moment, address: SocketAddr, stream: TcpStream) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MOST_IDLE && address == self.peers.now().ledger {
+        if idle.len() < self.most_idle && address == self.peers.now().ledger {
             idle.push((now, address, stream));
         }
     }
--- a/crates/hazelspur-server/src/back/runtime.rs
+++ b/crates/hazelspur-server/src/back/runtime.rs
@@ -3,7 +3,7 @@
 use crate::back::peers::Peers;
 use crate::clock::{long, sleep};
 use crate::ops::desk::{Desk, News};
-use hazelspur::{OpId, Outcome, Span};
+use hazelspur::{Moment, OpId, Outcome, Span};
 use hazelspur_parsers::{Buffer, runtime};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -15,13 +15,20 @@
 
 const PAUSE: Span = Span::from_ms(20);
 const LONGEST_PAUSE: Span = Span::from_ms(500);
-const CONNECTING: Span = Span::from_ms(1000);
+/// How long a dial may take: more after each that took too long. No second one beside it: a new link takes
+/// the place of the one before, also one that nobody uses.
+const DIALLING: Span = Span::from_ms(3000);
+const LONGEST_DIALLING: Span = Span::from_ms(12_000);
 /// The replay is over when the gauges asked for behind it come; they are not waited for longer than this.
 const REPLAYED: &str = "link";
 const REPLAY: Span = Span::from_ms(2000);
 /// A link that says nothing for so long is made anew.
-const MUTE: Span = Span::from_ms(2500);
-const FOREVER: Span = Span::from_ms(1 << 40);
+const IDLE_TIMEOUT: Span = Span::from_ms(2500);
+/// A runtime may come up long after its link was taken, and says nothing until then; whether the link still
+/// leads anywhere is tried so often.
+const UNREADY_TIMEOUT: Span = Span::from_ms(4000);
+/// A runtime that began so much later than the one before is another.
+const RESTARTED: Span = Span::from_ms(1000);
 /// The module compares gauges with what it knows at that moment, so they are asked for when its timer is due
 /// and used as they come; past this the timer goes without.
 const GAUGES_WITHIN: Span = Span::from_ms(2);
@@ -31,7 +38,9 @@
     class: Rc<str>,
     body: Rc<[u8]>,
     started: bool,
-    /// The reply given last, and the beat in which it was.
+    /// Whether its start has gone out on any link.
+    sent: bool,
+    /// The reply given last, and the tick in which it was.
     given: Option<(Vec<u8>, u64)>,
     stopped: bool,
 }
@@ -50,12 +59,15 @@
     fenced: Notify,
     out: RefCell<Vec<u8>>,
     more: Notify,
-    /// The beat for which gauges are asked, and what has come for it.
-    beat: Cell<u64>,
-    /// The last beat whose gauges came: what went out before they were asked for has been read.
+    /// The tick for which gauges are asked, and what has come for it.
+    tick: Cell<u64>,
+    /// The last tick whose gauges came: what went out before they were asked for has been read.
     heard: Cell<u64>,
     gauges: RefCell<Option<Vec<f64>>>,
     gauges_came: Notify,
+    /// When the last `sync` went out, and the latest moment at which this runtime can have begun.
+    synced: Cell<Moment>,
+    began: Cell<Option<Moment>>,
     state: Cell<Option<(bool, Span)>>,
     state_known: Notify,
 }
@@ -74,10 +86,12 @@
             fenced: Notify::new(),
             out: RefCell::default(),
             more: Notify::new(),
-            beat: Cell::new(0),
+            tick: Cell::new(0),
             heard: Cell::new(0),
             gauges: RefCell::default(),
             gauges_came: Notify::new(),
+            synced: Cell::default(),
+            began: Cell::default(),
             state: Cell::new(None),
             state_known: Notify::new(),
         }
@@ -95,7 +109,7 @@
 
     pub fn start(&self, op: OpId, class: Rc<str>, body: Rc<[u8]>) {
         self.send(|out| runtime::start(out, &op.to_string(), &class, &body));
-        let run = Run { class, body, started: true, given: None, stopped: false };
+        let run = Run { class, body, started: true, sent: self.up.get(), given: None, stopped: false };
         self.runs.borrow_mut().insert(op, run);
     }
 
@@ -109,7 +123,7 @@
     pub fn give(&self, op: OpId, reply: Vec<u8>) {
         self.send(|out| runtime::give(out, &op.to_string(), &reply));
         if let Some(run) = self.runs.borrow_mut().get_mut(&op) {
-            run.given = Some((reply, self.beat.get()));
+            run.given = Some((reply, self.tick.get()));
         }
     }
 
@@ -136,17 +150,17 @@
     }
 
     async fn keep_to(&self, address: SocketAddr) {
-        let mut pause = PAUSE;
+        let (mut pause, mut dialling) = (PAUSE, DIALLING);
         loop {
-            let connecting = tokio::time::timeout(long(CONNECTING), TcpStream::connect(address));
-            match connecting.await {
+            match tokio::time::timeout(long(dialling), TcpStream::connect(address)).await {
                 Ok(Ok(stream)) => {
                     pause = PAUSE;
                     let why = self.serve(stream).await;
                     self.up.set(false);
                     log::warn!(last = self.last.get(), why; "runtime link broke");
                 }
-                _ => log::debug!("runtime link refused"),
+                Ok(Err(_)) => log::debug!("runtime link refused"),
+                Err(_) => dialling = (dialling + dialling).min(LONGEST_DIALLING),
             }
             sleep(pause).await;
             pause = (pause + pause).min(LONGEST_PAUSE);
@@ -161,14 +175,15 @@
         let mut out = std::mem::take(&mut *self.out.borrow_mut());
         out.clear();
         runtime::sync(&mut out, self.last.get());
+        self.synced.set(self.desk.clock.steady());
         if let Err(e) = write.write_all(&out).await {
             return e.to_string();
         }
         let mut buffer = Buffer::default();
         let reading = async {
             loop {
-                // While it is up, gauges are asked for at every beat, so something comes.
-                let silent = if self.up.get() { MUTE } else { FOREVER };
+                // While it is up, gauges are asked for at every tick, so something comes.
+                let silent = if self.up.get() { IDLE_TIMEOUT } else { UNREADY_TIMEOUT };
                 let came = tokio::time::timeout(long(silent), read.read_buf(buffer.room())).await;
                 match came.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
                     Ok(0) => return "closed".to_string(),
@@ -176,7 +191,7 @@
                     Err(e) => return e.to_string(),
                 }
                 loop {
-                    match runtime::read(buffer.unread(), &mut Ears(self)) {
+                    match runtime::read(buffer.unread(), &mut Notices(self)) {
                         Ok(Some(used)) => buffer.take(used),
                         Ok(None) => break,
                         Err(e) => return e,
@@ -217,14 +232,15 @@
     /// All replayed notices have been taken: whatever they did not answer goes out again.
     fn resend(&self, out: &mut Vec<u8>) {
         let mut again = 0;
-        for (op, run) in self.runs.borrow().iter() {
+        for (op, run) in self.runs.borrow_mut().iter_mut() {
             let (id, before) = (op.to_string(), out.len());
+            run.sent = true;
             if run.started {
                 runtime::start(out, &id, &run.class, &run.body);
             }
             // A reply that has been read must not be given once more: the run may want another by now.
-            if let Some((reply, beat)) = &run.given
-                && *beat >= self.heard.get()
+            if let Some((reply, tick)) = &run.given
+                && *tick >= self.heard.get()
             {
                 runtime::give(out, &id, reply);
             }
@@ -237,7 +253,7 @@
     }
 
     /// Calls the module's timer when it asks to be woken, with gauges if fresh ones have come in time.
-    pub async fn beat(self: Rc<Self>) {
+    pub async fn tick(self: Rc<Self>) {
         loop {
             let Some(at) = self.desk.wake.take() else {
                 self.desk.wake_set.notified().await;
@@ -252,9 +268,9 @@
     }
 
     async fn fresh_gauges(&self) -> Vec<f64> {
-        self.beat.set(self.beat.get() + 1);
+        self.tick.set(self.tick.get() + 1);
         self.gauges.take();
-        self.send(|out| runtime::gauges(out, &self.beat.get().to_string()));
+        self.send(|out| runtime::gauges(out, &self.tick.get().to_string()));
         loop {
             if let Some(gauges) = self.gauges.take() {
                 return gauges;
@@ -263,6 +279,18 @@
         }
     }
 
+    /// Another runtime: its notices are numbered anew, and what the one before was given may have run there.
+    fn restarted(&self) {
+        self.began.set(Some(self.desk.clock.steady()));
+        self.last.set(0);
+        let (gone, unsent): (BTreeMap<_, _>, _) = self.runs.take().into_iter().partition(|(_, run)| run.sent);
+        self.runs.replace(unsent);
+        log::warn!(runs = gone.len(); "runtime restarted");
+        for op in gone.into_keys() {
+            self.desk.hand(op, News::Ended(Outcome::Error, Rc::from([])));
+        }
+    }
+
     fn unseen(&self, number: u64) -> bool {
         let unseen = number > self.last.get();
         self.last.set(number.max(self.last.get()));
@@ -271,11 +299,18 @@
 }
 
 /// Takes notices as they are decoded.
-struct Ears<'a>(&'a Link);
+struct Notices<'a>(&'a Link);
 
-impl runtime::Listener for Ears<'_> {
+impl runtime::Listener for Notices<'_> {
     fn ready(&mut self, hot: bool, since_ms: u64) {
-        let link = self.0;
+        let (link, since) = (self.0, Span::from_ms(since_ms));
+        let earliest = link.synced.get().back(since);
+        let latest = link.desk.clock.steady().back(since);
+        match link.began.get() {
+            Some(before) if earliest > before + RESTARTED => link.restarted(),
+            Some(before) if before <= latest => {}
+            _ => link.began.set(Some(latest)),
+        }
         if link.state.replace(Some((hot, Span::from_ms(since_ms)))).is_none() {
             log::info!(hot, up_ms = since_ms; "runtime ready");
         }
@@ -291,7 +326,7 @@
             "unknown" => Outcome::Moot,
             _ => Outcome::Error,
         };
-        self.0.desk.hand(op, News::Ended(outcome, result.to_vec()));
+        self.0.desk.hand(op, News::Ended(outcome, result.into()));
     }
 
     fn wants(&mut self, number: u64, id: &str, body: &[u8]) {
@@ -307,8 +342,8 @@
         if let Some(link) = tag.strip_prefix(REPLAYED).and_then(|link| link.parse().ok()) {
             self.0.replayed.set(link);
             self.0.fenced.notify_one();
-        } else if tag.parse() == Ok(self.0.beat.get()) {
-            self.0.heard.set(self.0.beat.get());
+        } else if tag.parse() == Ok(self.0.tick.get()) {
+            self.0.heard.set(self.0.tick.get());
             self.0.gauges.replace(Some(values.to_vec()));
             self.0.gauges_came.notify_one();
         }
--- a/crates/hazelspur-server/src/fleet/talk.rs
+++ b/crates/hazelspur-server/src/fleet/talk.rs
@@ -191,6 +191,6 @@
 
 /// Keeps the socket's and the tries' tasks up.
 pub fn begin(talk: &Rc<Talk>) {
-    crate::keep_up("fleet", talk, Talk::run);
-    crate::keep_up("tries", talk, Talk::try_again);
+    crate::supervise::supervise("fleet", talk, Talk::run);
+    crate::supervise::supervise("tries", talk, Talk::try_again);
 }
--- a/crates/hazelspur-server/src/fronts/answers.rs
+++ b/crates/hazelspur-server/src/fronts/answers.rs
@@ -8,31 +8,45 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::WriteHalf;
 use tokio::sync::Notify;
 
 /// What a buffer keeps after a burst.
 const KEPT_ROOM: usize = 16 * 1024;
 
+/// How far a connection is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    Open,
+    /// Farewell is said; what crosses it is still read and answered.
+    Parting(Moment),
+    /// What is there by the last look is answered; then the write side is shut.
+    Closing,
+    /// Nothing that comes is read as an op any more.
+    Shut,
+}
+
 pub struct Answers {
     pub desk: Rc<Desk>,
     pub open: RefCell<BTreeMap<RpcId, OpId>>,
     /// Since when nothing is open on it.
     pub quiet_since: Cell<Moment>,
-    pub said_farewell: Cell<Option<Moment>>,
+    pub stage: Cell<Stage>,
     pub for_health: Cell<bool>,
     pub since: Moment,
     /// Whether it has carried something good: an op that could be read, or a health check.
     pub proven: Cell<bool>,
+    /// Whether the runtime has known an op that came on it.
+    pub known: Cell<bool>,
     /// Since when a line on it is not whole.
-    pub half_since: Cell<Option<Moment>>,
+    pub partial_since: Cell<Option<Moment>>,
     /// Found late once, by a look that may only have been the first after the machine stood still.
     pub found_late: Cell<bool>,
     /// How often what came on it was no good, and why the last time.
     pub faults: Cell<(u32, &'static str)>,
-    /// Ends the connection's task.
+    /// Ends what the connection's task waits for: what may come while it is not shut, then the peer's end.
     pub close: Notify,
-    /// The task is ending.
-    pub closing: Cell<bool>,
     out: RefCell<Vec<u8>>,
     more: Notify,
     being_written: Cell<bool>,
@@ -47,15 +61,15 @@
             quiet_since: Cell::new(now),
             desk,
             open: RefCell::default(),
-            said_farewell: Cell::new(None),
+            stage: Cell::new(Stage::Open),
             for_health: Cell::new(false),
             since: now,
             proven: Cell::new(false),
-            half_since: Cell::new(None),
+            known: Cell::new(false),
+            partial_since: Cell::new(None),
             found_late: Cell::new(false),
             faults: Cell::default(),
             close: Notify::new(),
-            closing: Cell::new(false),
             out: RefCell::default(),
             more: Notify::new(),
             being_written: Cell::new(false),
@@ -76,8 +90,19 @@
         }
     }
 
+    /// Writes what there is to write, and comes back when that fails.
+    pub async fn write_to(&self, write: &mut WriteHalf<'_>) {
+        let mut out = Vec::new();
+        loop {
+            self.next_out(&mut out).await;
+            if write.write_all(&out).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// What is to be written next; the one before it is out.
-    pub async fn next_out(&self, out: &mut Vec<u8>) {
+    async fn next_out(&self, out: &mut Vec<u8>) {
         out.clear();
         out.shrink_to(KEPT_ROOM);
         self.being_written.set(false);
@@ -115,14 +140,22 @@
 
     /// Says why and ends the connection's task; what is open is answered first.
     pub fn dismiss(&self, why: &'static str) {
-        if !self.closing.replace(true) {
+        if !matches!(self.stage.get(), Stage::Closing | Stage::Shut) {
             self.fault(None, rpc::NOT_VALID, why);
+            self.end();
+        }
+    }
+
+    /// Has the connection's task take its last look and shut it.
+    pub fn end(&self) {
+        if !matches!(self.stage.get(), Stage::Closing | Stage::Shut) {
+            self.stage.set(Stage::Closing);
             self.close.notify_one();
         }
     }
 
     pub fn farewell(&self) {
-        self.said_farewell.set(Some(self.desk.clock.now()));
+        self.stage.set(Stage::Parting(self.desk.clock.now()));
         self.put(rpc::farewell);
     }
 }
@@ -171,6 +204,10 @@
         self.failed();
     }
 
+    fn known(&mut self) {
+        self.answers.known.set(true);
+    }
+
     fn gone(&mut self) {
         let answers = &self.answers;
         let mut open = answers.open.borrow_mut();
--- a/crates/hazelspur-server/src/fronts/kinds.rs
+++ b/crates/hazelspur-server/src/fronts/kinds.rs
@@ -1,5 +1,6 @@
 //! What all fronts know of op types and tenants, from the platform's settings.
 
+use crate::ops::deduplication::{Key, Scope};
 use crate::start::startup::Startup;
 use hazelspur::book::Repeats;
 use hazelspur::{OpTypeId, Span, TenantId};
@@ -46,6 +47,22 @@
         self.repeats(op_type) == Repeats::Retryable
     }
 
+    /// What a repeat of this op would name: its op key, or as a read what it is about.
+    pub fn key(
+        &self,
+        op_type: OpTypeId,
+        tenant: TenantId,
+        op_key: Option<&str>,
+        subject: Option<&str>,
+    ) -> Option<Key> {
+        let (scope, text) = match self.repeats(op_type) {
+            Repeats::Keyed => (Scope::Keyed, op_key?),
+            Repeats::Retryable => (Scope::Read, subject?),
+            Repeats::NonRetryable => return None,
+        };
+        Some(Key { tenant, op_type, scope, text: text.into() })
+    }
+
     /// No owner is the first tenant.
     pub fn tenant(&self, owner: Option<&str>) -> Option<TenantId> {
         owner.map_or(Some(0), |owner| self.tenants.iter().position(|t| t == owner)).map(TenantId)
--- a/crates/hazelspur-server/src/fronts/queues.rs
+++ b/crates/hazelspur-server/src/fronts/queues.rs
@@ -4,12 +4,12 @@
 
 use crate::clock::{long, sleep};
 use crate::fronts::kinds::{Kinds, LONGEST_BODY};
+use crate::ops::deduplication::{Found, Key, Keyed};
 use crate::ops::desk::News;
 use crate::ops::life::{Life, Means};
 use crate::ops::owed::{Front, MayRun, Owed};
 use crate::start::operator::{Amqp, Operator, Queue, SentBy, Settle};
 use crate::start::phases::{Phase, Phases};
-use hazelspur::book::Repeats;
 use hazelspur::{CallerId, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
 use hazelspur_amqp::session::Phase as Talk;
 use hazelspur_amqp::{Field, Listener, Properties, Session, Table, TableWriter, Terms};
@@ -58,7 +58,7 @@
     op_type: OpTypeId,
     tenant: TenantId,
     user: Option<UserKey>,
-    key: Option<UserKey>,
+    key: Option<Key>,
     kb: f64,
 }
 
@@ -479,10 +479,19 @@
         };
         let (desk, op) = (&self.means.desk, parts.op);
         let Some(news) = desk.enroll(op) else { return log::error!(op:%; "an op id twice") };
-        let keyed = self.kinds.repeats(read.op_type) == Repeats::Keyed && read.key.is_some();
-        let key = read.key.or(read.user);
-        let repeat_of =
-            key.and_then(|key| desk.repeats.borrow_mut().read(now, op, (read.op_type, key), keyed));
+        let keyed = read.key.clone().map(|key| {
+            let body = parts.body.clone();
+            desk.deduplication.borrow_mut().read(now, Keyed { op, key, arrived: now, body, vouched: true })
+        });
+        let repeat_of = match keyed {
+            None | Some(Found::First) => None,
+            Some(Found::RepeatOf(first)) => Some(first),
+            Some(Found::NotTheSame) => {
+                desk.strike(op);
+                log::warn!(queue = self.queues[parts.queue.0].name.as_str(); "another op's message-id");
+                return self.ended(id, Ending::Failed, &[]);
+            }
+        };
         let caller = Caller { front: self.this(), id };
         let life = Life {
             means: self.means.clone(),
@@ -491,6 +500,7 @@
             body: parts.body.clone(),
             may_repeat: self.kinds.may_repeat(read.op_type),
             repeat_of,
+            ran: false,
             owed: Owed::new(caller, desk.clone()),
             news,
         };
@@ -589,8 +599,9 @@
             if body.len() > LONGEST_BODY || !(kb > 0.0 && kb < 2000.0) {
                 return Err(Ending::Poison);
             }
-            let user = text("x-subject")?.map(UserKey::of);
-            let key = properties.message_id.map(UserKey::of);
+            let subject = text("x-subject")?;
+            let (user, op_key) = (subject.map(UserKey::of), properties.message_id);
+            let key = self.kinds.key(op_type, tenant, op_key, op_key.or(subject));
             Ok(Readable { op_type, tenant, user, key, kb })
         };
         (readable(), sent, due, tries)
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -7,13 +7,14 @@
 mod fronts;
 mod ops;
 mod start;
+mod supervise;
 
 use back::control;
 use back::ledger::Ledger;
 use back::peers::Peers;
 use back::runtime::Link;
 use clap::Parser;
-use clock::sleep;
+use clock::{long, sleep};
 use fleet::talk::{Around, Talk};
 use fronts::gateways::Gateways;
 use fronts::kinds::Kinds;
@@ -22,20 +23,28 @@
 use ops::desk::Desk;
 use ops::life::Means;
 use start::command::{Command, Line, Serve, Shape};
+use start::descriptors::Descriptors;
 use start::operator::{self, Operator};
 use start::phases::{Phase, Phases};
 use start::startup::{self, Startup};
 use start::{logs, reload};
 use std::cell::RefCell;
 use std::io::{Error, ErrorKind};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Instant;
+use supervise::supervise;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 
-/// The process ends this long before it would be killed.
-const STOP_MARGIN: Span = Span::from_ms(60);
+/// So long before it would be killed the process closes whatever is still connected, and ends.
+const ENDING: Span = Span::from_ms(180);
+const STOP_MARGIN: Span = Span::from_ms(40);
+/// How long an address that another process holds is tried again: a start may take 30 s.
+const BIND_FOR: Span = Span::from_ms(20_000);
+const BIND_AGAIN: Span = Span::from_ms(20);
 
 fn main() -> ExitCode {
     let line = Line::parse();
@@ -104,19 +113,21 @@
     read.unwrap_or_else(|| Ok(Operator::default()))
 }
 
-/// Runs a task that serves all ops, and again should it fail.
-fn keep_up<T: 'static, F: Future<Output = ()> + 'static>(
-    name: &'static str,
-    of: &Rc<T>,
-    task: impl Fn(Rc<T>) -> F + 'static,
-) {
-    let of = of.clone();
-    spawn_local(async move {
-        while spawn_local(task(of.clone())).await.is_err() {
-            log::error!(name; "task failed");
-            sleep(Span::from_ms(10)).await;
+/// The process before may hold the address for a moment longer.
+async fn bind(listen: SocketAddr) -> std::io::Result<TcpListener> {
+    let until = Instant::now() + long(BIND_FOR);
+    let mut told = false;
+    loop {
+        match TcpListener::bind(listen).await {
+            Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                if !std::mem::replace(&mut told, true) {
+                    log::warn!(listen:%, why:% = e; "address in use, tried again");
+                }
+                sleep(BIND_AGAIN).await;
+            }
+            bound => return bound,
         }
-    });
+    }
 }
 
 async fn serve(
@@ -127,34 +138,19 @@
 ) -> std::io::Result<()> {
     let (startup, hangup) = (Rc::new(startup), Rc::new(RefCell::new(hangup)));
     let Startup { listen, seed, stop, grace, .. } = *startup;
-    let listener = Rc::new(TcpListener::bind(listen).await?);
+    let budget = Descriptors::allowed(startup.sockets);
     let (desk, phases) = (Rc::new(Desk::default()), Rc::new(Phases::default()));
     desk.clock.set_apart(line.clock_apart_ms);
+    desk.deduplication.replace(startup.deduplication());
     let peers = Rc::new(Peers::new(startup.addresses));
     let link = Rc::new(Link::new(desk.clone(), peers.clone(), startup.gauges.clone()));
-    let ledger = Rc::new(Ledger::new(peers.clone()));
+    let ledger = Rc::new(Ledger::new(peers.clone(), budget.calls));
     let means = Rc::new(Means { desk: desk.clone(), link: link.clone(), ledger: ledger.clone() });
     let kinds = Rc::new(Kinds::new(&startup));
     let queues = operator.amqp.as_ref().map(|amqp| {
         let who = (startup.name.as_str(), seed);
         Queues::new(means.clone(), phases.clone(), kinds.clone(), amqp, &operator, who)
     });
-    let gateways = Rc::new(Gateways::new(means, phases.clone(), kinds, &startup));
-    desk.repeats.borrow_mut().share = startup.share_reads;
-    let (name, queued) = (startup.name.as_str(), operator.queues.len());
-    log::info!(name, listen:%, stop_ms = stop.us() / 1000, queues = queued; "start");
-
-    let told = reload::Told {
-        peers: peers.clone(),
-        running: startup.clone(),
-        file: line.file.clone(),
-        queues: queues.clone(),
-    };
-    let told = Rc::new(told);
-    keep_up("reload", &hangup, move |hangup| reload::on_hangup(hangup, told.clone()));
-    if let Some(queues) = &queues {
-        keep_up("queues", queues, Queues::run);
-    }
     let talk = match &operator.fleet {
         Some(fleet) => {
             let who = (startup.name.as_str(), seed);
@@ -170,45 +166,73 @@
         }
         None => None,
     };
+    // From here on connections may be accepted: whatever ends the program ends them first.
+    let listener = tokio::select! {
+        bound = bind(listen) => bound?,
+        _ = leave.recv() => return Ok(()),
+    };
+    let gateways = Rc::new(Gateways::new(means, phases.clone(), kinds, listener, budget));
+    let (name, queued) = (startup.name.as_str(), operator.queues.len());
+    log::info!(name, listen:%, stop_ms = stop.us() / 1000, queues = queued, connections = budget.gateways,
+        calls = budget.calls; "start");
+
+    let told = reload::Told {
+        peers: peers.clone(),
+        running: startup.clone(),
+        file: line.file.clone(),
+        queues: queues.clone(),
+    };
+    let told = Rc::new(told);
+    supervise("reload", &hangup, move |hangup| reload::on_hangup(hangup, told.clone()));
+    if let Some(queues) = &queues {
+        supervise("queues", queues, Queues::run);
+    }
     if let Some(talk) = &talk {
         fleet::talk::begin(talk);
     }
-    keep_up("accept", &gateways, move |gateways| gateways.accept(listener.clone()));
-    keep_up("connections", &gateways, Gateways::keep);
-    keep_up("runtime", &link, Link::run);
-    keep_up("beat", &link, Link::beat);
-    keep_up("desk", &desk, Desk::run);
+    supervise("accept", &gateways, Gateways::accept);
+    supervise("connections", &gateways, Gateways::tick);
+    supervise("runtime", &link, Link::run);
+    supervise("tick", &link, Link::tick);
+    supervise("desk", &desk, Desk::run);
     let (reporting, name) = (desk.clone(), startup.name.clone());
-    keep_up("control", &phases, move |phases| {
+    supervise("control", &phases, move |phases| {
         control::report(name.clone(), seed, peers.clone(), reporting.clone(), phases)
     });
 
-    let (hot, up) = tokio::select! {
-        state = link.ready() => state,
-        _ = leave.recv() => return Ok(()),
+    let known = tokio::select! {
+        state = link.ready() => Some(state),
+        _ = leave.recv() => None,
     };
-    let mut facts = startup.facts.clone();
-    facts.0.insert("server.cold".into(), Fact::Num(f64::from(u8::from(!hot))));
-    let began = desk.clock.now().back(up);
-    desk.open(Logic::new(facts, seed, began).map_err(Error::other)?);
-    log::info!(cold = !hot, up_ms = up.us() / 1000; "runtime known");
-    phases.enter(Phase::Serving, gateways.figures());
-
-    leave.recv().await;
+    let opened = known.map(|(hot, up)| {
+        let mut facts = startup.facts.clone();
+        facts.0.insert("server.cold".into(), Fact::Num(f64::from(u8::from(!hot))));
+        let began = desk.clock.now().back(up);
+        desk.open(Logic::new(facts, seed, began).map_err(Error::other)?);
+        log::info!(cold = !hot, up_ms = up.us() / 1000; "runtime known");
+        Ok(())
+    });
+    let serving = matches!(opened, Some(Ok(())));
+    if serving {
+        phases.enter(Phase::Serving, gateways.figures());
+        leave.recv().await;
+    }
     let noticed = desk.clock.now();
     let stop = noticed + stop;
-    desk.tell(|logic, now| logic.leave_notice(now, stop));
-    phases.enter(Phase::Leaving, gateways.figures());
-    desk.clock.sleep_until((noticed + grace).min(stop.back(STOP_MARGIN))).await;
-
-    phases.enter(Phase::Closing, gateways.figures());
-    while desk.clock.now() < stop.back(STOP_MARGIN)
-        && (gateways.connected() > 0 || queues.as_ref().is_some_and(|queues| !queues.over()))
-    {
-        sleep(Span::from_ms(5)).await;
+    if serving {
+        desk.tell(|logic, now| logic.leave_notice(now, stop));
+        phases.enter(Phase::Draining, gateways.figures());
+        desk.clock.sleep_until((noticed + grace).min(stop.back(ENDING))).await;
+    }
+    let all_ended = || gateways.over() && queues.as_ref().is_none_or(|queues| queues.over());
+    for (phase, until) in [(Phase::Closing, stop.back(ENDING)), (Phase::Ending, stop.back(STOP_MARGIN))] {
+        phases.enter(phase, gateways.figures());
+        while desk.clock.now() < until && !all_ended() {
+            sleep(Span::from_ms(5)).await;
+        }
     }
     queues.iter().for_each(|queues| queues.tell_figures());
     talk.iter().for_each(|talk| talk.left());
     phases.enter(Phase::Over, gateways.figures());
-    Ok(())
+    opened.unwrap_or(Ok(()))
 }
--- a/crates/hazelspur-server/src/ops/desk.rs
+++ b/crates/hazelspur-server/src/ops/desk.rs
@@ -2,7 +2,7 @@
 //! told, and hands each to the op's task or to its owner.
 
 use crate::clock::Clock;
-use crate::ops::repeats::Repeats;
+use crate::ops::deduplication::Deduplication;
 use hazelspur::book::View;
 use hazelspur::{Decision, Logic, Moment, OpId, Outcome, Span, TenantId};
 use std::cell::{Cell, RefCell};
@@ -16,7 +16,7 @@
 pub enum News {
     Decided(Decision),
     Wants(Vec<u8>),
-    Ended(Outcome, Vec<u8>),
+    Ended(Outcome, Rc<[u8]>),
     /// The runtime knows no such op.
     Unknown,
     /// Nobody waits for it any more.
@@ -31,7 +31,7 @@
     pub clock: Clock,
     logic: RefCell<Option<Logic>>,
     ops: RefCell<BTreeMap<OpId, UnboundedSender<News>>>,
-    pub repeats: RefCell<Repeats>,
+    pub deduplication: RefCell<Deduplication>,
     /// Ops acked and nacked since the start, on all fronts.
     pub counts: Cell<(u32, u32)>,
     stirred: Notify,
@@ -134,9 +134,15 @@
     }
 
     /// Tells those that wait for this try how it ended.
-    pub fn try_ended(&self, op: OpId, outcome: Outcome, result: &[u8]) {
-        let waiting = self.repeats.borrow_mut().ended(self.clock.now(), op, outcome, result);
-        waiting.into_iter().for_each(|op| self.hand(op, News::Ended(outcome, result.to_vec())));
+    pub fn try_ended(&self, op: OpId, outcome: Outcome, result: &Rc<[u8]>) {
+        let waiting = self.deduplication.borrow_mut().ended(self.clock.now(), op, outcome, result);
+        waiting.into_iter().for_each(|op| self.hand(op, News::Ended(outcome, result.clone())));
+    }
+
+    /// Tells them that it is over without a run; its key is free.
+    pub fn try_never_ran(&self, op: OpId) {
+        let waiting = self.deduplication.borrow_mut().never_ran(op);
+        waiting.into_iter().for_each(|op| self.hand(op, News::Ended(Outcome::Error, Rc::from([]))));
     }
 
     /// Pulls whenever something was reported, but only after everything else that is ready has run.
@@ -167,8 +173,10 @@
             Decision::Say(value) => self.signal.set(Some(value)),
             Decision::Health { good, .. } => self.good.set(good),
             Decision::CloseIdle(span) => self.keep_idle.set(Some(span)),
-            Decision::KeepKey { op, span } => self.repeats.borrow_mut().keep(op, self.clock.now() + span),
-            Decision::DropKey(op) => self.repeats.borrow_mut().release(op),
+            Decision::KeepKey { op, span } => {
+                self.deduplication.borrow_mut().keep(op, self.clock.now() + span);
+            }
+            Decision::DropKey(op) => self.deduplication.borrow_mut().release(op),
             Decision::Log(text) => log::info!("{text}"),
             Decision::Wake(at) => {
                 self.wake.set(Some(at));
--- a/crates/hazelspur-server/src/ops/life.rs
+++ b/crates/hazelspur-server/src/ops/life.rs
@@ -26,6 +26,8 @@
     /// Whether its calls may be made again though they may have run.
     pub may_repeat: bool,
     pub repeat_of: Option<OpId>,
+    /// It may have run: what stands on its key must not run again.
+    pub ran: bool,
     pub owed: Owed,
     pub news: UnboundedReceiver<News>,
 }
@@ -60,7 +62,7 @@
                 News::Decided(Decision::AnswerFrom(_)) => {
                     awaits_first = true;
                     let first = self.repeat_of.unwrap_or(self.op);
-                    let end = desk.repeats.borrow_mut().wait_for(first, self.op);
+                    let end = desk.deduplication.borrow_mut().wait_for(first, self.op);
                     end.into_iter().for_each(|(end, result)| desk.hand(self.op, News::Ended(end, result)));
                     continue;
                 }
@@ -97,6 +99,7 @@
                 return self.owed.release();
             }
             // run
+            self.ran = true;
             link.start(self.op, self.class.clone(), self.body.clone());
             let (mut wanted, mut repeated): (Rc<[u8]>, bool) = (Rc::from([]), false);
             let mut call: CallUnderWay = Box::pin(pending());
@@ -116,6 +119,7 @@
                 match news {
                     // calls
                     Some(News::Wants(body)) => {
+                        self.owed.known();
                         (wanted, repeated) = (body.into(), false);
                         desk.tell(|logic, now| logic.call_wanted(now, self.op));
                     }
@@ -138,14 +142,17 @@
                         call = Box::pin(pending());
                     }
                     Some(News::Unknown) => {
+                        self.ran = false;
                         desk.tell(|logic, now| logic.run_ended(now, self.op, Outcome::Error));
                         return self.owed.unknown();
                     }
                     // result
                     Some(News::Ended(outcome, result)) => {
                         desk.tell(|logic, now| logic.run_ended(now, self.op, outcome));
+                        self.ran &= outcome != Outcome::Moot; // nothing was started
                         match outcome {
                             Outcome::Ok => {
+                                self.owed.known();
                                 desk.try_ended(self.op, outcome, &result);
                                 self.owed.acked(&result);
                             }
@@ -187,7 +194,11 @@
             let op = self.op;
             self.means.desk.tell(|logic, now| logic.run_ended(now, op, Outcome::Error));
         }
-        self.means.desk.try_ended(self.op, Outcome::Error, &[]);
+        if self.ran {
+            self.means.desk.try_ended(self.op, Outcome::Error, &Rc::from([]));
+        } else {
+            self.means.desk.try_never_ran(self.op);
+        }
         self.means.desk.strike(self.op);
     }
 }
--- a/crates/hazelspur-server/src/ops/owed.rs
+++ b/crates/hazelspur-server/src/ops/owed.rs
@@ -26,6 +26,8 @@
     fn may_run(&mut self) -> MayRun {
         MayRun::Now
     }
+    /// The runtime knows this op, so its caller is one of those that ops come from.
+    fn known(&mut self) {}
 }
 
 /// Gives one answer and no second; dropped without one it fails the op.
@@ -48,6 +50,10 @@
         self.front.may_run()
     }
 
+    pub fn known(&mut self) {
+        self.front.known();
+    }
+
     pub fn acked(&mut self, result: &[u8]) {
         if self.take() {
             self.desk.count(true);
--- a/crates/hazelspur-server/src/start/logs.rs
+++ b/crates/hazelspur-server/src/start/logs.rs
@@ -2,7 +2,9 @@
 
 use crate::start::command::Format;
 use log::{LevelFilter, Log, Metadata, Record};
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use std::io::Write;
+use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -14,6 +16,8 @@
     printer: Box<dyn Log>,
     stretch: AtomicU64,
     written: AtomicU64,
+    /// Lines that nobody took.
+    lost: AtomicU64,
 }
 
 /// `level` is one of the `log` crate's names; anything else stands for `info`.
@@ -32,8 +36,20 @@
         }
     };
     log::set_max_level(level);
-    let bounded = Bounded { printer, stretch: AtomicU64::new(0), written: AtomicU64::new(0) };
+    let bounded =
+        Bounded { printer, stretch: AtomicU64::new(0), written: AtomicU64::new(0), lost: AtomicU64::new(0) };
     log::set_boxed_logger(Box::new(bounded)).expect("the one logger");
+    // The usual hook writes to standard error whether that is read or not.
+    std::panic::set_hook(Box::new(|panic| log::error!(what:% = panic; "panic")));
+}
+
+/// Whether a line can be written without waiting. A reader of standard error that has stopped must not stop
+/// the one thread, and one that is gone must not end it; a pipe that says yes takes a page.
+fn takes_a_line() -> bool {
+    let stderr = std::io::stderr();
+    let mut stderr = [PollFd::new(stderr.as_fd(), PollFlags::POLLOUT)];
+    let ready = poll(&mut stderr, PollTimeout::ZERO).is_ok_and(|ready| ready > 0);
+    ready && stderr[0].revents() == Some(PollFlags::POLLOUT)
 }
 
 fn now_ms() -> u64 {
@@ -70,9 +86,14 @@
     }
 
     fn log(&self, record: &Record) {
+        if !takes_a_line() {
+            self.lost.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
         let stretch = now_ms() / STRETCH_MS;
         if self.stretch.swap(stretch, Ordering::Relaxed) != stretch {
-            let left_out = self.written.swap(0, Ordering::Relaxed).saturating_sub(MOST_LINES);
+            let left_out = self.written.swap(0, Ordering::Relaxed).saturating_sub(MOST_LINES)
+                + self.lost.swap(0, Ordering::Relaxed);
             if left_out > 0 {
                 let text = format_args!("logger lines_left_out={left_out}");
                 self.printer.log(&Record::builder().level(log::Level::Warn).args(text).build());
--- a/crates/hazelspur-server/src/start/phases.rs
+++ b/crates/hazelspur-server/src/start/phases.rs
@@ -9,9 +9,11 @@
     Waiting,
     Serving,
     /// The leave notice is read; what arrives within the grace still runs.
-    Leaving,
-    /// The grace is over: no new connections, farewells go out, what is read is answered.
+    Draining,
+    /// The grace is over, or nothing could run: no new connections, farewells go out, what is read is answered.
     Closing,
+    /// The stop is near: every connection is closed, with what is there by then answered.
+    Ending,
     Over,
 }
 
@@ -20,8 +22,9 @@
         match self {
             Self::Waiting => "waiting",
             Self::Serving => "serving",
-            Self::Leaving => "leaving",
+            Self::Draining => "draining",
             Self::Closing => "closing",
+            Self::Ending => "ending",
             Self::Over => "over",
         }
     }
--- a/crates/hazelspur-server/src/start/reload.rs
+++ b/crates/hazelspur-server/src/start/reload.rs
@@ -35,6 +35,11 @@
 }
 
 fn take(peers: &Peers, running: &Startup, new: &Startup) {
+    let others = running.others_keys(new);
+    if !others.is_empty() {
+        // Whole: its addresses lead to another server's parties.
+        return log::error!(keys = others.join(" "); "reload refused, the file is not this server's");
+    }
     let differ = running.fixed_keys_that_differ(new);
     if !differ.is_empty() {
         log::warn!(keys = differ.join(" "); "reload leaves to the next start");
--- a/crates/hazelspur-server/src/start/startup.rs
+++ b/crates/hazelspur-server/src/start/startup.rs
@@ -2,12 +2,16 @@
 //! checked and given defaults. Every message names the key at fault.
 
 use crate::back::peers::Addresses;
+use crate::fronts::requests::{LONG_PAST, TIMEOUT_SLACK};
+use crate::ops::deduplication::Deduplication;
 use hazelspur::book::{OpType, Repeats};
 use hazelspur::{Facts, Moment, Span};
 use hazelspur_parsers::{Json, settings};
 use std::net::SocketAddr;
 
 const LONGEST_STOP: f64 = 600_000.0;
+/// One part in so many of the program's memory may hold results for repeats.
+const RESULTS_PART: usize = 8;
 
 pub struct Startup {
     pub name: String,
@@ -18,6 +22,8 @@
     /// From the leave notice to the end of the process.
     pub stop: Span,
     pub sockets: usize,
+    /// What the program may take of memory, in bytes.
+    pub memory: usize,
     pub op_types: Vec<String>,
     pub op_timeouts: Vec<Span>,
     pub repeats: Vec<Repeats>,
@@ -31,18 +37,33 @@
 }
 
 impl Startup {
+    /// A part of the memory for results; what is read later than any caller waits repeats nothing.
+    pub fn deduplication(&self) -> Deduplication {
+        let longest = self.op_timeouts.iter().max().copied().unwrap_or_default();
+        let read_late = longest.scaled(TIMEOUT_SLACK) + LONG_PAST;
+        Deduplication::new(self.share_reads, read_late, self.memory / RESULTS_PART)
+    }
+
     /// The keys that say something new and hold for the life of the process.
     pub fn fixed_keys_that_differ(&self, new: &Self) -> Vec<&'static str> {
         let fixed = [
-            ("name", self.name != new.name),
-            ("listen", self.listen != new.listen),
             ("seed", self.seed != new.seed),
             ("stop_ms", self.stop != new.stop),
             ("limits.sockets", self.sockets != new.sockets),
-            ("settings", self.facts.0 != new.facts.0),
+            ("limits.memory_mb", self.memory != new.memory),
         ];
         fixed.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
     }
+
+    /// The keys that differ where the file is for another server, or one of another installation.
+    pub fn others_keys(&self, new: &Self) -> Vec<&'static str> {
+        let own = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("settings", self.facts.0 != new.facts.0),
+        ];
+        own.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
 }
 
 /// Reads the file that `ROUTER_CONFIG` names; `ROUTER_NAME` and `ROUTER_LISTEN` stand in for absent keys.
@@ -69,7 +90,7 @@
     };
     let limit = |key: &str| all.get("limits").and_then(|limits| limits.get(key));
     number(limit("cores"), "limits.cores", 1.0, 0.01..=1e4)?;
-    number(limit("memory_mb"), "limits.memory_mb", 192.0, 1.0..=1e7)?;
+    let memory_mb = number(limit("memory_mb"), "limits.memory_mb", 192.0, 1.0..=1e7)?;
     let settings = all.get("settings").filter(|s| s.is_object()).ok_or("settings: missing or no object")?;
     let facts = settings::facts(settings);
     if !facts.has("op_types.0.target_latency_us") {
@@ -101,6 +122,7 @@
         seed,
         stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
         sockets: number(limit("sockets"), "limits.sockets", 1024.0, 32.0..=1e7)? as usize,
+        memory: (memory_mb * 1024.0 * 1024.0) as usize,
         repeats: told.iter().map(|kind| kind.repeats).collect(),
         op_timeouts: told.iter().map(|kind| kind.op_timeout).collect(),
         op_types,
--- /dev/null
+++ b/crates/hazelspur-server/src/supervise.rs
@@ -0,0 +1,35 @@
+//! Tasks that serve all ops: begun again should one fail, ever later if it goes on failing.
+
+use crate::clock::sleep;
+use hazelspur::Span;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+
+const AGAIN: Span = Span::from_ms(10);
+const LONGEST_AGAIN: Span = Span::from_ms(1000);
+/// One that has run for so long before it failed is begun again soon.
+const WELL: Duration = Duration::from_secs(10);
+
+pub fn supervise<T: 'static, F: Future<Output = ()> + 'static>(
+    name: &'static str,
+    of: &Rc<T>,
+    task: impl Fn(Rc<T>) -> F + 'static,
+) {
+    let of = of.clone();
+    spawn_local(async move {
+        let mut pause = AGAIN;
+        loop {
+            let began = Instant::now();
+            if spawn_local(task(of.clone())).await.is_ok() {
+                return;
+            }
+            if began.elapsed() >= WELL {
+                pause = AGAIN;
+            }
+            log::error!(name, again_ms = pause.us() / 1000; "task failed");
+            sleep(pause).await;
+            pause = (pause + pause).min(LONGEST_AGAIN);
+        }
+    });
+}
--- /dev/null
+++ b/crates/hazelspur-server/tests/town/mod.rs
@@ -0,0 +1,273 @@
+//! The built server between stand-ins for its gateway, runtime, ledger and control plane, which a test moves
+//! step by step.
+#![allow(dead_code)] // each test file uses its part
+
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub const SETTINGS: &str = r#"{"family-info":{"n-cores":2,"mem-limit-kb":100000,"run-factor":8,"stop-mode":"drop",
+ "meters":["core_use","on_cores"],"calls-out":50,"calls-over-us":5000000,"passes-deadline":true,"share-for-us":500000},
+ "lanes":[{"name":"view","aim-us":3000000,"deadline-us":4000000,"semantics":"safe","importance":1},
+ {"name":"book","aim-us":3000000,"deadline-us":4000000,"semantics":"keyed","memory-span-us":5000000}],
+ "rules":{"fall-multiple":8,"cold-share":0.2,"cold-us":10000000,"drain-grace-us":300000},
+ "limits":{"retry-after":true,"max-retry-after-us":1000000},"servers":1}"#;
+
+pub static TOWNS: AtomicUsize = AtomicUsize::new(0);
+pub const PATIENCE: Duration = Duration::from_secs(5);
+
+/// One end of a connection, with what was seen on all of them.
+pub struct End {
+    pub name: &'static str,
+    pub stream: BufReader<TcpStream>,
+}
+
+pub struct Town {
+    pub server: Child,
+    pub listen: String,
+    pub runtime: TcpListener,
+    pub ledger: TcpListener,
+    pub file: PathBuf,
+    pub trace: String,
+}
+
+pub fn listener() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    (listener, address)
+}
+
+/// The next connection, or a failed test.
+pub fn accept(listener: &TcpListener) -> TcpStream {
+    let until = Instant::now() + PATIENCE;
+    listener.set_nonblocking(true).expect("a mode");
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).expect("a mode");
+                return stream;
+            }
+            Err(e) => assert!(Instant::now() < until, "no connection came: {e}"),
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+pub fn now_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis()
+}
+
+pub fn op(id: u32, req: u32, class: &str, more: &str) -> String {
+    format!(
+        r#"{{"jsonrpc":"2.0","id":{id},"method":"{class}","params":{{"req":"{req:016x}","ts":{},"via":1,"timeout":4000,"need":20.5,"level":0.5,"data":"aGVsbG8="{more}}}}}"#,
+        now_ms()
+    )
+}
+
+pub fn file(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("hazelspur-{}-{name}.json", std::process::id()))
+}
+
+/// Starts the program with this configuration, through a shell that may set limits first.
+pub fn start(name: &str, config: &str, first: &str) -> Child {
+    let file = file(name);
+    std::fs::write(&file, config).expect("a file");
+    let program = env!("CARGO_BIN_EXE_hazelspur-server");
+    let mut shell = Command::new("/bin/sh");
+    shell.args(["-c", &format!("{first} exec {program}")]).env("ROUTER_CONFIG", &file);
+    shell.stderr(Stdio::piped()).spawn().expect("the server starts")
+}
+
+impl Town {
+    /// With a runtime that is up.
+    pub fn new(name: &str, first: &str) -> (Self, End) {
+        Self::with(name, first, |config| config)
+    }
+
+    /// The same with another configuration.
+    pub fn with(name: &str, first: &str, edit: impl Fn(String) -> String) -> (Self, End) {
+        let mut town = Self::started_with(name, first, edit);
+        let mut link = town.link();
+        link.say("ready hot 1000\r\n");
+        link.hear(&mut town.trace);
+        (town, link)
+    }
+
+    pub fn started(name: &str, first: &str) -> Self {
+        Self::started_with(name, first, |config| config)
+    }
+
+    pub fn started_with(name: &str, first: &str, edit: impl Fn(String) -> String) -> Self {
+        let (listen, runtime, ledger, config) = Self::prepared();
+        let server = start(name, &edit(config), first);
+        Self { server, listen, runtime, ledger, file: file(name), trace: String::new() }
+    }
+
+    /// An address for a server, its parties, and the configuration that leads to them.
+    pub fn prepared() -> (String, TcpListener, TcpListener, String) {
+        // an address of its own: a port that is free now may else be another test's a moment later
+        let number = TOWNS.fetch_add(1, Ordering::Relaxed);
+        let free = TcpListener::bind(format!("127.77.{}.{}:0", std::process::id() % 250, 1 + number));
+        let listen = free.and_then(|free| free.local_addr()).expect("a free port").to_string();
+        let (runtime, ledger, config) = Self::parties(&listen);
+        (listen, runtime, ledger, config)
+    }
+
+    /// New stand-ins, and the configuration that leads to them.
+    pub fn parties(listen: &str) -> (TcpListener, TcpListener, String) {
+        let ((runtime, at_runtime), (ledger, at_ledger)) = (listener(), listener());
+        let (control, at_control) = listener();
+        std::thread::spawn(move || {
+            for stream in control.incoming().flatten() {
+                std::thread::spawn(move || {
+                    let mut reports = BufReader::new(stream);
+                    while reports.read_line(&mut String::new()).is_ok_and(|n| n > 2) {}
+                    let _ =
+                        reports.get_mut().write_all(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n");
+                });
+            }
+        });
+        let config = format!(
+            r#"{{"name":"n1","listen":"{listen}","runtime":"{at_runtime}","ledger":"{at_ledger}","control":"{at_control}","seed":"000000000000002a","stop_ms":1500,"settings":{SETTINGS}}}"#
+        );
+        (runtime, ledger, config)
+    }
+
+    /// Sends an op and notes the command that it brings.
+    pub fn run(&mut self, gateway: &mut End, link: &mut End, op: &str) {
+        gateway.say(&format!("{op}\n"));
+        link.hear(&mut self.trace);
+    }
+
+    /// Replaces the configuration, its file too, and says so.
+    pub fn reload(&mut self, config: &str) {
+        let aside = self.file.with_extension("new");
+        std::fs::write(&aside, config).expect("a file");
+        std::fs::rename(&aside, &self.file).expect("one file system");
+        self.signal("-HUP");
+    }
+
+    /// The server's next link to the runtime.
+    pub fn link(&mut self) -> End {
+        let mut link = End::over("runtime", accept(&self.runtime));
+        link.hear(&mut self.trace);
+        link
+    }
+
+    pub fn gateway(&self) -> End {
+        End::over("gateway", TcpStream::connect(&self.listen).expect("the server listens"))
+    }
+
+    pub fn ledger(&self) -> End {
+        End::over("ledger", accept(&self.ledger))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.server.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    pub fn ended(&mut self) {
+        let status = self.server.wait().expect("the server ends");
+        let _ = writeln!(self.trace, "exit {:?}", status.code());
+    }
+}
+
+impl Drop for Town {
+    fn drop(&mut self) {
+        let _ = self.server.kill();
+        let _ = self.server.wait();
+    }
+}
+
+impl End {
+    pub fn over(name: &'static str, stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+        Self { name, stream: BufReader::new(stream) }
+    }
+
+    pub fn say(&mut self, text: &str) {
+        self.stream.get_mut().write_all(text.as_bytes()).expect("the server reads");
+    }
+
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        match self.stream.read_line(&mut line) {
+            Ok(0) | Err(_) => "(closed)".into(),
+            Ok(_) => line.trim_end().into(),
+        }
+    }
+
+    pub fn body(&mut self, length: &str) -> String {
+        let mut body = vec![0; length.trim().parse().expect("a length")];
+        self.stream.read_exact(&mut body).expect("a body");
+        String::from_utf8(body).expect("text")
+    }
+
+    /// Notes the next message; gauges are answered and passed over, but for those that end a replay.
+    pub fn hear(&mut self, trace: &mut String) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let mut line = if Instant::now() < until { self.line() } else { "(nothing)".into() };
+            if let Some(tag) = line.strip_prefix("gauges ") {
+                self.say(&format!("load {tag} 0.5 1\r\n"));
+                if tag.starts_with("link") {
+                    return line;
+                }
+                continue;
+            }
+            if let ["start" | "give", .., length] = line.split(' ').collect::<Vec<_>>()[..] {
+                let body = self.body(length);
+                line = format!("{line} {body}");
+                self.line();
+            }
+            let _ = writeln!(trace, "{} < {line}", self.name);
+            return line;
+        }
+    }
+
+    /// Notes a call to the ledger, without what differs between runs.
+    pub fn hear_call(&mut self, trace: &mut String) {
+        let mut seen = self.line();
+        let mut length = String::new();
+        loop {
+            let line = self.line();
+            match line.split_once(": ") {
+                Some(("X-Txn-Ref", id)) => seen += &format!(" {id}"),
+                Some(("Content-Length", n)) => length = n.into(),
+                Some(_) => {}
+                None => break,
+            }
+        }
+        let body = self.body(&length);
+        let _ = writeln!(trace, "{} < {seen} {body}", self.name);
+    }
+}
+
+/// Settings with a non-retryable op type, tenants, and a window of this length for keyed ops.
+pub fn customers(config: String, window_ms: u32) -> String {
+    let lane = r#"{"name":"pay","aim-us":3000000,"deadline-us":4000000,"semantics":"unsafe"}],"orgs":
+        [{"name":"a","quota-rps":50},{"name":"b","quota-rps":50}],"rules""#;
+    let window = format!("\"memory-span-us\":{}", window_ms * 1000);
+    config.replace("],\n \"rules\"", &format!(",{lane}")).replace("\"memory-span-us\":5000000", &window)
+}
+
+/// Waits until so long after a moment: for windows and limits that are times.
+pub fn wait_until(since: Instant, ms: u64) {
+    while since.elapsed() < Duration::from_millis(ms) {
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// The notice of a good end.
+pub fn done(number: u32, req: u32) -> String {
+    format!("end {number} {} complete 5 4\r\ndone\r\n", id(req))
+}
+
+pub fn id(req: u32) -> String {
+    format!("{req:016x}")
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -380,9 +380,11 @@
     fn answer_repeats(&mut self, now: Moment) -> Option<Decision> {
         let shares_reads = self.facts.num("server.share_reads_us", 0.0) > 0.0;
         let keyed = |op: &Op| self.op_types[op.op_type].repeats == Repeats::Keyed;
-        let marked = |op: &Op| keyed(op) || (shares_reads && !op.write && op.user.is_some());
+        let shares =
+            |op: &Op| shares_reads && !op.write && self.op_types[op.op_type].repeats == Repeats::Retryable;
+        let marked = |op: &Op| keyed(op) || (shares(op) && op.user.is_some());
         let id = self.first_by_seq(|op| {
-            let repeat = op.repeat_of.is_some() && (keyed(op) || shares_reads);
+            let repeat = op.repeat_of.is_some() && (keyed(op) || shares(op));
             op.state == State::Held && !op.ran && (repeat || marked(op) && !op.key_kept)
         })?;
         let op = &self.ops[&id];
