--- a/crates/hazelspur-server/src/clock.rs
+++ b/crates/hazelspur-server/src/clock.rs
@@ -1,40 +1,59 @@
-//! The system's Unix clock, kept from going back, and waits by it; and a steady one that nobody sets, for
-//! leases.
+//! Three clocks. `now` is the one to wait and to reckon by: it began at the Unix time of the program's start
+//! and goes on evenly, so that a system clock that is set changes no wait, window or due time. `wall` is the
+//! Unix clock as others see it, kept from going back. `steady` says nothing of the time of day.
 
-use hazelspur::{Moment, Span};
+use hazelspur::{Moment, Span, Timeline};
 use std::cell::{Cell, OnceCell};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 #[derive(Default)]
 pub struct Clock {
-    last: Cell<Moment>,
-    /// By how many milliseconds it is set apart from the system's.
+    last_wall: Cell<Moment>,
+    /// By how many milliseconds the Unix clock is set apart from the system's.
     apart_ms: Cell<i64>,
-    /// Where the steady clock began.
-    began: OnceCell<Instant>,
+    /// When this was first asked for, and what the Unix clock said then.
+    began: OnceCell<(Instant, Timeline)>,
 }
 
 impl Clock {
+    fn began(&self) -> &(Instant, Timeline) {
+        self.began.get_or_init(|| (Instant::now(), Timeline::new(self.unix())))
+    }
+
     pub fn now(&self) -> Moment {
+        let (began, line) = self.began();
+        line.at(Span::from_us(began.elapsed().as_micros() as u64))
+    }
+
+    /// When something happened that is stamped by the Unix clock.
+    pub fn stamped(&self, stamp: Moment) -> Moment {
+        Timeline::stamped(self.now(), self.unix(), stamp)
+    }
+
+    pub fn wall(&self) -> Moment {
+        let wall = self.unix().max(self.last_wall.get());
+        self.last_wall.set(wall);
+        wall
+    }
+
+    fn unix(&self) -> Moment {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = (since.as_micros() as i64).saturating_add(self.apart_ms.get().saturating_mul(1000));
-        let now = Moment::from_us(now.max(0) as u64).max(self.last.get());
-        self.last.set(now);
-        now
+        Moment::from_us(now.max(0) as u64)
     }
 
-    /// Since this was first asked for, and a second more: it says nothing of the time of day.
+    /// Since this was first asked for, and a second more.
     pub fn steady(&self) -> Moment {
-        let began = self.began.get_or_init(Instant::now);
-        Moment::from_us(1_000_000 + began.elapsed().as_micros() as u64)
+        Moment::from_us(1_000_000 + self.began().0.elapsed().as_micros() as u64)
     }
 
+    /// Before anything is asked of it.
     pub fn set_apart(&self, ms: i64) {
         self.apart_ms.set(ms);
     }
 
     pub async fn sleep_until(&self, at: Moment) {
-        // Timers go by another clock and may be a little early by this one.
+        // Timers may be a little early by this clock.
         while self.now() < at {
             sleep(at - self.now()).await;
         }
--- a/crates/hazelspur-server/src/fleet/talk.rs
+++ b/crates/hazelspur-server/src/fleet/talk.rs
@@ -59,7 +59,7 @@
         let guidance = Guidance::new(fleet.together, shares.as_ref(), &tenants)?;
         let listen = fleet.listen.unwrap_or(fleet.at);
         let socket = UdpSocket::bind(listen).await.map_err(|e| format!("fleet.listen: {listen}: {e}"))?;
-        let at = At { wall: desk.clock.now(), steady: desk.clock.steady() };
+        let at = At { wall: desk.clock.wall(), steady: desk.clock.steady() };
         // Servers that start together must not draw the same chances.
         let (generation, seed) = (Generation(at.wall.us() / 1000), seed ^ at.wall.us());
         log::info!(site:% = fleet.site, at:% = fleet.at, contacts = fleet.contacts.len(), most = fleet.most,
@@ -85,7 +85,7 @@
     }
 
     fn at(&self) -> At {
-        At { wall: self.clock().now(), steady: self.clock().steady() }
+        At { wall: self.clock().wall(), steady: self.clock().steady() }
     }
 
     pub async fn run(self: Rc<Self>) {
@@ -121,7 +121,7 @@
     pub async fn try_again(self: Rc<Self>) {
         loop {
             let next = self.joint.borrow().gate.next_try().filter(|_| self.together);
-            let now = self.clock().now();
+            let now = self.clock().wall();
             match next {
                 Some(at) if at <= now => {
                     self.joint.borrow_mut().gate.tried(now);
@@ -143,7 +143,7 @@
 
     /// The last word: sent at once, since nothing runs after it.
     pub fn left(&self) {
-        self.joint.borrow_mut().members.left(self.clock().now());
+        self.joint.borrow_mut().members.left(self.clock().wall());
         self.act();
     }
 
--- a/crates/hazelspur-server/src/fronts/queues.rs
+++ b/crates/hazelspur-server/src/fronts/queues.rs
@@ -576,11 +576,12 @@
                 .map(|ms| Moment::from_us(ms.saturating_mul(1000)))
                 .or(properties.timestamp.map(|s| Moment::from_us(s.saturating_mul(1_000_000)))),
         };
-        let sent = stamped.filter(|sent| *sent <= now + AHEAD).unwrap_or(now);
+        let clock = &self.means.desk.clock;
+        let sent = stamped.filter(|sent| clock.stamped(*sent) <= now + AHEAD).unwrap_or(clock.wall());
         let waits = ms(header(WAITS))
             .or(properties.expiration.and_then(|ms| ms.parse().ok()).map(|ms: u32| Span::from_ms(ms.into())))
             .or(queue.waits_s.map(Span::from_secs));
-        let due = waits.map(|waits| sent + waits);
+        let due = waits.map(|waits| clock.stamped(sent) + waits);
         let counted = |name| header(name).and_then(Field::count).unwrap_or(0).min(u64::from(u32::MAX)) as u32;
         let tries = counted(TRIES).max(counted("x-delivery-count"));
         let text = |name: &str| match header(name) {
--- a/crates/hazelspur-server/src/fronts/requests.rs
+++ b/crates/hazelspur-server/src/fronts/requests.rs
@@ -131,7 +131,7 @@
         let body = params.get("data").map_or(Some(Vec::new()), |data| rpc::body(&data.text()?));
         let body = body.filter(|body| body.len() <= LONGEST_BODY).ok_or(bad("data is no body"))?;
         let now = desk.clock.now();
-        let arrived = Moment::from_us(ts.saturating_mul(1000));
+        let arrived = desk.clock.stamped(Moment::from_us(ts.saturating_mul(1000)));
         let longest = self.kinds.timeout(op_type).scaled(TIMEOUT_SLACK).us() as f64 / 1000.0;
         if !level || arrived > now + AHEAD || timeout.is_some_and(|ms| ms > longest) {
             return Err(bad("level, ts or timeout is out of range"));
--- a/crates/hazelspur-server/tests/input.rs
+++ b/crates/hazelspur-server/tests/input.rs
@@ -3,7 +3,8 @@
 mod town;
 
 use std::fmt::Write as _;
-use std::io::Write as _;
+use std::io::{Read as _, Write as _};
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use town::*;
 
@@ -177,3 +178,171 @@
     "#]]
     .assert_eq(&town.trace);
 }
+
+/// A health check: the connection that carries it is a good one, and idle.
+const CHECK: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n";
+
+/// Seconds of processor time that a process has taken.
+fn cpu_s(server: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{server}/stat")).expect("it runs");
+    let after = stat.rsplit_once(')').expect("a name").1;
+    let ticks =
+        |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok()).expect("ticks");
+    (ticks(11) + ticks(12)) / 100.0
+}
+
+/// An op that calls the ledger is run and answered.
+fn served(town: &mut Town, link: &mut End, gateway: &mut End, n: u32) {
+    town.run(gateway, link, &op(n, n, "view", ""));
+    link.say(&format!("wants {} {} 3\r\nask\r\n", 2 * n - 1, id(n)));
+    let mut ledger = town.ledger();
+    ledger.hear_call(&mut String::new());
+    ledger.say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+    link.hear(&mut String::new());
+    link.say(&done(2 * n, n));
+    let answer = gateway.hear(&mut String::new());
+    assert!(answer.contains("result"), "{answer}");
+}
+
+/// Clients that leave their connections open fill what is for them, while nobody takes reports: the rest is
+/// not theirs to take.
+#[test]
+fn idle_clients_take_no_descriptor_that_serving_needs() {
+    let mut seen = String::new();
+    for limit in [64usize, 96, 128, 256, 512] {
+        let (control, at) = listener();
+        let silent = format!("limits\":{{\"sockets\":{limit}}},\"settings");
+        let edit = |config: String| with_control(&config, &at).replace("settings", &silent);
+        drop(control); // gone, and its address with it
+        let (mut town, mut link) =
+            Town::with(&format!("filled{limit}"), &format!("ulimit -n {limit};"), edit);
+        let mut gateway = town.gateway();
+        let mut idle: Vec<End> = Vec::new();
+        let mut ops = 0;
+        for n in 0..limit + 40 {
+            if n % 16 == 0 {
+                ops += 1;
+                served(&mut town, &mut link, &mut gateway, ops);
+            }
+            idle.push(town.gateway());
+            // Two of three have brought something good; which of them is closed by now is not asked.
+            if n % 3 > 0 {
+                let _ = idle[n].stream.get_mut().write_all(CHECK.as_bytes());
+            }
+        }
+        served(&mut town, &mut link, &mut gateway, ops + 1);
+        let (cpu, since) = (cpu_s(town.server.id()), Instant::now());
+        let control = TcpListener::bind(&at).expect("its address is free");
+        let mut report = End::over("control", accept(&control));
+        let reported = report.line();
+        wait_until(since, 1000);
+        let busy = (cpu_s(town.server.id()) - cpu) / since.elapsed().as_secs_f64();
+        town.signal("-TERM");
+        town.ended();
+        let mut log = String::new();
+        let _ = town.server.stderr.take().expect("a pipe").read_to_string(&mut log);
+        let failed = log.matches("accept failed").count();
+        let _ = writeln!(
+            seen,
+            "{limit}: {reported}, accepts failed {failed}, at rest below half a core {}",
+            busy < 0.5
+        );
+    }
+    expect_test::expect![[r#"
+        64: PUT /v2/endpoints/n1 HTTP/1.1, accepts failed 0, at rest below half a core true
+        96: PUT /v2/endpoints/n1 HTTP/1.1, accepts failed 0, at rest below half a core true
+        128: PUT /v2/endpoints/n1 HTTP/1.1, accepts failed 0, at rest below half a core true
+        256: PUT /v2/endpoints/n1 HTTP/1.1, accepts failed 0, at rest below half a core true
+        512: PUT /v2/endpoints/n1 HTTP/1.1, accepts failed 0, at rest below half a core true
+    "#]]
+    .assert_eq(&seen);
+}
+
+/// What a client does over and over; each costs its own connection.
+fn flood(at: &str, kind: usize, until: Instant) -> usize {
+    let mut turns = 0;
+    while Instant::now() < until {
+        let Ok(mut stream) = TcpStream::connect(at) else { continue };
+        let _ = stream.set_write_timeout(Some(Duration::from_millis(200)));
+        let interrupt = "{\"jsonrpc\":\"2.0\",\"method\":\"interrupt\",\"params\":{\"id\":9}}\n";
+        let text: String = match kind {
+            0 => String::new(), // connections alone
+            1 => CHECK.repeat(200),
+            2 => interrupt.repeat(200),
+            3 => "{\"jsonrpc\":".into(), // half a line
+            4 => "x".repeat(40_000),     // one that does not end
+            5 => "\u{7f}\0garbage\n".repeat(100),
+            _ => (0..40).map(|_| op(7, 7, "view", "") + "\n").collect(), // ids used twice
+        };
+        let _ = stream.write_all(text.as_bytes());
+        turns += 1;
+    }
+    turns
+}
+
+#[test]
+fn floods_cost_their_own_connections_and_known_gateways_are_served_beside_them() {
+    let mut seen = String::new();
+    let names =
+        ["connections", "checks", "interrupts", "half lines", "endless lines", "garbage", "ids used twice"];
+    for (kind, name) in names.iter().enumerate() {
+        let (mut town, mut link) = Town::new(&format!("flood{kind}"), "ulimit -n 256;");
+        let mut gateway = town.gateway();
+        town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
+        link.say(&done(1, 1));
+        gateway.hear(&mut String::new());
+        let until = Instant::now() + Duration::from_millis(1200);
+        let at = town.listen.clone();
+        let floods: Vec<_> = (0..2)
+            .map(|_| {
+                let at = at.clone();
+                std::thread::spawn(move || flood(&at, kind, until))
+            })
+            .collect();
+        let (mut served, mut asked, mut longest) = (0, 0, Duration::ZERO);
+        let mut notices = 1;
+        while Instant::now() < until {
+            asked += 1;
+            let (n, began) = (asked + 1, Instant::now());
+            gateway.say(&format!("{}\n", op(n, 1000 + n, "view", "")));
+            loop {
+                let started = link.hear(&mut String::new());
+                notices += 1;
+                if started.contains(&id(1000 + n)) {
+                    link.say(&done(notices, 1000 + n));
+                    break;
+                }
+                // one of the flood's own, which this runtime does not know
+                link.say(&format!("nack start {}\r\n", started.split(' ').nth(1).unwrap_or_default()));
+                notices -= 1;
+            }
+            let answer = gateway.hear(&mut String::new());
+            served += u32::from(answer.contains("result"));
+            longest = longest.max(began.elapsed());
+        }
+        let turns: usize = floods.into_iter().map(|flood| flood.join().expect("no panic")).sum();
+        town.signal("-TERM");
+        town.ended();
+        let mut log = String::new();
+        let _ = town.server.stderr.take().expect("a pipe").read_to_string(&mut log);
+        println!("{name}: {turns} turns, {served} of {asked} ops served, the longest took {longest:?}");
+        let lines = log.lines().count();
+        let all = served == asked && asked >= 5;
+        let _ = writeln!(
+            seen,
+            "{name}: all ops served {all}, few lines {}, {}",
+            lines < 450,
+            log.contains("task failed")
+        );
+    }
+    expect_test::expect![[r#"
+        connections: all ops served true, few lines true, false
+        checks: all ops served true, few lines true, false
+        interrupts: all ops served true, few lines true, false
+        half lines: all ops served true, few lines true, false
+        endless lines: all ops served true, few lines true, false
+        garbage: all ops served true, few lines true, false
+        ids used twice: all ops served true, few lines true, false
+    "#]]
+    .assert_eq(&seen);
+}
--- a/crates/hazelspur-server/tests/town/mod.rs
+++ b/crates/hazelspur-server/tests/town/mod.rs
@@ -256,6 +256,13 @@
     config.replace("],\n \"rules\"", &format!(",{lane}")).replace("\"memory-span-us\":5000000", &window)
 }
 
+/// The same parties but for the control plane.
+pub fn with_control(config: &str, control: &str) -> String {
+    let (before, rest) = config.split_once("\"control\":\"").expect("a control plane");
+    let (_, after) = rest.split_once('"').expect("an address");
+    format!("{before}\"control\":\"{control}\"{after}")
+}
+
 /// Waits until so long after a moment: for windows and limits that are times.
 pub fn wait_until(since: Instant, ms: u64) {
     while since.elapsed() < Duration::from_millis(ms) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,4 +13,4 @@
 pub use facts::{Fact, Facts};
 pub use ids::{CallerId, OpId, OpTypeId, TenantId, UserKey};
 pub use logic::Logic;
-pub use time::{Moment, Span};
+pub use time::{Moment, Span, Timeline};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -577,7 +577,9 @@
         };
         let steps = (0..4).rev().map(|step| SHORTEST_KEEP * f64::from(1 << step));
         let keep = steps.min_by(|a, b| cost(*a).total_cmp(&cost(*b)))?;
-        let idle = Span::from_secs(keep).min(self.span("server.caller_idle_us"));
+        // Where the settings don't say when callers close, it is not at once.
+        let callers = Some(self.span("server.caller_idle_us")).filter(|span| *span > Span::ZERO);
+        let idle = callers.map_or(Span::from_secs(keep), |callers| callers.min(Span::from_secs(keep)));
         (std::mem::replace(&mut self.keep, keep) != keep).then_some(Decision::CloseIdle(idle))
     }
 
--- a/src/time.rs
+++ b/src/time.rs
@@ -42,6 +42,29 @@
     }
 }
 
+/// Moments of the Unix clock on a line that goes on evenly, whoever sets that clock: waits, windows and limits
+/// go by the line, which begins at the Unix time of its making; what others stamp is laid on it by its age.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Timeline {
+    began: Moment,
+}
+
+impl Timeline {
+    pub fn new(unix: Moment) -> Self {
+        Self { began: unix }
+    }
+
+    /// So long after its making by a clock that nobody sets.
+    pub fn at(self, since: Span) -> Moment {
+        self.began + since
+    }
+
+    /// Where a stamp of the Unix clock stands, when that clock says `unix` and the line `now`.
+    pub fn stamped(now: Moment, unix: Moment, stamp: Moment) -> Moment {
+        if stamp > unix { now + (stamp - unix) } else { now.back(unix - stamp) }
+    }
+}
+
 impl Add<Span> for Moment {
     type Output = Moment;
     fn add(self, by: Span) -> Moment {
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,4 +1,5 @@
 //! Feeds a `Logic` by hand and prints what it decides, a line each.
+#![allow(dead_code)] // each test file uses its part
 
 use hazelspur::{
     CallerId, Decision, Fact, Facts, Logic, Moment, OpId, OpTypeId, Outcome, Span, TenantId, UserKey,
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -705,3 +705,32 @@
     "#]]
     .assert_eq(&seen);
 }
+
+#[test]
+fn non_retryable_ops_on_one_subject_share_nothing() {
+    let mut play = Play::new("server.share_reads_us=500000 op_types.0.repeats=non-retryable");
+    play.read("first", Read { user: "u", ..Read::default() });
+    play.pull();
+    play.read("next", Read { user: "u", repeat_of: Some("first"), ..Read::default() });
+    check(
+        &mut play,
+        &["KeepKey", "AnswerFrom", "Run"],
+        &expect![[r#"
+        0     Run(first)
+        0     Run(next)
+    "#]],
+    );
+}
+
+#[test]
+fn connections_are_not_closed_at_once_where_nothing_says_when_callers_close_theirs() {
+    let mut play = Play::new("");
+    play.load(3000, 9);
+    check(
+        &mut play,
+        &["CloseIdle"],
+        &expect![[r#"
+        2680  CloseIdle(Span(32000000))
+    "#]],
+    );
+}
