A server starts where there is no ledger or list; no call is left out on sockets

Their configuration names no ledger, since nothing below is called there (shared = false); start/startup.rs asked for the key. Both keys may be absent now: calls are Unreached, no reports go out. The settings' skip worth is not handed to the module on sockets.

--- a/crates/hazelspur-server/src/back/control.rs
+++ b/crates/hazelspur-server/src/back/control.rs
@@ -35,12 +35,16 @@
     let path = format!("/v2/endpoints/{name}");
     phases.reached(|phase| phase != Phase::Waiting).await;
     while phases.now() == Phase::Serving {
-        let address = peers.now().control;
+        let known = peers.now().control;
+        let Some(address) = known else {
+            peers.left(|at| at.control, known).await;
+            continue;
+        };
         let condition = if desk.good.get() { "Ready" } else { "NotReady" };
         let body = format!("{{\"condition\":\"{condition}\"}}");
         let sent = tokio::select! {
             sent = put(address, &path, &body, patience) => sent,
-            () = peers.left(|at| at.control, address) => continue,
+            () = peers.left(|at| at.control, known) => continue,
             () = phases.reached(|phase| phase != Phase::Serving) => return,
         };
         match sent {
@@ -64,7 +68,7 @@
         let [least, most] = if missed == 0 { EVERY } else { AGAIN };
         tokio::select! {
             () = sleep(least + (most - least).scaled(chance.unit())) => {}
-            () = peers.left(|at| at.control, address) => {}
+            () = peers.left(|at| at.control, known) => {}
         }
     }
 }
--- a/crates/hazelspur-server/src/back/ledger.rs
+++ b/crates/hazelspur-server/src/back/ledger.rs
@@ -70,7 +70,7 @@
         let Ok(Ok(_place)) = tokio::time::timeout(long(patience), self.places.acquire()).await else {
             return (Outcome::Full, Vec::new());
         };
-        let address = self.peers.now().ledger;
+        let Some(address) = self.peers.now().ledger else { return (Outcome::Unreached, Vec::new()) };
         let kept = if fresh { None } else { self.kept(clock.now(), address) };
         let reused = kept.is_some();
         let mut stream = match kept {
@@ -124,7 +124,7 @@
 
     fn keep(&self, now: Moment, address: SocketAddr, stream: TcpStream) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < self.most_idle && address == self.peers.now().ledger {
+        if idle.len() < self.most_idle && Some(address) == self.peers.now().ledger {
             idle.push((now, address, stream));
         }
     }
--- a/crates/hazelspur-server/src/back/peers.rs
+++ b/crates/hazelspur-server/src/back/peers.rs
@@ -7,8 +7,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Addresses {
     pub runtime: SocketAddr,
-    pub ledger: SocketAddr,
-    pub control: SocketAddr,
+    /// Not every installation has one that ops call, or a list of servers.
+    pub ledger: Option<SocketAddr>,
+    pub control: Option<SocketAddr>,
 }
 
 pub struct Peers {
@@ -31,7 +32,7 @@
     }
 
     /// Comes back once the party that `which` picks is no longer at this address.
-    pub async fn left(&self, which: impl Fn(Addresses) -> SocketAddr, address: SocketAddr) {
+    pub async fn left<T: PartialEq>(&self, which: impl Fn(Addresses) -> T, address: T) {
         while which(self.addresses.get()) == address {
             self.moved.notified().await;
         }
--- a/crates/hazelspur-server/src/fleet/talk.rs
+++ b/crates/hazelspur-server/src/fleet/talk.rs
@@ -125,7 +125,7 @@
             match next {
                 Some(at) if at <= now => {
                     self.joint.borrow_mut().gate.tried(now);
-                    let to = self.peers.now().ledger;
+                    let Some(to) = self.peers.now().ledger else { continue };
                     let connecting = tokio::time::timeout(long(TRY_WITHIN), TcpStream::connect(to)).await;
                     let reached = match connecting {
                         Ok(Ok(stream)) => {
--- a/crates/hazelspur-server/src/start/startup.rs
+++ b/crates/hazelspur-server/src/start/startup.rs
@@ -83,6 +83,8 @@
         let text = word(key, instead)?;
         text.parse::<SocketAddr>().map_err(|_| format!("{key}: not an address and port: {text}"))
     };
+    let found =
+        |key: &str| all.get(key).filter(|value| !value.is_null()).map(|_| address(key, None)).transpose();
     let number = |of: Option<Json>, key: &str, default: f64, range: std::ops::RangeInclusive<f64>| {
         let Some(value) = of else { return Ok(default) };
         let n = value.number().filter(|n| range.contains(n));
@@ -92,7 +94,9 @@
     number(limit("cores"), "limits.cores", 1.0, 0.01..=1e4)?;
     let memory_mb = number(limit("memory_mb"), "limits.memory_mb", 192.0, 1.0..=1e7)?;
     let settings = all.get("settings").filter(|s| s.is_object()).ok_or("settings: missing or no object")?;
-    let facts = settings::facts(settings);
+    let mut facts = settings::facts(settings);
+    // On sockets no word tells a runtime to go on without its call.
+    facts.0.retain(|name, _| !name.starts_with("server.skip_worth"));
     if !facts.has("op_types.0.target_latency_us") {
         return Err("settings.lanes: missing or empty".into());
     }
@@ -116,8 +120,8 @@
         listen: address("listen", variable("ROUTER_LISTEN"))?,
         addresses: Addresses {
             runtime: address("runtime", None)?,
-            ledger: address("ledger", None)?,
-            control: address("control", None)?,
+            ledger: found("ledger")?,
+            control: found("control")?,
         },
         seed,
         stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
--- a/crates/hazelspur-server/tests/calls.rs
+++ b/crates/hazelspur-server/tests/calls.rs
@@ -2,7 +2,8 @@
 
 mod town;
 
-use std::time::Duration;
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
 use town::*;
 
 #[test]
@@ -101,3 +102,49 @@
     "#]]
     .assert_eq(&town.trace);
 }
+
+/// Not every installation has a ledger, or a list of servers: the server starts all the same.
+#[test]
+fn where_there_is_no_ledger_and_no_list_ops_are_served() {
+    let edit = |config: String| {
+        let (before, rest) = config.split_once(",\"ledger\"").expect("a ledger");
+        let (_, after) = rest.split_once("\",\"seed\"").expect("a seed");
+        format!("{before},\"seed\"{after}")
+    };
+    let (mut town, mut link) = Town::with("alone", "", edit);
+    let mut gateway = town.gateway();
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
+    link.say(&done(1, 1));
+    gateway.hear(&mut town.trace);
+    // one that calls all the same is told that nobody can be reached
+    town.run(&mut gateway, &mut link, &op(2, 2, "view", ""));
+    link.say(&format!("wants 2 {} 3\r\nask\r\n", id(2)));
+    gateway.hear(&mut town.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
+        runtime < start 0000000000000002 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":2,"error":{"code":-32000,"message":"failed"}}
+    "#]].assert_eq(&town.trace);
+}
+
+/// An answer without the call may be worth something, but no word on the link asks for it.
+#[test]
+fn a_run_whose_call_could_be_left_out_does_not_stand_at_it_for_ever() {
+    let skips =
+        |config: String| config.replace("\"run-factor\"", "\"class-skip-worth\":[0.5,0],\"run-factor\"");
+    let (mut town, mut link) = Town::with("skips", "", skips);
+    town.ledger = listener().0;
+    let (mut gateway, asked) = (town.gateway(), Instant::now());
+    town.run(&mut gateway, &mut link, &op(1, 1, "view", ""));
+    link.say(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
+    gateway.hear(&mut town.trace);
+    let _ = writeln!(town.trace, "long before it is due {}", asked.elapsed() < Duration::from_millis(2500));
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        gateway < {"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"failed"}}
+        long before it is due true
+    "#]].assert_eq(&town.trace);
+}
