Ids that come again mix up no keys; a wait is too long by what is left of it

Kept by whole key now; an id is its own only among live tries. Test keys::an_id_that_is_used_twice_mixes_up_no_keys.

A trace showed waits of 2,338 to 3,083 ms for an op type of 1,516: what waits on a link that was cut is due when it is read, so its wait counted from its stamp is long. requests.rs (read_op) compared that wait with the longest one; what is left of it from now on is compared now.

--- a/crates/hazelspur-server/src/fronts/queues.rs
+++ b/crates/hazelspur-server/src/fronts/queues.rs
@@ -485,7 +485,7 @@
         });
         let repeat_of = match keyed {
             None | Some(Found::First) => None,
-            Some(Found::RepeatOf(first)) => Some(first),
+            Some(Found::RepeatOf(first)) => read.key.clone().map(|key| (key, first)),
             Some(Found::NotTheSame) => {
                 desk.strike(op);
                 log::warn!(queue = self.queues[parts.queue.0].name.as_str(); "another op's message-id");
--- a/crates/hazelspur-server/src/fronts/requests.rs
+++ b/crates/hazelspur-server/src/fronts/requests.rs
@@ -120,7 +120,7 @@
         let via = params.get("via").map_or(Some(0), Json::whole).ok_or(bad("via is no number"))?;
         let need = params.get("need").and_then(Json::number).filter(|kb| *kb > 0.0 && *kb < 2000.0);
         let need = need.ok_or(bad("need is out of range"))?;
-        let level = params.get("level").is_none_or(|l| l.number().is_some_and(|l| (0.0..1.0).contains(&l)));
+        let level = params.get("level").is_none_or(|l| l.number().is_some_and(|l| (0.0..=1.0).contains(&l)));
         let owner = params.get("owner").map(|o| o.text().ok_or(bad("owner is no string"))).transpose()?;
         let tenant = self.kinds.tenant(owner.as_deref()).ok_or(bad("owner is not known"))?;
         let timeout = params.get("timeout").map(|t| t.number().filter(|ms| *ms >= 0.0));
@@ -132,8 +132,10 @@
         let body = body.filter(|body| body.len() <= LONGEST_BODY).ok_or(bad("data is no body"))?;
         let now = desk.clock.now();
         let arrived = desk.clock.stamped(Moment::from_us(ts.saturating_mul(1000)));
-        let longest = self.kinds.timeout(op_type).scaled(TIMEOUT_SLACK).us() as f64 / 1000.0;
-        if !level || arrived > now + AHEAD || timeout.is_some_and(|ms| ms > longest) {
+        let due = timeout.map(|ms| arrived + Span::from_secs(ms / 1000.0));
+        // From now on: one that was long on its way may name a wait that is long from its stamp.
+        let longest = now + self.kinds.timeout(op_type).scaled(TIMEOUT_SLACK);
+        if !level || arrived > now + AHEAD || due.is_some_and(|due| due > longest) {
             return Err(bad("level, ts or timeout is out of range"));
         }
         if answers.open.borrow().len() >= MOST_OPEN || answers.open.borrow().contains_key(&id) {
@@ -142,7 +144,6 @@
         if !desk.is_open() {
             return Err((rpc::NACKED, "not serving yet"));
         }
-        let due = timeout.map(|ms| arrived + Span::from_secs(ms / 1000.0));
         if due.unwrap_or(arrived + self.kinds.timeout(op_type)) + LONG_PAST <= now {
             return Err((rpc::NACKED, "its time was over long ago"));
         }
@@ -150,13 +151,13 @@
         let user = subject.as_deref().map(UserKey::of);
         let body: Rc<[u8]> = body.into();
         let key = self.kinds.key(op_type, tenant, opkey.as_deref(), subject.as_deref());
-        let found = key.map_or(Found::First, |key| {
+        let found = key.clone().map_or(Found::First, |key| {
             let keyed = Keyed { op, key, arrived, body: body.clone(), vouched: answers.known.get() };
             desk.deduplication.borrow_mut().read(now, keyed)
         });
         let repeat_of = match found {
             Found::First => None,
-            Found::RepeatOf(first) => Some(first),
+            Found::RepeatOf(first) => key.map(|key| (key, first)),
             Found::NotTheSame => {
                 desk.strike(op);
                 return Err(bad("this opkey is another op's"));
--- a/crates/hazelspur-server/src/ops/deduplication.rs
+++ b/crates/hazelspur-server/src/ops/deduplication.rs
@@ -46,20 +46,24 @@
 
 type End = (Outcome, Rc<[u8]>);
 
-struct Try {
-    key: Key,
+/// What holds a key.
+struct Entry {
+    op: OpId,
     /// What a repeat has to ask for too; not kept once its result could not be.
     body: Option<Rc<[u8]>>,
     until: Option<Moment>,
     end: Option<End>,
-    waiting: Vec<OpId>,
 }
 
-impl Try {
-    fn weight(&self) -> usize {
-        let result = self.end.as_ref().map_or(0, |(_, result)| result.len());
-        ENTRY + self.key.text.len() + self.body.as_ref().map_or(0, |body| body.len()) + result
-    }
+fn weight(key: &Key, entry: &Entry) -> usize {
+    let result = entry.end.as_ref().map_or(0, |(_, result)| result.len());
+    ENTRY + key.text.len() + entry.body.as_ref().map_or(0, |body| body.len()) + result
+}
+
+/// A try that is not over. Only among these is an op's id its own: one that is over may come again.
+struct Live {
+    key: Key,
+    waiting: Vec<OpId>,
 }
 
 #[derive(Default)]
@@ -71,10 +75,10 @@
     /// What results and bodies may take in all.
     most_bytes: usize,
     bytes: usize,
-    holders: BTreeMap<Key, OpId>,
-    tries: BTreeMap<OpId, Try>,
-    /// When each try that has ended is forgotten.
-    expiry: BTreeSet<(Moment, OpId)>,
+    entries: BTreeMap<Key, Entry>,
+    live: BTreeMap<OpId, Live>,
+    /// When each entry whose try has ended is forgotten.
+    expiry: BTreeSet<(Moment, Key)>,
 }
 
 impl Deduplication {
@@ -89,102 +93,107 @@
         if key.scope == Scope::Read && (self.share == Span::ZERO || !vouched) {
             return Found::First;
         }
-        if let Some(first) = self.holders.get(&key).copied() {
-            let held = &self.tries[&first];
+        if let Some(held) = self.entries.get(&key) {
             // A window that ends while its try still runs goes on until that has ended.
             let since = if key.scope == Scope::Keyed { arrived } else { now };
             if held.end.is_none() || held.until.is_some_and(|until| until > since) {
                 let same = key.scope == Scope::Read || held.body.as_ref().is_none_or(|first| *first == body);
-                return if same { Found::RepeatOf(first) } else { Found::NotTheSame };
+                return if same { Found::RepeatOf(held.op) } else { Found::NotTheSame };
             }
-            self.forget(first);
+            self.forget(&key);
         }
-        self.holders.insert(key.clone(), op);
         let body = Some(body).filter(|_| key.scope == Scope::Keyed);
-        let new = Try { key, body, until: None, end: None, waiting: Vec::new() };
-        self.bytes += new.weight();
-        self.tries.insert(op, new);
+        let entry = Entry { op, body, until: None, end: None };
+        self.bytes += weight(&key, &entry);
+        self.entries.insert(key.clone(), entry);
+        self.live.insert(op, Live { key, waiting: Vec::new() });
         Found::First
     }
 
+    /// What a live try holds.
+    fn held_by(&mut self, op: OpId) -> Option<(&Key, &mut Entry)> {
+        let key = &self.live.get(&op)?.key;
+        self.entries.get_mut(key).filter(|held| held.op == op && held.end.is_none()).map(|held| (key, held))
+    }
+
     pub fn keep(&mut self, op: OpId, until: Moment) {
-        if let Some(kept) = self.tries.get_mut(&op) {
-            kept.until = Some(until);
+        if let Some((_, held)) = self.held_by(op) {
+            held.until = Some(until);
         }
     }
 
     /// Its key is free for the next try; who waits for this one is still told of its end.
     pub fn release(&mut self, op: OpId) {
-        if let Some(key) = self.tries.get(&op).map(|held| &held.key)
-            && self.holders.get(key) == Some(&op)
-        {
-            self.holders.remove(&key.clone());
+        if let Some(key) = self.held_by(op).map(|(key, _)| key.clone()) {
+            self.forget(&key);
         }
     }
 
-    /// How the first try ended, if it has; else `op` is told later.
-    pub fn wait_for(&mut self, first: OpId, op: OpId) -> Option<End> {
-        let Some(first) = self.tries.get_mut(&first) else { return Some((Outcome::Error, Rc::from([]))) };
-        if first.end.is_none() {
-            first.waiting.push(op);
+    /// How the try that holds this key ended, if it has; else `op` is told later.
+    pub fn wait_for(&mut self, key: &Key, first: OpId, op: OpId) -> Option<End> {
+        let end = self.entries.get(key).filter(|held| held.op == first).and_then(|held| held.end.clone());
+        match self.live.get_mut(&first).filter(|live| end.is_none() && live.key == *key) {
+            Some(first) => {
+                first.waiting.push(op);
+                None
+            }
+            None => end.or_else(|| Some((Outcome::Error, Rc::from([])))),
         }
-        first.end.clone()
     }
 
     /// A try is over for good; returns who waits to hear of it. Only the first end counts.
     pub fn ended(&mut self, now: Moment, op: OpId, outcome: Outcome, result: &Rc<[u8]>) -> Vec<OpId> {
-        let Some(this) = self.tries.get_mut(&op).filter(|this| this.end.is_none()) else { return Vec::new() };
-        let waiting = std::mem::take(&mut this.waiting);
-        let forget_at = match (this.key.scope, outcome) {
-            (Scope::Keyed, _) => this.until.map(|until| until + self.read_late),
-            (Scope::Read, Outcome::Ok) => {
-                this.until = this.until.map(|until| until.min(now + self.share));
-                this.until
+        let (share, read_late, room) =
+            (self.share, self.read_late, self.most_bytes.saturating_sub(self.bytes));
+        let mut bytes = self.bytes;
+        let kept = self.held_by(op).and_then(|(key, held)| {
+            let forget_at = match (key.scope, outcome) {
+                (Scope::Keyed, _) => held.until? + read_late,
+                (Scope::Read, Outcome::Ok) => held.until?.min(now + share),
+                (Scope::Read, _) => return None,
+            };
+            if key.scope == Scope::Read {
+                held.until = Some(forget_at);
+            }
+            if result.len() <= room {
+                held.end = Some((outcome, result.clone()));
+                bytes += result.len();
+            } else {
+                // That it ran must not be forgotten: its repeats fail.
+                bytes -= held.body.take().map_or(0, |body| body.len());
+                held.end = Some((Outcome::Error, Rc::from([])));
             }
-            (Scope::Read, _) => None,
-        };
-        let Some(at) = forget_at.filter(|_| self.holders.get(&this.key) == Some(&op)) else {
-            self.forget(op);
-            return waiting;
-        };
-        if self.bytes + result.len() <= self.most_bytes {
-            this.end = Some((outcome, result.clone()));
-            self.bytes += result.len();
-        } else {
-            // That it ran must not be forgotten: its repeats fail.
-            self.bytes -= this.body.take().map_or(0, |body| body.len());
-            this.end = Some((Outcome::Error, Rc::from([])));
+            Some((forget_at, key.clone()))
+        });
+        self.bytes = bytes;
+        match kept {
+            Some(kept) => drop(self.expiry.insert(kept)),
+            None => self.release(op),
         }
-        self.expiry.insert((at, op));
-        waiting
+        self.live.remove(&op).map(|live| live.waiting).unwrap_or_default()
     }
 
     /// A try is over that never ran: the next one may. Returns who waits to hear of it.
     pub fn never_ran(&mut self, op: OpId) -> Vec<OpId> {
-        let open = self.tries.get_mut(&op).filter(|this| this.end.is_none());
-        let waiting = open.map(|this| std::mem::take(&mut this.waiting));
-        if waiting.is_some() {
-            self.forget(op);
-        }
-        waiting.unwrap_or_default()
+        self.release(op);
+        self.live.remove(&op).map(|live| live.waiting).unwrap_or_default()
     }
 
     fn expire(&mut self, now: Moment) {
-        while let Some((at, op)) = self.expiry.first().copied()
+        while let Some((at, key)) = self.expiry.first().cloned()
             && at <= now
         {
-            self.expiry.remove(&(at, op));
-            self.forget(op);
+            self.forget(&key);
+            self.expiry.remove(&(at, key));
         }
     }
 
-    fn forget(&mut self, op: OpId) {
-        self.release(op);
-        if let Some(gone) = self.tries.remove(&op) {
-            self.bytes -= gone.weight();
+    fn forget(&mut self, key: &Key) {
+        if let Some(gone) = self.entries.remove(key) {
+            self.bytes -= weight(key, &gone);
             if let Some(until) = gone.until.filter(|_| gone.end.is_some()) {
-                let late = if gone.key.scope == Scope::Keyed { self.read_late } else { Span::ZERO };
-                self.expiry.remove(&(until + late, op));
+                let late = if key.scope == Scope::Keyed { self.read_late } else { Span::ZERO };
+                self.expiry.remove(&(until + late, key.clone()));
             }
         }
     }
--- a/crates/hazelspur-server/src/ops/life.rs
+++ b/crates/hazelspur-server/src/ops/life.rs
@@ -3,6 +3,7 @@
 
 use crate::back::ledger::Ledger;
 use crate::back::runtime::Link;
+use crate::ops::deduplication::Key;
 use crate::ops::desk::{Desk, News};
 use crate::ops::owed::{MayRun, Owed};
 use hazelspur::{CallerId, Decision, Moment, OpId, OpTypeId, Outcome, TenantId, UserKey};
@@ -25,7 +26,8 @@
     pub body: Rc<[u8]>,
     /// Whether its calls may be made again though they may have run.
     pub may_repeat: bool,
-    pub repeat_of: Option<OpId>,
+    /// The key that it is read under, and the try that held that key then.
+    pub repeat_of: Option<(Key, OpId)>,
     /// It may have run: what stands on its key must not run again.
     pub ran: bool,
     pub owed: Owed,
@@ -49,7 +51,7 @@
         let means = self.means.clone();
         let (desk, link) = (&means.desk, &means.link);
         // read
-        let (op, repeat_of) = (self.op, self.repeat_of);
+        let (op, repeat_of) = (self.op, self.repeat_of.as_ref().map(|(_, first)| *first));
         desk.tell(|logic, now| {
             let age = now - arrived;
             logic.op_read(now, op, op_type, tenant, user, caller, due, None, kb, age, false, repeat_of);
@@ -61,8 +63,10 @@
                 News::Decided(Decision::Run(_)) => {}
                 News::Decided(Decision::AnswerFrom(_)) => {
                     awaits_first = true;
-                    let first = self.repeat_of.unwrap_or(self.op);
-                    let end = desk.deduplication.borrow_mut().wait_for(first, self.op);
+                    let end = self.repeat_of.as_ref().map_or_else(
+                        || Some((Outcome::Error, Rc::from([]))),
+                        |(key, first)| desk.deduplication.borrow_mut().wait_for(key, *first, self.op),
+                    );
                     end.into_iter().for_each(|(end, result)| desk.hand(self.op, News::Ended(end, result)));
                     continue;
                 }
--- a/crates/hazelspur-server/tests/calls.rs
+++ b/crates/hazelspur-server/tests/calls.rs
@@ -126,7 +126,8 @@
         gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
         runtime < start 0000000000000002 view 5 hello
         gateway < {"jsonrpc":"2.0","id":2,"error":{"code":-32000,"message":"failed"}}
-    "#]].assert_eq(&town.trace);
+    "#]]
+    .assert_eq(&town.trace);
 }
 
 /// An answer without the call may be worth something, but no word on the link asks for it.
@@ -146,5 +147,6 @@
         runtime < start 0000000000000001 view 5 hello
         gateway < {"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"failed"}}
         long before it is due true
-    "#]].assert_eq(&town.trace);
+    "#]]
+    .assert_eq(&town.trace);
 }
--- a/crates/hazelspur-server/tests/input.rs
+++ b/crates/hazelspur-server/tests/input.rs
@@ -346,3 +346,33 @@
     "#]]
     .assert_eq(&seen);
 }
+
+/// What waits on a link that was cut names a wait of its own length from the stamp, over before it is read: no
+/// fault of its connection, whose other ops are answered too.
+#[test]
+fn ops_that_were_long_on_their_way_are_answered_and_their_connection_stays() {
+    let (mut town, mut link) = Town::new("overdue", "");
+    let mut gateway = town.gateway();
+    let late = |n: u32| {
+        let line = op(n, n, "view", "").replace(":4000,", ":8000,");
+        let ts = now_ms();
+        line.replace(&format!("\"ts\":{ts}"), &format!("\"ts\":{}", ts - 8000))
+    };
+    for n in 1..7 {
+        // the millisecond may change between the two looks at the clock
+        let line = std::iter::repeat_with(|| late(n)).find(|line| !line.contains(&now_ms().to_string()));
+        gateway.say(&format!("{}\n", line.expect("one")));
+        gateway.hear(&mut town.trace);
+    }
+    town.run(&mut gateway, &mut link, &op(8, 8, "view", ""));
+    expect_test::expect![[r#"
+        runtime < sync 0
+        gateway < {"jsonrpc":"2.0","id":1,"error":{"code":-32011,"message":"refused","data":{"holdoff":40,"nomore":1}}}
+        gateway < {"jsonrpc":"2.0","id":2,"error":{"code":-32011,"message":"refused","data":{"holdoff":40,"nomore":1}}}
+        gateway < {"jsonrpc":"2.0","id":3,"error":{"code":-32011,"message":"refused","data":{"holdoff":40,"nomore":1}}}
+        gateway < {"jsonrpc":"2.0","id":4,"error":{"code":-32011,"message":"refused","data":{"holdoff":40,"nomore":1}}}
+        gateway < {"jsonrpc":"2.0","id":5,"error":{"code":-32011,"message":"refused","data":{"holdoff":40,"nomore":1}}}
+        gateway < {"jsonrpc":"2.0","id":6,"error":{"code":-32011,"message":"refused","data":{"holdoff":40,"nomore":1}}}
+        runtime < start 0000000000000008 view 5 hello
+    "#]].assert_eq(&town.trace);
+}
--- a/crates/hazelspur-server/tests/keys.rs
+++ b/crates/hazelspur-server/tests/keys.rs
@@ -212,3 +212,28 @@
     "#]]
     .assert_eq(&town.trace);
 }
+
+/// An id that is over may come again: what it stood for before is not mixed up with what it stands for now.
+#[test]
+fn an_id_that_is_used_twice_mixes_up_no_keys() {
+    let (mut town, mut link) = Town::new("twice", "");
+    let mut gateway = town.gateway();
+    for (n, key, data) in [(1, "a", "4\r\nleft"), (2, "b", "5\r\nright")] {
+        town.run(&mut gateway, &mut link, &op(n, 7, "book", &format!(r#","opkey":"{key}""#)));
+        link.say(&format!("end {n} {} complete 5 {data}\r\n", id(7)));
+        gateway.hear(&mut town.trace);
+    }
+    for (n, key) in [(3, "a"), (4, "b")] {
+        gateway.say(&format!("{}\n", op(n, n, "book", &format!(r#","opkey":"{key}""#))));
+        gateway.hear(&mut town.trace);
+    }
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000007 book 5 hello
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"bGVmdA=="}}
+        runtime < start 0000000000000007 book 5 hello
+        gateway < {"jsonrpc":"2.0","id":2,"result":{"data":"cmlnaHQ="}}
+        gateway < {"jsonrpc":"2.0","id":3,"result":{"data":"bGVmdA=="}}
+        gateway < {"jsonrpc":"2.0","id":4,"result":{"data":"cmlnaHQ="}}
+    "#]].assert_eq(&town.trace);
+}
