--- a/crates/hazelspur-fleet/src/guidance.rs
+++ b/crates/hazelspur-fleet/src/guidance.rs
@@ -56,7 +56,7 @@
                 now.insert("joint.refused".into(), common.refused);
             }
             if !joint.gate.is_open() {
-                now.insert("joint.shut".into(), 1.0);
+                now.insert("joint.breaker_open".into(), 1.0);
             }
         }
         let moved = |name: &str, value: f64| {
--- a/crates/hazelspur-lab/src/drive/together.rs
+++ b/crates/hazelspur-lab/src/drive/together.rs
@@ -194,7 +194,7 @@
                 logic.told(now, BOUND, Some(want.min(wants).max(0.05)));
             }
             logic.told(now, "joint.refused", Some(truth.refused));
-            logic.told(now, "joint.shut", truth.down.then_some(1.0));
+            logic.told(now, "joint.breaker_open", truth.down.then_some(1.0));
             self.pull(of);
         }
         let views: Vec<_> =
--- a/crates/hazelspur-server/src/back/control.rs
+++ b/crates/hazelspur-server/src/back/control.rs
@@ -3,7 +3,7 @@
 use crate::back::exchange::exchange;
 use crate::back::peers::Peers;
 use crate::clock::{long, sleep};
-use crate::ops::desk::Desk;
+use crate::ops::dispatcher::Dispatcher;
 use crate::start::phases::{Phase, Phases};
 use hazelspur::Span;
 use hazelspur::pcg::Pcg;
@@ -29,9 +29,15 @@
 const LATE: &str = "no answer in time";
 
 /// Reports until the leave notice, after which the entry is to lapse.
-pub async fn report(name: String, seed: u64, peers: Rc<Peers>, desk: Rc<Desk>, phases: Rc<Phases>) {
+pub async fn report(
+    name: String,
+    seed: u64,
+    peers: Rc<Peers>,
+    dispatcher: Rc<Dispatcher>,
+    phases: Rc<Phases>,
+) {
     let (mut missed, mut patience) = (0, ANSWER);
-    let mut chance = Pcg::new(seed ^ desk.clock.now().us());
+    let mut chance = Pcg::new(seed ^ dispatcher.clock.now().us());
     let path = format!("/v2/endpoints/{name}");
     phases.reached(|phase| phase != Phase::Waiting).await;
     while phases.now() == Phase::Serving {
@@ -40,7 +46,7 @@
             peers.left(|at| at.control, known).await;
             continue;
         };
-        let condition = if desk.good.get() { "Ready" } else { "NotReady" };
+        let condition = if dispatcher.good.get() { "Ready" } else { "NotReady" };
         let body = format!("{{\"condition\":\"{condition}\"}}");
         let sent = tokio::select! {
             sent = put(address, &path, &body, patience) => sent,
--- a/crates/hazelspur-server/src/back/runtime.rs
+++ b/crates/hazelspur-server/src/back/runtime.rs
@@ -2,7 +2,7 @@
 
 use crate::back::peers::Peers;
 use crate::clock::{long, sleep};
-use crate::ops::desk::{Desk, News};
+use crate::ops::dispatcher::{Dispatcher, News};
 use hazelspur::{Moment, OpId, Outcome, Span};
 use hazelspur_parsers::{Buffer, runtime};
 use std::cell::{Cell, RefCell};
@@ -46,7 +46,7 @@
 }
 
 pub struct Link {
-    desk: Rc<Desk>,
+    dispatcher: Rc<Dispatcher>,
     peers: Rc<Peers>,
     gauge_names: Vec<String>,
     runs: RefCell<BTreeMap<OpId, Run>>,
@@ -73,9 +73,9 @@
 }
 
 impl Link {
-    pub fn new(desk: Rc<Desk>, peers: Rc<Peers>, gauge_names: Vec<String>) -> Self {
+    pub fn new(dispatcher: Rc<Dispatcher>, peers: Rc<Peers>, gauge_names: Vec<String>) -> Self {
         Self {
-            desk,
+            dispatcher,
             peers,
             gauge_names,
             runs: RefCell::default(),
@@ -175,7 +175,7 @@
         let mut out = std::mem::take(&mut *self.out.borrow_mut());
         out.clear();
         runtime::sync(&mut out, self.last.get());
-        self.synced.set(self.desk.clock.steady());
+        self.synced.set(self.dispatcher.clock.steady());
         if let Err(e) = write.write_all(&out).await {
             return e.to_string();
         }
@@ -255,15 +255,15 @@
     /// Calls the module's timer when it asks to be woken, with gauges if fresh ones have come in time.
     pub async fn tick(self: Rc<Self>) {
         loop {
-            let Some(at) = self.desk.wake.take() else {
-                self.desk.wake_set.notified().await;
+            let Some(at) = self.dispatcher.wake.take() else {
+                self.dispatcher.wake_set.notified().await;
                 continue;
             };
-            self.desk.clock.sleep_until(at).await;
+            self.dispatcher.clock.sleep_until(at).await;
             let gauges = tokio::time::timeout(long(GAUGES_WITHIN), self.fresh_gauges()).await;
             let gauges = gauges.unwrap_or_default();
             let named: Vec<(&str, f64)> = self.gauge_names.iter().map(String::as_str).zip(gauges).collect();
-            self.desk.tell(|logic, now| logic.timer(now, &named));
+            self.dispatcher.tell(|logic, now| logic.timer(now, &named));
         }
     }
 
@@ -281,13 +281,13 @@
 
     /// Another runtime: its notices are numbered anew, and what the one before was given may have run there.
     fn restarted(&self) {
-        self.began.set(Some(self.desk.clock.steady()));
+        self.began.set(Some(self.dispatcher.clock.steady()));
         self.last.set(0);
         let (gone, unsent): (BTreeMap<_, _>, _) = self.runs.take().into_iter().partition(|(_, run)| run.sent);
         self.runs.replace(unsent);
         log::warn!(runs = gone.len(); "runtime restarted");
         for op in gone.into_keys() {
-            self.desk.hand(op, News::Ended(Outcome::Error, Rc::from([])));
+            self.dispatcher.hand(op, News::Ended(Outcome::Error, Rc::from([])));
         }
     }
 
@@ -305,7 +305,7 @@
     fn ready(&mut self, hot: bool, since_ms: u64) {
         let (link, since) = (self.0, Span::from_ms(since_ms));
         let earliest = link.synced.get().back(since);
-        let latest = link.desk.clock.steady().back(since);
+        let latest = link.dispatcher.clock.steady().back(since);
         match link.began.get() {
             Some(before) if earliest > before + RESTARTED => link.restarted(),
             Some(before) if before <= latest => {}
@@ -326,7 +326,7 @@
             "unknown" => Outcome::Moot,
             _ => Outcome::Error,
         };
-        self.0.desk.hand(op, News::Ended(outcome, result.into()));
+        self.0.dispatcher.hand(op, News::Ended(outcome, result.into()));
     }
 
     fn wants(&mut self, number: u64, id: &str, body: &[u8]) {
@@ -335,7 +335,7 @@
             run.started = false;
             run.given = None;
         }
-        self.0.desk.hand(op, News::Wants(body.to_vec()));
+        self.0.dispatcher.hand(op, News::Wants(body.to_vec()));
     }
 
     fn load(&mut self, tag: &str, values: &[f64]) {
@@ -354,7 +354,7 @@
         log::debug!(command, id; "runtime nack");
         let Some(op) = OpId::padded(id) else { return };
         if command == "start" && self.0.runs.borrow_mut().remove(&op).is_some() {
-            self.0.desk.hand(op, News::Unknown);
+            self.0.dispatcher.hand(op, News::Unknown);
         }
     }
 
--- a/crates/hazelspur-server/src/fleet/guidance.rs
+++ b/crates/hazelspur-server/src/fleet/guidance.rs
@@ -1,7 +1,7 @@
 //! Between the module and what servers found out together: this server's work is shown to `Joint`, and what
 //! comes of it is told to the module where it has changed.
 
-use crate::ops::desk::Desk;
+use crate::ops::dispatcher::Dispatcher;
 use crate::start::fleet_keys::{CALLS, TENANT};
 use hazelspur::{Moment, Span, TenantId};
 use hazelspur_fleet::gate::Change;
@@ -56,30 +56,30 @@
     }
 
     /// What this server did lately, and what it would use.
-    pub fn see(&mut self, at: At, desk: &Desk, joint: &mut Joint) {
+    pub fn see(&mut self, at: At, dispatcher: &Dispatcher, joint: &mut Joint) {
         if at.steady - self.looked < LOOK {
             return;
         }
         self.looked = at.steady;
-        let Some(view) = desk.view() else { return };
+        let Some(view) = dispatcher.view() else { return };
         joint.saw(at, Seen { call_secs: view.call_secs, refused: view.refused });
         for (name, of) in &self.limits {
             match of {
                 // Until the first call nothing is known: the floor is enough for it.
                 Of::Calls => joint.want(name, view.calls.unwrap_or(1.0)),
-                Of::Tenant(tenant) => joint.want(name, desk.tenant_rate(*tenant) * ROOM),
+                Of::Tenant(tenant) => joint.want(name, dispatcher.tenant_rate(*tenant) * ROOM),
             }
         }
     }
 
-    /// Tells the module what has changed, and the desk when leases end.
-    pub fn guide(&mut self, at: At, desk: &Desk, joint: &mut Joint) {
-        if desk.is_open() {
-            if desk.has_lapsed() {
+    /// Tells the module what has changed, and the dispatcher when leases end.
+    pub fn guide(&mut self, at: At, dispatcher: &Dispatcher, joint: &mut Joint) {
+        if dispatcher.is_open() {
+            if dispatcher.has_lapsed() {
                 self.facts.forget();
             }
             let told = self.facts.next(at, joint);
-            desk.guide(told.facts, told.leases);
+            dispatcher.guide(told.facts, told.leases);
         }
         self.say(at, joint);
     }
--- a/crates/hazelspur-server/src/fleet/talk.rs
+++ b/crates/hazelspur-server/src/fleet/talk.rs
@@ -1,12 +1,12 @@
 //! One UDP socket: what comes is opened and told to `Joint`, what that wants sent goes out, and what servers
-//! found out together goes to the module through the desk.
+//! found out together goes to the module through the dispatcher.
 
 use crate::back::ledger::Reached;
 use crate::back::peers::Peers;
 use crate::clock::{Clock, long};
 use crate::fleet::changes::Changes;
 use crate::fleet::guidance::Guidance;
-use crate::ops::desk::Desk;
+use crate::ops::dispatcher::Dispatcher;
 use crate::start::fleet_keys::Fleet;
 use crate::start::phases::{Phase, Phases};
 use hazelspur::Span;
@@ -34,7 +34,7 @@
     guidance: RefCell<Guidance>,
     /// Whether calls and tries go by the gate.
     together: bool,
-    desk: Rc<Desk>,
+    dispatcher: Rc<Dispatcher>,
     peers: Rc<Peers>,
     phases: Rc<Phases>,
     leaving: Cell<bool>,
@@ -42,7 +42,7 @@
 
 /// Whom a talk serves, and with what.
 pub struct Around {
-    pub desk: Rc<Desk>,
+    pub dispatcher: Rc<Dispatcher>,
     pub peers: Rc<Peers>,
     pub phases: Rc<Phases>,
     /// Names of the tenants in the settings.
@@ -52,14 +52,14 @@
 impl Talk {
     /// Listens from here on. Errors name the key at fault.
     pub async fn new(fleet: &Fleet, (name, seed): (&str, u64), around: Around) -> Result<Self, String> {
-        let Around { desk, peers, phases, tenants } = around;
+        let Around { dispatcher, peers, phases, tenants } = around;
         let name = MemberName::new(name).ok_or("name: longer than 31 characters, or not visible ones")?;
         let key = fleet.key.clone().ok_or("fleet.key_file: not read")?;
         let shares = fleet.share_terms().map_err(|(key, why)| format!("fleet.{key}: {why}"))?;
         let guidance = Guidance::new(fleet.together, shares.as_ref(), &tenants)?;
         let listen = fleet.listen.unwrap_or(fleet.at);
         let socket = UdpSocket::bind(listen).await.map_err(|e| format!("fleet.listen: {listen}: {e}"))?;
-        let at = At { wall: desk.clock.wall(), steady: desk.clock.steady() };
+        let at = At { wall: dispatcher.clock.wall(), steady: dispatcher.clock.steady() };
         // Servers that start together must not draw the same chances.
         let (generation, seed) = (Generation(at.wall.us() / 1000), seed ^ at.wall.us());
         log::info!(site:% = fleet.site, at:% = fleet.at, contacts = fleet.contacts.len(), most = fleet.most,
@@ -73,7 +73,7 @@
             changes: RefCell::default(),
             guidance: RefCell::new(guidance),
             together: fleet.together,
-            desk,
+            dispatcher,
             peers,
             phases,
             leaving: Cell::new(false),
@@ -81,7 +81,7 @@
     }
 
     fn clock(&self) -> &Clock {
-        &self.desk.clock
+        &self.dispatcher.clock
     }
 
     fn at(&self) -> At {
@@ -159,7 +159,7 @@
     fn act(&self) {
         let at = self.at();
         let (mut joint, mut changes) = (self.joint.borrow_mut(), self.changes.borrow_mut());
-        self.guidance.borrow_mut().see(at, &self.desk, &mut joint);
+        self.guidance.borrow_mut().see(at, &self.dispatcher, &mut joint);
         joint.tick(at);
         while let Some((to, datagram)) = joint.next_out(at) {
             // What can't be sent now is lost, as on any network.
@@ -169,7 +169,7 @@
             changes.note(event);
         }
         changes.tell(at.wall, &joint.members);
-        self.guidance.borrow_mut().guide(at, &self.desk, &mut joint);
+        self.guidance.borrow_mut().guide(at, &self.dispatcher, &mut joint);
     }
 }
 
@@ -184,7 +184,7 @@
         joint.call_ended(at, reached);
         if joint.gate.is_open() != was_open {
             // The module is to know before the next decision, not with the next round.
-            self.guidance.borrow_mut().guide(at, &self.desk, &mut joint);
+            self.guidance.borrow_mut().guide(at, &self.dispatcher, &mut joint);
         }
     }
 }
--- a/crates/hazelspur-server/src/fronts/answers.rs
+++ b/crates/hazelspur-server/src/fronts/answers.rs
@@ -1,7 +1,7 @@
 //! What one connection is owed and what waits to be written on it.
 
 use crate::clock::long;
-use crate::ops::desk::Desk;
+use crate::ops::dispatcher::Dispatcher;
 use crate::ops::owed::Front;
 use hazelspur::{Moment, OpId, Span};
 use hazelspur_parsers::rpc::{self, RpcId};
@@ -28,7 +28,7 @@
 }
 
 pub struct Answers {
-    pub desk: Rc<Desk>,
+    pub dispatcher: Rc<Dispatcher>,
     pub open: RefCell<BTreeMap<RpcId, OpId>>,
     /// Since when nothing is open on it.
     pub quiet_since: Cell<Moment>,
@@ -55,11 +55,11 @@
 }
 
 impl Answers {
-    pub fn new(desk: Rc<Desk>) -> Self {
-        let now = desk.clock.now();
+    pub fn new(dispatcher: Rc<Dispatcher>) -> Self {
+        let now = dispatcher.clock.now();
         Self {
             quiet_since: Cell::new(now),
-            desk,
+            dispatcher,
             open: RefCell::default(),
             stage: Cell::new(Stage::Open),
             for_health: Cell::new(false),
@@ -155,7 +155,7 @@
     }
 
     pub fn farewell(&self) {
-        self.stage.set(Stage::Parting(self.desk.clock.now()));
+        self.stage.set(Stage::Parting(self.dispatcher.clock.now()));
         self.put(rpc::farewell);
     }
 }
@@ -174,7 +174,7 @@
     }
 
     fn answer(&mut self, write: impl FnOnce(RpcId, &mut Vec<u8>, Option<f64>)) {
-        self.answers.put(|out| write(self.id, out, self.answers.desk.signal.get()));
+        self.answers.put(|out| write(self.id, out, self.answers.dispatcher.signal.get()));
         self.gone();
     }
 }
@@ -215,7 +215,7 @@
             open.remove(&self.id);
         }
         drop(open);
-        answers.quiet_since.set(answers.desk.clock.now());
+        answers.quiet_since.set(answers.dispatcher.clock.now());
         answers.settled.notify_one();
     }
 }
--- a/crates/hazelspur-server/src/fronts/kinds.rs
+++ b/crates/hazelspur-server/src/fronts/catalog.rs
@@ -9,14 +9,14 @@
 /// The largest body of an op, in bytes.
 pub const LONGEST_BODY: usize = 2048;
 
-pub struct Kinds {
+pub struct Catalog {
     names: Vec<Rc<str>>,
     timeouts: Vec<Span>,
     repeats: Vec<Repeats>,
     tenants: Vec<String>,
 }
 
-impl Kinds {
+impl Catalog {
     pub fn new(told: &Startup) -> Self {
         Self {
             names: told.op_types.iter().map(|name| Rc::from(name.as_str())).collect(),
--- a/crates/hazelspur-server/src/fronts/connection.rs
+++ b/crates/hazelspur-server/src/fronts/connection.rs
@@ -6,7 +6,7 @@
 use crate::fronts::answers::{Answers, Stage};
 use crate::fronts::gateways::{ConnectionId, Gateways};
 use crate::fronts::requests::MOST_FAULTS;
-use crate::ops::desk::News;
+use crate::ops::dispatcher::News;
 use hazelspur::{OpId, Span};
 use hazelspur_parsers::Buffer;
 use std::io::Read;
@@ -52,7 +52,7 @@
         if !left.is_empty() {
             log::debug!(open = left.len(); "connection broke");
         }
-        left.into_iter().for_each(|op| self.gateways.means.desk.hand(op, News::Gone));
+        left.into_iter().for_each(|op| self.gateways.services.dispatcher.hand(op, News::Gone));
     }
 }
 
--- a/crates/hazelspur-server/src/fronts/gateways.rs
+++ b/crates/hazelspur-server/src/fronts/gateways.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::sleep;
 use crate::fronts::answers::{Answers, Stage};
-use crate::fronts::kinds::Kinds;
-use crate::ops::life::Means;
+use crate::fronts::catalog::Catalog;
+use crate::ops::life::Services;
 use crate::start::descriptors::Descriptors;
 use crate::start::phases::{Phase, Phases};
 use hazelspur::Span;
@@ -32,8 +32,8 @@
 const MOST_TOLD: u32 = 4;
 
 pub struct Gateways {
-    pub means: Rc<Means>,
-    pub kinds: Rc<Kinds>,
+    pub services: Rc<Services>,
+    pub catalog: Rc<Catalog>,
     phases: Rc<Phases>,
     /// Until no connection is taken any more.
     listener: RefCell<Option<TcpListener>>,
@@ -49,14 +49,23 @@
 
 impl Gateways {
     pub fn new(
-        means: Rc<Means>,
+        services: Rc<Services>,
         phases: Rc<Phases>,
-        kinds: Rc<Kinds>,
+        catalog: Rc<Catalog>,
         listener: TcpListener,
         budget: Descriptors,
     ) -> Self {
         let (connections, last, bad) = (RefCell::default(), Cell::default(), Cell::default());
-        Self { means, phases, kinds, listener: RefCell::new(Some(listener)), budget, connections, last, bad }
+        Self {
+            services,
+            phases,
+            catalog,
+            listener: RefCell::new(Some(listener)),
+            budget,
+            connections,
+            last,
+            bad,
+        }
     }
 
     /// How many ops are owed an answer, on how many connections.
@@ -146,7 +155,7 @@
     /// Counts a connection from the moment it is accepted: many may come before the first of their tasks runs.
     fn welcome(self: Rc<Self>, stream: TcpStream) {
         self.evict(false);
-        let answers = Rc::new(Answers::new(self.means.desk.clone()));
+        let answers = Rc::new(Answers::new(self.services.dispatcher.clone()));
         let connection = ConnectionId(self.last.get().0 + 1);
         self.last.set(connection);
         self.connections.borrow_mut().insert(connection, answers.clone());
@@ -186,8 +195,8 @@
         loop {
             let phase = self.phases.now();
             let closing = matches!(phase, Phase::Closing | Phase::Ending);
-            let now = self.means.desk.clock.now();
-            let idle = self.means.desk.keep_idle.get();
+            let now = self.services.dispatcher.clock.now();
+            let idle = self.services.dispatcher.keep_idle.get();
             for connection in self.connections.borrow().values() {
                 let open = !connection.open.borrow().is_empty();
                 let partial = connection.partial_since.get();
--- a/crates/hazelspur-server/src/fronts/mod.rs
+++ b/crates/hazelspur-server/src/fronts/mod.rs
@@ -1,8 +1,8 @@
 //! Where ops are read and answered.
 
 pub mod answers;
+pub mod catalog;
 pub mod connection;
 pub mod gateways;
-pub mod kinds;
 pub mod queues;
 pub mod requests;
--- a/crates/hazelspur-server/src/fronts/queues.rs
+++ b/crates/hazelspur-server/src/fronts/queues.rs
@@ -3,10 +3,10 @@
 //! decided by the module, as for every op.
 
 use crate::clock::{long, sleep};
-use crate::fronts::kinds::{Kinds, LONGEST_BODY};
+use crate::fronts::catalog::{Catalog, LONGEST_BODY};
 use crate::ops::deduplication::{Found, Key, Keyed};
-use crate::ops::desk::News;
-use crate::ops::life::{Life, Means};
+use crate::ops::dispatcher::News;
+use crate::ops::life::{Life, Services};
 use crate::ops::owed::{Front, MayRun, Owed};
 use crate::start::operator::{Amqp, Operator, Queue, SentBy, Settle};
 use crate::start::phases::{Phase, Phases};
@@ -63,9 +63,9 @@
 }
 
 pub struct Queues {
-    means: Rc<Means>,
+    services: Rc<Services>,
     phases: Rc<Phases>,
-    kinds: Rc<Kinds>,
+    catalog: Rc<Catalog>,
     amqp: Amqp,
     queues: Vec<Queue>,
     name: String,
@@ -98,14 +98,14 @@
 
 impl Queues {
     pub fn new(
-        means: Rc<Means>,
+        services: Rc<Services>,
         phases: Rc<Phases>,
-        kinds: Rc<Kinds>,
+        catalog: Rc<Catalog>,
         amqp: &Amqp,
         operator: &Operator,
         (name, seed): (&str, u64),
     ) -> Rc<Self> {
-        let now = means.desk.clock.now();
+        let now = services.dispatcher.clock.now();
         let queues = operator.queues.clone();
         let terms = queues
             .iter()
@@ -134,9 +134,9 @@
             moving: Cell::new(false),
             leaving: Cell::new(false),
             over: Cell::new(false),
-            means,
+            services,
             phases,
-            kinds,
+            catalog,
             amqp: amqp.clone(),
             queues,
             name: name.into(),
@@ -164,7 +164,7 @@
     }
 
     fn now(&self) -> Moment {
-        self.means.desk.clock.now()
+        self.services.dispatcher.clock.now()
     }
 
     fn publishing_on(&self) -> u16 {
@@ -321,10 +321,16 @@
     /// Takes what came.
     fn hear(&self, linked: &mut Linked) {
         let now = self.now();
-        let mut ears =
-            Ears { front: self, link: linked.link, now, opened: false, ready: Vec::new(), ended: Vec::new() };
+        let mut ears = SessionEvents {
+            front: self,
+            link: linked.link,
+            now,
+            opened: false,
+            ready: Vec::new(),
+            ended: Vec::new(),
+        };
         linked.session.take(now, &mut ears);
-        let Ears { opened, ready, ended, .. } = ears;
+        let SessionEvents { opened, ready, ended, .. } = ears;
         if opened {
             log::info!(broker:% = self.brokers.borrow().address(), queues = self.queues.len(); "broker open");
             let channels = 1..=self.publishing_on();
@@ -396,9 +402,9 @@
             return;
         }
         self.sampled.set(now);
-        let (counts, before) = (self.means.desk.counts.get(), self.counted.get());
+        let (counts, before) = (self.services.dispatcher.counts.get(), self.counted.get());
         self.counted.set(counts);
-        let (mut book, spare) = (self.book.borrow_mut(), self.means.desk.spare());
+        let (mut book, spare) = (self.book.borrow_mut(), self.services.dispatcher.spare());
         for (i, window) in self.windows.borrow_mut().iter_mut().enumerate() {
             window.outcomes(counts.0.wrapping_sub(before.0), counts.1.wrapping_sub(before.1));
             let open = book.open_in(QueueId(i));
@@ -422,7 +428,7 @@
                 Step::Offer(id) => self.offer(now, id),
                 Step::Withdraw(id) => {
                     let op = self.parts.borrow().get(&id).map(|parts| parts.op);
-                    op.into_iter().for_each(|op| self.means.desk.hand(op, News::Gone));
+                    op.into_iter().for_each(|op| self.services.dispatcher.hand(op, News::Gone));
                 }
                 Step::Begin(id, may) => {
                     // The op's task may have ended meanwhile.
@@ -477,31 +483,34 @@
         let Some((parts, read)) = parts.get(&id).and_then(|parts| Some((parts, parts.read.as_ref()?))) else {
             return log::error!("a delivery without its parts");
         };
-        let (desk, op) = (&self.means.desk, parts.op);
-        let Some(news) = desk.enroll(op) else { return log::error!(op:%; "an op id twice") };
+        let (dispatcher, op) = (&self.services.dispatcher, parts.op);
+        let Some(news) = dispatcher.enroll(op) else { return log::error!(op:%; "an op id twice") };
         let keyed = read.key.clone().map(|key| {
             let body = parts.body.clone();
-            desk.deduplication.borrow_mut().read(now, Keyed { op, key, arrived: now, body, vouched: true })
+            dispatcher
+                .deduplication
+                .borrow_mut()
+                .read(now, Keyed { op, key, arrived: now, body, vouched: true })
         });
         let repeat_of = match keyed {
             None | Some(Found::First) => None,
             Some(Found::RepeatOf(first)) => read.key.clone().map(|key| (key, first)),
             Some(Found::NotTheSame) => {
-                desk.strike(op);
+                dispatcher.strike(op);
                 log::warn!(queue = self.queues[parts.queue.0].name.as_str(); "another op's message-id");
                 return self.ended(id, Ending::Failed, &[]);
             }
         };
         let caller = Caller { front: self.this(), id };
         let life = Life {
-            means: self.means.clone(),
+            services: self.services.clone(),
             op,
-            class: self.kinds.name(read.op_type),
+            class: self.catalog.name(read.op_type),
             body: parts.body.clone(),
-            may_repeat: self.kinds.may_repeat(read.op_type),
+            may_repeat: self.catalog.may_repeat(read.op_type),
             repeat_of,
             ran: false,
-            owed: Owed::new(caller, desk.clone()),
+            owed: Owed::new(caller, dispatcher.clone()),
             news,
         };
         let via = CallerId(u64::MAX - parts.queue.0 as u64);
@@ -576,7 +585,7 @@
                 .map(|ms| Moment::from_us(ms.saturating_mul(1000)))
                 .or(properties.timestamp.map(|s| Moment::from_us(s.saturating_mul(1_000_000)))),
         };
-        let clock = &self.means.desk.clock;
+        let clock = &self.services.dispatcher.clock;
         let sent = stamped.filter(|sent| clock.stamped(*sent) <= now + AHEAD).unwrap_or(clock.wall());
         let waits = ms(header(WAITS))
             .or(properties.expiration.and_then(|ms| ms.parse().ok()).map(|ms: u32| Span::from_ms(ms.into())))
@@ -590,8 +599,8 @@
         };
         let readable = || {
             let name = queue.op_type.as_deref().or(properties.kind).ok_or(Ending::Unknown)?;
-            let op_type = self.kinds.find(name).ok_or(Ending::Unknown)?;
-            let tenant = self.kinds.tenant(text("x-owner")?).ok_or(Ending::Poison)?;
+            let op_type = self.catalog.find(name).ok_or(Ending::Unknown)?;
+            let tenant = self.catalog.tenant(text("x-owner")?).ok_or(Ending::Poison)?;
             let kb = match header("x-need-kb") {
                 None => queue.need_kb,
                 Some(Field::Number(kb)) => kb,
@@ -602,7 +611,7 @@
             }
             let subject = text("x-subject")?;
             let (user, op_key) = (subject.map(UserKey::of), properties.message_id);
-            let key = self.kinds.key(op_type, tenant, op_key, op_key.or(subject));
+            let key = self.catalog.key(op_type, tenant, op_key, op_key.or(subject));
             Ok(Readable { op_type, tenant, user, key, kb })
         };
         (readable(), sent, due, tries)
@@ -672,7 +681,7 @@
 const LEAST_COME_BACK: Span = Span::from_ms(200);
 
 /// Hears one session.
-struct Ears<'a> {
+struct SessionEvents<'a> {
     front: &'a Queues,
     link: Link,
     now: Moment,
@@ -682,7 +691,7 @@
     ended: Vec<(u16, bool, String)>,
 }
 
-impl Listener for Ears<'_> {
+impl Listener for SessionEvents<'_> {
     fn open(&mut self) {
         self.opened = true;
     }
@@ -714,7 +723,7 @@
             queue,
             message: known.message_id,
             redelivered,
-            repeats: read.as_ref().map(|read| front.kinds.repeats(read.op_type)).map_err(|ending| *ending),
+            repeats: read.as_ref().map(|read| front.catalog.repeats(read.op_type)).map_err(|ending| *ending),
             due,
             reply: known.reply_to.is_some_and(|to| !to.is_empty()),
             tries,
--- a/crates/hazelspur-server/src/fronts/requests.rs
+++ b/crates/hazelspur-server/src/fronts/requests.rs
@@ -1,10 +1,10 @@
 //! What gateways ask: lines, health checks, interrupts and ops, read strictly.
 
 use crate::fronts::answers::{Answers, Caller};
+use crate::fronts::catalog::LONGEST_BODY;
 use crate::fronts::gateways::Gateways;
-use crate::fronts::kinds::LONGEST_BODY;
 use crate::ops::deduplication::{Found, Keyed};
-use crate::ops::desk::News;
+use crate::ops::dispatcher::News;
 use crate::ops::life::Life;
 use crate::ops::owed::Owed;
 use hazelspur::{CallerId, Moment, OpId, Span, UserKey};
@@ -43,7 +43,7 @@
             answers.partial_since.set(None);
         }
         if !buffer.unread().is_empty() && answers.partial_since.get().is_none() {
-            answers.partial_since.set(Some(self.means.desk.clock.now()));
+            answers.partial_since.set(Some(self.services.dispatcher.clock.now()));
         }
     }
 
@@ -69,9 +69,9 @@
             ("check", Some(id)) => {
                 answers.for_health.set(true);
                 answers.proven.set(true);
-                answers.quiet_since.set(self.means.desk.clock.now());
-                let desk = &self.means.desk;
-                answers.put(|out| rpc::check(out, id, desk.good.get(), desk.signal.get()));
+                answers.quiet_since.set(self.services.dispatcher.clock.now());
+                let dispatcher = &self.services.dispatcher;
+                answers.put(|out| rpc::check(out, id, dispatcher.good.get(), dispatcher.signal.get()));
             }
             (class, Some(id)) => {
                 // What is open under this id has its own answer.
@@ -97,8 +97,8 @@
         if let Some(op) = op {
             open.retain(|_, other| *other != op); // its place is free for the next line already
             drop(open);
-            answers.quiet_since.set(self.means.desk.clock.now());
-            self.means.desk.hand(op, News::Gone);
+            answers.quiet_since.set(self.services.dispatcher.clock.now());
+            self.services.dispatcher.hand(op, News::Gone);
         }
     }
 
@@ -111,8 +111,8 @@
         params: Option<Json>,
     ) -> Result<(), Refusal> {
         let bad = |what: &'static str| (rpc::BAD_PARAMS, what);
-        let desk = &self.means.desk;
-        let op_type = self.kinds.find(class).ok_or((rpc::NO_METHOD, "no such method"))?;
+        let dispatcher = &self.services.dispatcher;
+        let op_type = self.catalog.find(class).ok_or((rpc::NO_METHOD, "no such method"))?;
         let params = params.filter(|p| p.is_object()).ok_or(bad("params is no object"))?.table();
         let req = params.get("req").and_then(Json::text);
         let op = req.and_then(|req| OpId::padded(&req)).ok_or(bad("req is no id"))?;
@@ -122,7 +122,7 @@
         let need = need.ok_or(bad("need is out of range"))?;
         let level = params.get("level").is_none_or(|l| l.number().is_some_and(|l| (0.0..=1.0).contains(&l)));
         let owner = params.get("owner").map(|o| o.text().ok_or(bad("owner is no string"))).transpose()?;
-        let tenant = self.kinds.tenant(owner.as_deref()).ok_or(bad("owner is not known"))?;
+        let tenant = self.catalog.tenant(owner.as_deref()).ok_or(bad("owner is not known"))?;
         let timeout = params.get("timeout").map(|t| t.number().filter(|ms| *ms >= 0.0));
         let timeout = timeout.map(|ms| ms.ok_or(bad("timeout is no time"))).transpose()?;
         let subject =
@@ -130,43 +130,43 @@
         let opkey = params.get("opkey").map(|k| k.text().ok_or(bad("opkey is no string"))).transpose()?;
         let body = params.get("data").map_or(Some(Vec::new()), |data| rpc::body(&data.text()?));
         let body = body.filter(|body| body.len() <= LONGEST_BODY).ok_or(bad("data is no body"))?;
-        let now = desk.clock.now();
-        let arrived = desk.clock.stamped(Moment::from_us(ts.saturating_mul(1000)));
+        let now = dispatcher.clock.now();
+        let arrived = dispatcher.clock.stamped(Moment::from_us(ts.saturating_mul(1000)));
         let due = timeout.map(|ms| arrived + Span::from_secs(ms / 1000.0));
         // From now on: one that was long on its way may name a wait that is long from its stamp.
-        let longest = now + self.kinds.timeout(op_type).scaled(TIMEOUT_SLACK);
+        let longest = now + self.catalog.timeout(op_type).scaled(TIMEOUT_SLACK);
         if !level || arrived > now + AHEAD || due.is_some_and(|due| due > longest) {
             return Err(bad("level, ts or timeout is out of range"));
         }
         if answers.open.borrow().len() >= MOST_OPEN || answers.open.borrow().contains_key(&id) {
             return Err((rpc::NOT_VALID, "too many open, or this id is"));
         }
-        if !desk.is_open() {
+        if !dispatcher.is_open() {
             return Err((rpc::NACKED, "not serving yet"));
         }
-        if due.unwrap_or(arrived + self.kinds.timeout(op_type)) + LONG_PAST <= now {
+        if due.unwrap_or(arrived + self.catalog.timeout(op_type)) + LONG_PAST <= now {
             return Err((rpc::NACKED, "its time was over long ago"));
         }
-        let news = desk.enroll(op).ok_or(bad("this req is in hand"))?;
+        let news = dispatcher.enroll(op).ok_or(bad("this req is in hand"))?;
         let user = subject.as_deref().map(UserKey::of);
         let body: Rc<[u8]> = body.into();
-        let key = self.kinds.key(op_type, tenant, opkey.as_deref(), subject.as_deref());
+        let key = self.catalog.key(op_type, tenant, opkey.as_deref(), subject.as_deref());
         let found = key.clone().map_or(Found::First, |key| {
             let keyed = Keyed { op, key, arrived, body: body.clone(), vouched: answers.known.get() };
-            desk.deduplication.borrow_mut().read(now, keyed)
+            dispatcher.deduplication.borrow_mut().read(now, keyed)
         });
         let repeat_of = match found {
             Found::First => None,
             Found::RepeatOf(first) => key.map(|key| (key, first)),
             Found::NotTheSame => {
-                desk.strike(op);
+                dispatcher.strike(op);
                 return Err(bad("this opkey is another op's"));
             }
         };
-        let owed = Owed::new(Caller::new(answers.clone(), id, op), desk.clone());
-        let class = self.kinds.name(op_type);
-        let (means, may_repeat) = (self.means.clone(), self.kinds.may_repeat(op_type));
-        let life = Life { means, op, class, body, may_repeat, repeat_of, ran: false, owed, news };
+        let owed = Owed::new(Caller::new(answers.clone(), id, op), dispatcher.clone());
+        let class = self.catalog.name(op_type);
+        let (services, may_repeat) = (self.services.clone(), self.catalog.may_repeat(op_type));
+        let life = Life { services, op, class, body, may_repeat, repeat_of, ran: false, owed, news };
         tokio::task::spawn_local(life.live(op_type, tenant, user, CallerId(via), due, need, arrived));
         Ok(())
     }
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -16,12 +16,12 @@
 use clap::Parser;
 use clock::{long, sleep};
 use fleet::talk::{Around, Talk};
+use fronts::catalog::Catalog;
 use fronts::gateways::Gateways;
-use fronts::kinds::Kinds;
 use fronts::queues::Queues;
 use hazelspur::{Fact, Logic, Span};
-use ops::desk::Desk;
-use ops::life::Means;
+use ops::dispatcher::Dispatcher;
+use ops::life::Services;
 use start::command::{Command, Line, Serve, Shape};
 use start::descriptors::Descriptors;
 use start::operator::{self, Operator};
@@ -139,23 +139,24 @@
     let (startup, hangup) = (Rc::new(startup), Rc::new(RefCell::new(hangup)));
     let Startup { listen, seed, stop, grace, .. } = *startup;
     let budget = Descriptors::allowed(startup.sockets);
-    let (desk, phases) = (Rc::new(Desk::default()), Rc::new(Phases::default()));
-    desk.clock.set_apart(line.clock_apart_ms);
-    desk.deduplication.replace(startup.deduplication());
+    let (dispatcher, phases) = (Rc::new(Dispatcher::default()), Rc::new(Phases::default()));
+    dispatcher.clock.set_apart(line.clock_apart_ms);
+    dispatcher.deduplication.replace(startup.deduplication());
     let peers = Rc::new(Peers::new(startup.addresses));
-    let link = Rc::new(Link::new(desk.clone(), peers.clone(), startup.gauges.clone()));
+    let link = Rc::new(Link::new(dispatcher.clone(), peers.clone(), startup.gauges.clone()));
     let ledger = Rc::new(Ledger::new(peers.clone(), budget.calls));
-    let means = Rc::new(Means { desk: desk.clone(), link: link.clone(), ledger: ledger.clone() });
-    let kinds = Rc::new(Kinds::new(&startup));
+    let services =
+        Rc::new(Services { dispatcher: dispatcher.clone(), link: link.clone(), ledger: ledger.clone() });
+    let catalog = Rc::new(Catalog::new(&startup));
     let queues = operator.amqp.as_ref().map(|amqp| {
         let who = (startup.name.as_str(), seed);
-        Queues::new(means.clone(), phases.clone(), kinds.clone(), amqp, &operator, who)
+        Queues::new(services.clone(), phases.clone(), catalog.clone(), amqp, &operator, who)
     });
     let talk = match &operator.fleet {
         Some(fleet) => {
             let who = (startup.name.as_str(), seed);
             let around = Around {
-                desk: desk.clone(),
+                dispatcher: dispatcher.clone(),
                 peers: peers.clone(),
                 phases: phases.clone(),
                 tenants: startup.tenants.clone(),
@@ -171,19 +172,19 @@
         bound = bind(listen) => bound?,
         _ = leave.recv() => return Ok(()),
     };
-    let gateways = Rc::new(Gateways::new(means, phases.clone(), kinds, listener, budget));
+    let gateways = Rc::new(Gateways::new(services, phases.clone(), catalog, listener, budget));
     let (name, queued) = (startup.name.as_str(), operator.queues.len());
     log::info!(name, listen:%, stop_ms = stop.us() / 1000, queues = queued, connections = budget.gateways,
         calls = budget.calls; "start");
 
-    let told = reload::Told {
+    let reloader = reload::Reloader {
         peers: peers.clone(),
         running: startup.clone(),
         file: line.file.clone(),
         queues: queues.clone(),
     };
-    let told = Rc::new(told);
-    supervise("reload", &hangup, move |hangup| reload::on_hangup(hangup, told.clone()));
+    let reloader = Rc::new(reloader);
+    supervise("reload", &hangup, move |hangup| reload::on_hangup(hangup, reloader.clone()));
     if let Some(queues) = &queues {
         supervise("queues", queues, Queues::run);
     }
@@ -194,8 +195,8 @@
     supervise("connections", &gateways, Gateways::tick);
     supervise("runtime", &link, Link::run);
     supervise("tick", &link, Link::tick);
-    supervise("desk", &desk, Desk::run);
-    let (reporting, name) = (desk.clone(), startup.name.clone());
+    supervise("dispatcher", &dispatcher, Dispatcher::run);
+    let (reporting, name) = (dispatcher.clone(), startup.name.clone());
     supervise("control", &phases, move |phases| {
         control::report(name.clone(), seed, peers.clone(), reporting.clone(), phases)
     });
@@ -207,8 +208,8 @@
     let opened = known.map(|(hot, up)| {
         let mut facts = startup.facts.clone();
         facts.0.insert("server.cold".into(), Fact::Num(f64::from(u8::from(!hot))));
-        let began = desk.clock.now().back(up);
-        desk.open(Logic::new(facts, seed, began).map_err(Error::other)?);
+        let began = dispatcher.clock.now().back(up);
+        dispatcher.open(Logic::new(facts, seed, began).map_err(Error::other)?);
         log::info!(cold = !hot, up_ms = up.us() / 1000; "runtime known");
         Ok(())
     });
@@ -217,17 +218,17 @@
         phases.enter(Phase::Serving, gateways.figures());
         leave.recv().await;
     }
-    let noticed = desk.clock.now();
+    let noticed = dispatcher.clock.now();
     let stop = noticed + stop;
     if serving {
-        desk.tell(|logic, now| logic.leave_notice(now, stop));
+        dispatcher.tell(|logic, now| logic.leave_notice(now, stop));
         phases.enter(Phase::Draining, gateways.figures());
-        desk.clock.sleep_until((noticed + grace).min(stop.back(ENDING))).await;
+        dispatcher.clock.sleep_until((noticed + grace).min(stop.back(ENDING))).await;
     }
     let all_ended = || gateways.over() && queues.as_ref().is_none_or(|queues| queues.over());
     for (phase, until) in [(Phase::Closing, stop.back(ENDING)), (Phase::Ending, stop.back(STOP_MARGIN))] {
         phases.enter(phase, gateways.figures());
-        while desk.clock.now() < until && !all_ended() {
+        while dispatcher.clock.now() < until && !all_ended() {
             sleep(Span::from_ms(5)).await;
         }
     }
--- a/crates/hazelspur-server/src/ops/desk.rs
+++ b/crates/hazelspur-server/src/ops/dispatcher.rs
@@ -1,4 +1,4 @@
-//! The desk owns the `Logic`: tasks report inputs, the desk pulls decisions once all that has come in is
+//! The dispatcher owns the `Logic`: tasks report inputs, the dispatcher pulls decisions once all that has come in is
 //! told, and hands each to the op's task or to its owner.
 
 use crate::clock::Clock;
@@ -27,7 +27,7 @@
 pub type Leases = (Moment, Vec<(String, f64)>);
 
 #[derive(Default)]
-pub struct Desk {
+pub struct Dispatcher {
     pub clock: Clock,
     logic: RefCell<Option<Logic>>,
     ops: RefCell<BTreeMap<OpId, UnboundedSender<News>>>,
@@ -47,7 +47,7 @@
     lapsed: Cell<bool>,
 }
 
-impl Desk {
+impl Dispatcher {
     pub fn open(&self, logic: Logic) {
         *self.logic.borrow_mut() = Some(logic);
         self.stirred.notify_one();
--- a/crates/hazelspur-server/src/ops/life.rs
+++ b/crates/hazelspur-server/src/ops/life.rs
@@ -4,7 +4,7 @@
 use crate::back::ledger::Ledger;
 use crate::back::runtime::Link;
 use crate::ops::deduplication::Key;
-use crate::ops::desk::{Desk, News};
+use crate::ops::dispatcher::{Dispatcher, News};
 use crate::ops::owed::{MayRun, Owed};
 use hazelspur::{CallerId, Decision, Moment, OpId, OpTypeId, Outcome, TenantId, UserKey};
 use std::future::{Future, pending};
@@ -13,14 +13,14 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 /// What an op's task works with.
-pub struct Means {
-    pub desk: Rc<Desk>,
+pub struct Services {
+    pub dispatcher: Rc<Dispatcher>,
     pub link: Rc<Link>,
     pub ledger: Rc<Ledger>,
 }
 
 pub struct Life {
-    pub means: Rc<Means>,
+    pub services: Rc<Services>,
     pub op: OpId,
     pub class: Rc<str>,
     pub body: Rc<[u8]>,
@@ -48,11 +48,11 @@
         kb: f64,
         arrived: Moment,
     ) {
-        let means = self.means.clone();
-        let (desk, link) = (&means.desk, &means.link);
+        let services = self.services.clone();
+        let (dispatcher, link) = (&services.dispatcher, &services.link);
         // read
         let (op, repeat_of) = (self.op, self.repeat_of.as_ref().map(|(_, first)| *first));
-        desk.tell(|logic, now| {
+        dispatcher.tell(|logic, now| {
             let age = now - arrived;
             logic.op_read(now, op, op_type, tenant, user, caller, due, None, kb, age, false, repeat_of);
         });
@@ -65,9 +65,10 @@
                     awaits_first = true;
                     let end = self.repeat_of.as_ref().map_or_else(
                         || Some((Outcome::Error, Rc::from([]))),
-                        |(key, first)| desk.deduplication.borrow_mut().wait_for(key, *first, self.op),
+                        |(key, first)| dispatcher.deduplication.borrow_mut().wait_for(key, *first, self.op),
                     );
-                    end.into_iter().for_each(|(end, result)| desk.hand(self.op, News::Ended(end, result)));
+                    end.into_iter()
+                        .for_each(|(end, result)| dispatcher.hand(self.op, News::Ended(end, result)));
                     continue;
                 }
                 News::Decided(decision) => {
@@ -80,10 +81,10 @@
                 News::Gone => {
                     self.gone();
                     // Its run may just have been decided: the module must not count it as running for ever.
-                    return desk.tell(|logic, now| logic.run_ended(now, op, Outcome::Moot));
+                    return dispatcher.tell(|logic, now| logic.run_ended(now, op, Outcome::Moot));
                 }
                 News::Ended(outcome, result) if awaits_first => {
-                    desk.tell(|logic, now| logic.run_ended(now, self.op, outcome));
+                    dispatcher.tell(|logic, now| logic.run_ended(now, self.op, outcome));
                     return if outcome == Outcome::Ok {
                         self.owed.acked(&result)
                     } else {
@@ -96,7 +97,7 @@
                 && !shown.await.unwrap_or(false)
             {
                 // Its front has settled it, or lost it: it never runs.
-                desk.tell(|logic, now| {
+                dispatcher.tell(|logic, now| {
                     logic.op_gone(op);
                     logic.run_ended(now, op, Outcome::Moot);
                 });
@@ -116,7 +117,7 @@
                         if outcome == Outcome::Ok {
                             link.give(self.op, reply);
                         }
-                        desk.tell(|logic, now| logic.call_ended(now, self.op, outcome));
+                        dispatcher.tell(|logic, now| logic.call_ended(now, self.op, outcome));
                         continue;
                     }
                 };
@@ -125,13 +126,16 @@
                     Some(News::Wants(body)) => {
                         self.owed.known();
                         (wanted, repeated) = (body.into(), false);
-                        desk.tell(|logic, now| logic.call_wanted(now, self.op));
+                        dispatcher.tell(|logic, now| logic.call_wanted(now, self.op));
                     }
                     Some(News::Decided(Decision::Call { patience, .. })) => {
-                        let (means, op, wanted) = (means.clone(), self.op, wanted.clone());
+                        let (services, op, wanted) = (services.clone(), self.op, wanted.clone());
                         let fresh = repeated || !self.may_repeat;
                         call = Box::pin(async move {
-                            means.ledger.call(&means.desk.clock, op, patience, &wanted, fresh).await
+                            services
+                                .ledger
+                                .call(&services.dispatcher.clock, op, patience, &wanted, fresh)
+                                .await
                         });
                         repeated = true;
                     }
@@ -147,17 +151,17 @@
                     }
                     Some(News::Unknown) => {
                         self.ran = false;
-                        desk.tell(|logic, now| logic.run_ended(now, self.op, Outcome::Error));
+                        dispatcher.tell(|logic, now| logic.run_ended(now, self.op, Outcome::Error));
                         return self.owed.unknown();
                     }
                     // result
                     Some(News::Ended(outcome, result)) => {
-                        desk.tell(|logic, now| logic.run_ended(now, self.op, outcome));
+                        dispatcher.tell(|logic, now| logic.run_ended(now, self.op, outcome));
                         self.ran &= outcome != Outcome::Moot; // nothing was started
                         match outcome {
                             Outcome::Ok => {
                                 self.owed.known();
-                                desk.try_ended(self.op, outcome, &result);
+                                dispatcher.try_ended(self.op, outcome, &result);
                                 self.owed.acked(&result);
                             }
                             Outcome::Stopped if self.owed.pending() => continue 'held,
@@ -173,7 +177,7 @@
 
     fn gone(&mut self) {
         let op = self.op;
-        self.means.desk.tell(|logic, _| logic.op_gone(op));
+        self.services.dispatcher.tell(|logic, _| logic.op_gone(op));
         self.owed.release();
     }
 
@@ -196,13 +200,13 @@
         }
         if std::thread::panicking() {
             let op = self.op;
-            self.means.desk.tell(|logic, now| logic.run_ended(now, op, Outcome::Error));
+            self.services.dispatcher.tell(|logic, now| logic.run_ended(now, op, Outcome::Error));
         }
         if self.ran {
-            self.means.desk.try_ended(self.op, Outcome::Error, &Rc::from([]));
+            self.services.dispatcher.try_ended(self.op, Outcome::Error, &Rc::from([]));
         } else {
-            self.means.desk.try_never_ran(self.op);
+            self.services.dispatcher.try_never_ran(self.op);
         }
-        self.means.desk.strike(self.op);
+        self.services.dispatcher.strike(self.op);
     }
 }
--- a/crates/hazelspur-server/src/ops/mod.rs
+++ b/crates/hazelspur-server/src/ops/mod.rs
@@ -1,6 +1,6 @@
 //! An op between its reading and its answer.
 
 pub mod deduplication;
-pub mod desk;
+pub mod dispatcher;
 pub mod life;
 pub mod owed;
--- a/crates/hazelspur-server/src/ops/owed.rs
+++ b/crates/hazelspur-server/src/ops/owed.rs
@@ -1,6 +1,6 @@
 //! The one answer that an op's caller is owed, whichever front has read the op.
 
-use crate::ops::desk::Desk;
+use crate::ops::dispatcher::Dispatcher;
 use hazelspur::Span;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -33,13 +33,13 @@
 /// Gives one answer and no second; dropped without one it fails the op.
 pub struct Owed {
     front: Box<dyn Front>,
-    desk: Rc<Desk>,
+    dispatcher: Rc<Dispatcher>,
     pending: bool,
 }
 
 impl Owed {
-    pub fn new(front: impl Front + 'static, desk: Rc<Desk>) -> Self {
-        Self { front: Box::new(front), desk, pending: true }
+    pub fn new(front: impl Front + 'static, dispatcher: Rc<Dispatcher>) -> Self {
+        Self { front: Box::new(front), dispatcher, pending: true }
     }
 
     pub fn pending(&self) -> bool {
@@ -56,14 +56,14 @@
 
     pub fn acked(&mut self, result: &[u8]) {
         if self.take() {
-            self.desk.count(true);
+            self.dispatcher.count(true);
             self.front.acked(result);
         }
     }
 
     pub fn nacked(&mut self, come_back: Span, nowhere_else: bool) {
         if self.take() {
-            self.desk.count(false);
+            self.dispatcher.count(false);
             self.front.nacked(come_back, nowhere_else);
         }
     }
--- a/crates/hazelspur-server/src/start/reload.rs
+++ b/crates/hazelspur-server/src/start/reload.rs
@@ -10,7 +10,7 @@
 use tokio::signal::unix::Signal;
 
 /// What a reload compares with and changes.
-pub struct Told {
+pub struct Reloader {
     pub peers: Rc<Peers>,
     pub running: Rc<Startup>,
     /// The operator's file, and the consumer that goes by it.
@@ -18,15 +18,15 @@
     pub queues: Option<Rc<Queues>>,
 }
 
-pub async fn on_hangup(hangup: Rc<RefCell<Signal>>, told: Rc<Told>) {
+pub async fn on_hangup(hangup: Rc<RefCell<Signal>>, reloader: Rc<Reloader>) {
     // Nobody else borrows it: one task listens, or the next after that one failed.
     while std::future::poll_fn(|context| hangup.borrow_mut().poll_recv(context)).await.is_some() {
         match startup::read(|name| std::env::var(name).ok()) {
-            Ok(new) => take(&told.peers, &told.running, &new),
+            Ok(new) => take(&reloader.peers, &reloader.running, &new),
             Err(why) => log::error!(why; "reload refused, the old configuration stays"),
         }
-        if let (Some(file), Some(queues)) = (&told.file, &told.queues) {
-            match operator::read(file, Some(&told.running.op_types)) {
+        if let (Some(file), Some(queues)) = (&reloader.file, &reloader.queues) {
+            match operator::read(file, Some(&reloader.running.op_types)) {
                 Ok(new) => queues.move_to(&new),
                 Err(why) => log::error!(why; "reload refused, the old operator's file stays"),
             }
--- a/crates/hazelspur-server/src/start/startup.rs
+++ b/crates/hazelspur-server/src/start/startup.rs
@@ -32,7 +32,7 @@
     /// What arrives later than this after the leave notice does not run.
     pub grace: Span,
     /// How long the result of a read may serve others.
-    pub share_reads: Span,
+    pub coalesce_for: Span,
     pub facts: Facts,
 }
 
@@ -41,7 +41,7 @@
     pub fn deduplication(&self) -> Deduplication {
         let longest = self.op_timeouts.iter().max().copied().unwrap_or_default();
         let read_late = longest.scaled(TIMEOUT_SLACK) + LONG_PAST;
-        Deduplication::new(self.share_reads, read_late, self.memory / RESULTS_PART)
+        Deduplication::new(self.coalesce_for, read_late, self.memory / RESULTS_PART)
     }
 
     /// The keys that say something new and hold for the life of the process.
@@ -133,7 +133,7 @@
         tenants: names("tenants", ".name"),
         gauges: names("server.meters", ""),
         grace: span("rules.drain_grace_us"),
-        share_reads: span("server.share_reads_us"),
+        coalesce_for: span("server.share_reads_us"),
         facts,
     })
 }
--- a/crates/hazelspur-server/tests/keys.rs
+++ b/crates/hazelspur-server/tests/keys.rs
@@ -235,5 +235,6 @@
         gateway < {"jsonrpc":"2.0","id":2,"result":{"data":"cmlnaHQ="}}
         gateway < {"jsonrpc":"2.0","id":3,"result":{"data":"bGVmdA=="}}
         gateway < {"jsonrpc":"2.0","id":4,"result":{"data":"cmlnaHQ="}}
-    "#]].assert_eq(&town.trace);
+    "#]]
+    .assert_eq(&town.trace);
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -421,7 +421,7 @@
     /// survives. Guards against slow spells; gives up calls for which others may have left room.
     fn make_calls(&mut self, now: Moment) -> Option<Decision> {
         let ready = |op: &Op| op.state == State::WantsCall && op.owed && op.call_after <= now;
-        let skips = |op: &Op| self.shut() && self.op_types[op.op_type].skip_worth > 0.0;
+        let skips = |op: &Op| self.breaker_open() && self.op_types[op.op_type].skip_worth > 0.0;
         if let Some(id) = self.first_by_seq(|op| ready(op) && (op.call_tries >= CALL_TRIES || skips(op))) {
             let op = self.ops.get_mut(&id)?;
             if self.op_types[op.op_type].skip_worth > 0.0 {
@@ -431,7 +431,7 @@
             return Some(self.give_up(now, id));
         }
         let calls = self.count(|op| op.state == State::Calling) as f64 + 1.0;
-        if self.shut() || self.calls_short() || calls > (2.0 * self.calls_bound()).max(1.0) {
+        if self.breaker_open() || self.calls_short() || calls > (2.0 * self.calls_bound()).max(1.0) {
             return None;
         }
         let drain = calls - self.calls_bound();
@@ -506,7 +506,7 @@
         let waiting = self.count(|op| op.state == State::WantsCall) as f64;
         if on_cores + 1.0 > self.run_bound(now)
             || live + 1.0 > self.crowd_ceiling(now)
-            || waiting > self.cores && !self.shut()
+            || waiting > self.cores && !self.breaker_open()
             || waiting > 0.0 && self.calls_short()
         {
             return None;
@@ -537,13 +537,13 @@
     fn head(&self, line: usize, now: Moment) -> Option<OpId> {
         let room = self.memory_limit() - self.memory();
         let factor = self.facts.num("server.run_factor", 8.0) - 1.0;
-        let shut = self.shut();
+        let open = self.breaker_open();
         let kind = |op: &Op| &self.op_types[op.op_type];
         let calls =
             |op: &Op| kind(op).skip_worth <= 0.0 && kind(op).calls.mean_without_top(COSTLY) > Some(0.0);
         self.lines[line].iter().copied().find(|id| {
             let op = &self.ops[id];
-            !(shut && calls(op)) && op.admitted && (op.paused || op.kb * factor <= room) && now < op.due
+            !(open && calls(op)) && op.admitted && (op.paused || op.kb * factor <= room) && now < op.due
         })
     }
 
@@ -739,8 +739,8 @@
     }
 
     /// What all calls go to can't be reached: nothing that will call is run for nothing meanwhile.
-    fn shut(&self) -> bool {
-        self.facts.num("joint.shut", 0.0) > 0.0
+    fn breaker_open(&self) -> bool {
+        self.facts.num("joint.breaker_open", 0.0) > 0.0
     }
 
     fn calls_saved(&self) -> f64 {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -422,10 +422,10 @@
     play.at(100).call_ended("a", Outcome::Ok).pull();
     play.at(150).ended("a", Outcome::Ok).pull();
     play.at(200).read("b", Read::default()).pull();
-    play.at(250).call_wanted("b").told("joint.shut", Some(1.0)).pull();
+    play.at(250).call_wanted("b").told("joint.breaker_open", Some(1.0)).pull();
     play.at(300).read("c", Read::default()).read("d", Read { op_type: 1, ..Read::default() }).pull();
-    play.at(500).told("joint.shut", None).pull();
-    play.at(600).call_ended("b", Outcome::Ok).told("joint.shut", Some(1.0)).pull();
+    play.at(500).told("joint.breaker_open", None).pull();
+    play.at(600).call_ended("b", Outcome::Ok).told("joint.breaker_open", Some(1.0)).pull();
     play.read("e", Read::default()).pull();
     for ms in (640..2000).step_by(40) {
         play.at(ms).beat(0.0).pull();
@@ -454,7 +454,7 @@
     play.read("a", Read::default()).pull();
     play.at(50).call_wanted("a").pull();
     play.at(100).call_ended("a", Outcome::Ok).pull();
-    play.at(150).ended("a", Outcome::Ok).told("joint.shut", Some(1.0)).pull();
+    play.at(150).ended("a", Outcome::Ok).told("joint.breaker_open", Some(1.0)).pull();
     play.at(200).read("b", Read::default()).pull();
     play.at(250).call_wanted("b").pull();
     check(
