A known gateway's connection is not closed for errors or half a line

Read, not seen: (1) four errors closed any connection with what was unread on it; with callers whose giving up is not told, ops open only here could pass 32 on a gateway's connection and each further one counted as an error. Where ops that the runtime knew have come, errors only slow the reading, and one too many is nacked. (2) Half a line was given 2.5 s also where a cut of 6 s lies on the path: 30 s there now. (3) After a farewell of an idle connection the peer has 1.5 s in place of 0.4 s, but in a drain. (4) Whether a runtime restarted is told by its having begun after it was last heard, in place of a second's difference between two estimates.

--- a/crates/hazelspur-server/src/back/runtime.rs
+++ b/crates/hazelspur-server/src/back/runtime.rs
@@ -27,8 +27,6 @@
 /// A runtime may come up long after its link was taken, and says nothing until then; whether the link still
 /// leads anywhere is tried so often.
 const UNREADY_TIMEOUT: Span = Span::from_ms(4000);
-/// A runtime that began so much later than the one before is another.
-const RESTARTED: Span = Span::from_ms(1000);
 /// The module compares gauges with what it knows at that moment, so they are asked for when its timer is due
 /// and used as they come; past this the timer goes without.
 const GAUGES_WITHIN: Span = Span::from_ms(2);
@@ -65,9 +63,8 @@
     heard: Cell<u64>,
     gauges: RefCell<Option<Vec<f64>>>,
     gauges_came: Notify,
-    /// When the last `sync` went out, and the latest moment at which this runtime can have begun.
-    synced: Cell<Moment>,
-    began: Cell<Option<Moment>>,
+    /// When something last came over a link that was up: a runtime that began after that is another.
+    heard_at: Cell<Option<Moment>>,
     state: Cell<Option<(bool, Span)>>,
     state_known: Notify,
 }
@@ -90,8 +87,7 @@
             heard: Cell::new(0),
             gauges: RefCell::default(),
             gauges_came: Notify::new(),
-            synced: Cell::default(),
-            began: Cell::default(),
+            heard_at: Cell::default(),
             state: Cell::new(None),
             state_known: Notify::new(),
         }
@@ -175,7 +171,6 @@
         let mut out = std::mem::take(&mut *self.out.borrow_mut());
         out.clear();
         runtime::sync(&mut out, self.last.get());
-        self.synced.set(self.dispatcher.clock.steady());
         if let Err(e) = write.write_all(&out).await {
             return e.to_string();
         }
@@ -187,6 +182,7 @@
                 let came = tokio::time::timeout(long(silent), read.read_buf(buffer.room())).await;
                 match came.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
                     Ok(0) => return "closed".to_string(),
+                    Ok(_) if self.up.get() => self.heard_at.set(Some(self.dispatcher.clock.steady())),
                     Ok(_) => {}
                     Err(e) => return e.to_string(),
                 }
@@ -281,7 +277,6 @@
 
     /// Another runtime: its notices are numbered anew, and what the one before was given may have run there.
     fn restarted(&self) {
-        self.began.set(Some(self.dispatcher.clock.steady()));
         self.last.set(0);
         let (gone, unsent): (BTreeMap<_, _>, _) = self.runs.take().into_iter().partition(|(_, run)| run.sent);
         self.runs.replace(unsent);
@@ -303,13 +298,10 @@
 
 impl runtime::Listener for Notices<'_> {
     fn ready(&mut self, hot: bool, since_ms: u64) {
-        let (link, since) = (self.0, Span::from_ms(since_ms));
-        let earliest = link.synced.get().back(since);
-        let latest = link.dispatcher.clock.steady().back(since);
-        match link.began.get() {
-            Some(before) if earliest > before + RESTARTED => link.restarted(),
-            Some(before) if before <= latest => {}
-            _ => link.began.set(Some(latest)),
+        let link = self.0;
+        let began = link.dispatcher.clock.steady().back(Span::from_ms(since_ms));
+        if link.heard_at.get().is_some_and(|heard| began > heard) {
+            link.restarted();
         }
         if link.state.replace(Some((hot, Span::from_ms(since_ms)))).is_none() {
             log::info!(hot, up_ms = since_ms; "runtime ready");
--- a/crates/hazelspur-server/src/fronts/answers.rs
+++ b/crates/hazelspur-server/src/fronts/answers.rs
@@ -12,6 +12,9 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::Notify;
 
+/// After so many errors nothing more on a connection is read, unless ops that the runtime knew came on it: a
+/// gateway's other ops on it are to be answered.
+const MOST_FAULTS: u32 = 4;
 /// What a buffer keeps after a burst.
 const KEPT_ROOM: usize = 16 * 1024;
 
@@ -45,6 +48,8 @@
     pub found_late: Cell<bool>,
     /// How often what came on it was no good, and why the last time.
     pub faults: Cell<(u32, &'static str)>,
+    /// What follows on it can't be told apart any more.
+    pub unreadable: Cell<bool>,
     /// Ends what the connection's task waits for: what may come while it is not shut, then the peer's end.
     pub close: Notify,
     out: RefCell<Vec<u8>>,
@@ -69,6 +74,7 @@
             partial_since: Cell::new(None),
             found_late: Cell::new(false),
             faults: Cell::default(),
+            unreadable: Cell::new(false),
             close: Notify::new(),
             out: RefCell::default(),
             more: Notify::new(),
@@ -128,6 +134,11 @@
         let _ = tokio::time::timeout(long(most), written).await;
     }
 
+    /// Nothing more that comes on it is read as an op.
+    pub fn shunned(&self) -> bool {
+        self.unreadable.get() || self.faults.get().0 >= MOST_FAULTS && !self.known.get()
+    }
+
     fn blame(&self, why: &'static str) {
         self.faults.set((self.faults.get().0 + 1, why));
     }
--- a/crates/hazelspur-server/src/fronts/connection.rs
+++ b/crates/hazelspur-server/src/fronts/connection.rs
@@ -5,7 +5,6 @@
 use crate::clock::sleep;
 use crate::fronts::answers::{Answers, Stage};
 use crate::fronts::gateways::{ConnectionId, Gateways};
-use crate::fronts::requests::MOST_FAULTS;
 use crate::ops::dispatcher::News;
 use hazelspur::{OpId, Span};
 use hazelspur_parsers::Buffer;
@@ -112,7 +111,7 @@
             let faults = answers.faults.get().0;
             self.take_lines(answers, buffer);
             let faults_now = answers.faults.get().0;
-            if faults_now >= MOST_FAULTS {
+            if answers.shunned() {
                 return End::Asked;
             } else if faults_now > faults {
                 sleep(FAULT_PAUSE).await;
@@ -126,7 +125,7 @@
     fn last_look(&self, read: &ReadHalf<'_>, answers: &Rc<Answers>, buffer: &mut Buffer) -> bool {
         let (mut chunk, mut came) = ([0; 4096], 0);
         let socket = socket2::SockRef::from(read.as_ref());
-        while came < LOOK && answers.faults.get().0 < MOST_FAULTS {
+        while came < LOOK && !answers.shunned() {
             match (&*socket).read(&mut chunk) {
                 Ok(count @ 1..) => {
                     buffer.room().extend_from_slice(&chunk[..count]);
--- a/crates/hazelspur-server/src/fronts/gateways.rs
+++ b/crates/hazelspur-server/src/fronts/gateways.rs
@@ -16,8 +16,9 @@
 
 const ROUND: Span = Span::from_ms(100);
 const CLOSING_ROUND: Span = Span::from_ms(10);
-/// How long a gateway may take to close a connection after a farewell.
-const FAREWELL: Span = Span::from_ms(400);
+/// How long a gateway may take to close a connection after a farewell; less in a drain, which has an end.
+const FAREWELL: Span = Span::from_ms(1500);
+const LAST_FAREWELL: Span = Span::from_ms(400);
 const HEALTH_IDLE: Span = Span::from_ms(60_000);
 /// So many idle connections are closed at a time when there are too many.
 const EVICTED: usize = 16;
@@ -28,6 +29,8 @@
 const FIRST_GOOD: Span = Span::from_ms(1800);
 /// Within this a line that has begun has to be whole.
 const PARTIAL_LINE: Span = Span::from_ms(2500);
+/// The same where ops that the runtime knew have come: its path may be cut in the middle of an op.
+const KNOWN_PARTIAL_LINE: Span = Span::from_ms(30_000);
 /// Lines on bad connections in a round; more are told as a number.
 const MOST_TOLD: u32 = 4;
 
@@ -200,7 +203,8 @@
             for connection in self.connections.borrow().values() {
                 let open = !connection.open.borrow().is_empty();
                 let partial = connection.partial_since.get();
-                let late = partial.is_some_and(|since| now - since >= PARTIAL_LINE);
+                let within = if connection.known.get() { KNOWN_PARTIAL_LINE } else { PARTIAL_LINE };
+                let late = partial.is_some_and(|since| now - since >= within);
                 let idler = !open && !connection.proven.get() && now - connection.since >= FIRST_GOOD;
                 if connection.found_late.replace(late || idler) && (late || idler) {
                     connection.dismiss("nothing good came in time");
@@ -215,11 +219,12 @@
                     continue;
                 }
                 let quiet = now - connection.quiet_since.get();
+                let parting = if closing { LAST_FAREWELL } else { FAREWELL };
                 let idle = if connection.for_health.get() { Some(HEALTH_IDLE) } else { idle };
                 match connection.stage.get() {
                     Stage::Open if closing || idle.is_some_and(|idle| quiet >= idle) => connection.farewell(),
                     // Half an op is no op yet: its other half is waited for, as long as for any.
-                    Stage::Parting(at) if now - at >= FAREWELL && quiet >= FAREWELL && partial.is_none() => {
+                    Stage::Parting(at) if now - at >= parting && quiet >= parting && partial.is_none() => {
                         connection.end();
                     }
                     _ => {}
--- a/crates/hazelspur-server/src/fronts/requests.rs
+++ b/crates/hazelspur-server/src/fronts/requests.rs
@@ -19,8 +19,6 @@
 /// Nor an op that came so long from now; one whose time was over so long ago runs for nobody.
 const AHEAD: Span = Span::from_ms(2000);
 pub const LONG_PAST: Span = Span::from_ms(1000);
-/// After so many errors nothing more on a connection is read.
-pub const MOST_FAULTS: u32 = 4;
 
 /// An error answer: its code and what it says.
 type Refusal = (i32, &'static str);
@@ -28,12 +26,12 @@
 impl Gateways {
     /// Takes what is whole: each line is answered, begins an op's life, or is a fault of its connection.
     pub fn take_lines(&self, answers: &Rc<Answers>, buffer: &mut Buffer) {
-        while answers.faults.get().0 < MOST_FAULTS {
+        while !answers.shunned() {
             let length = buffer.line();
             if length.unwrap_or(buffer.unread().len()) > LONGEST_LINE {
                 // Its rest may be any length: nothing more is read here.
                 answers.dismiss("the line is too long");
-                answers.faults.set((MOST_FAULTS, "the line is too long"));
+                answers.unreadable.set(true);
                 answers.partial_since.set(None);
                 return buffer.take(buffer.unread().len());
             }
@@ -138,7 +136,12 @@
         if !level || arrived > now + AHEAD || due.is_some_and(|due| due > longest) {
             return Err(bad("level, ts or timeout is out of range"));
         }
-        if answers.open.borrow().len() >= MOST_OPEN || answers.open.borrow().contains_key(&id) {
+        let (open, is_open) = (answers.open.borrow().len(), answers.open.borrow().contains_key(&id));
+        if open >= MOST_OPEN && !is_open && answers.known.get() {
+            // Where nobody says that a caller has given up, some of these are open only from here.
+            return Err((rpc::NACKED, "too many open"));
+        }
+        if open >= MOST_OPEN || is_open {
             return Err((rpc::NOT_VALID, "too many open, or this id is"));
         }
         if !dispatcher.is_open() {
