The first cycle's length is drawn by the seed: servers that begin together keep no step

Measured with thirty modules that begin in one instant under more than they can do: 8 of 30 changed R's mode at 8.0 s, 9 at 12.0 s, 6 at 16.0 s, 8 at 20.0 s, since a cycle short of successes ends CYCLE_MAX after the one before, counted from the start (logic.rs, new, cycle_began). Come-back times were spread already (most 120 in 100 ms, mean 83).

--- a/crates/hazelspur-fleetbed/src/bed.rs
+++ b/crates/hazelspur-fleetbed/src/bed.rs
@@ -20,6 +20,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 pub const KEY: &str = "a key for the fleet on this machine only";
 pub const INSTALLATION: &str = "bed";
@@ -29,8 +30,9 @@
 const TIMEOUT_MS: u64 = 3000;
 pub const CORES: usize = 2;
 pub const CROWD_MULTIPLE: usize = 8;
-/// Calls that a server may have out, by its settings.
-pub const CALLS: usize = 8;
+/// Calls that a server may have out, where nothing else is planned, and the time over which they are averaged.
+pub const CALLS: f64 = 8.0;
+pub const CALLS_OVER: Duration = Duration::from_secs(5);
 const MOST_SERVERS: usize = 200;
 const MOST_GATEWAYS: usize = 40;
 static RUNS: AtomicU32 = AtomicU32::new(0);
@@ -46,6 +48,8 @@
     pub rate: f64,
     /// What the operator's file says is the most servers.
     pub most: usize,
+    /// A server's part of the calls that the ledger takes, by its settings.
+    pub calls: f64,
     /// Servers go by what they hear of each other, and share the ledger's slots.
     pub joint: bool,
 }
@@ -210,7 +214,7 @@
     fn settings(&self, of: usize) -> String {
         let settings = serde_json::json!({
             "family-info": {"n-cores": CORES, "mem-limit-kb": 100_000, "run-factor": 8, "stop-mode": "drop",
-                "meters": ["core_use", "on_cores"], "calls-out": CALLS, "calls-over-us": 5_000_000,
+                "meters": ["core_use", "on_cores"], "calls-out": self.plan.calls, "calls-over-us": CALLS_OVER.as_micros() as u64,
                 "passes-deadline": true},
             "lanes": [
                 {"name": "view", "aim-us": 1_500_000, "deadline-us": TIMEOUT_MS * 1000, "semantics": "safe", "importance": 1},
--- a/crates/hazelspur-fleetbed/src/checker.rs
+++ b/crates/hazelspur-fleetbed/src/checker.rs
@@ -63,6 +63,8 @@
     pub last: Vec<Option<View>>,
     pub effects: BTreeMap<String, u32>,
     pub most_calls: usize,
+    /// The most that were in hand on average over the time that the settings name.
+    pub calls_on_average: f64,
     pub grace_ms: u64,
     pub stop_ms: u64,
     pub most_memory_kb: u64,
--- a/crates/hazelspur-fleetbed/src/main.rs
+++ b/crates/hazelspur-fleetbed/src/main.rs
@@ -86,6 +86,7 @@
         seed,
         rate,
         most: servers * 2,
+        calls: hazelspur_fleetbed::bed::CALLS,
         joint,
     };
     let scripts: Vec<(u64, Script)> = match (script, seed) {
--- a/crates/hazelspur-server/src/fronts/connection.rs
+++ b/crates/hazelspur-server/src/fronts/connection.rs
@@ -1,6 +1,6 @@
 //! One gateway's connection from its first byte to its close, however it ends:
-//! open, parting (farewell is said), closing (what is there by the last look is answered), shut (the write side
-//! is; what still comes is discarded until the peer's end or a bound), gone from the table.
+//! open, parting (farewell is said), closing (what is there by the last look is answered), shut (the write
+//! side is; what still comes is discarded until the peer's end or a bound), gone from the table.
 
 use crate::clock::sleep;
 use crate::fronts::answers::{Answers, Stage};
--- a/crates/hazelspur-server/src/ops/dispatcher.rs
+++ b/crates/hazelspur-server/src/ops/dispatcher.rs
@@ -1,5 +1,5 @@
-//! The dispatcher owns the `Logic`: tasks report inputs, the dispatcher pulls decisions once all that has come in is
-//! told, and hands each to the op's task or to its owner.
+//! The dispatcher owns the `Logic`: tasks report inputs, it pulls decisions once all that has come in is told,
+//! and hands each to the op's task or to its owner.
 
 use crate::clock::Clock;
 use crate::ops::deduplication::Deduplication;
--- a/crates/hazelspur-server/src/start/phases.rs
+++ b/crates/hazelspur-server/src/start/phases.rs
@@ -10,7 +10,8 @@
     Serving,
     /// The leave notice is read; what arrives within the grace still runs.
     Draining,
-    /// The grace is over, or nothing could run: no new connections, farewells go out, what is read is answered.
+    /// The grace is over, or nothing could run: no new connections, farewells go out, what is read is
+    /// answered.
     Closing,
     /// The stop is near: every connection is closed, with what is there by then answered.
     Ending,
--- a/crates/hazelspur-server/tests/choices.rs
+++ b/crates/hazelspur-server/tests/choices.rs
@@ -14,6 +14,7 @@
         seed: 1,
         rate: 60.0,
         most: 30,
+        calls: hazelspur_fleetbed::bed::CALLS,
         joint: true,
     };
     let verdict = play(plan, &mut |_, _| {}).unwrap_or_else(|why| panic!("{script}: {why:#}"));
--- a/crates/hazelspur-server/tests/fleet.rs
+++ b/crates/hazelspur-server/tests/fleet.rs
@@ -15,6 +15,7 @@
         seed,
         rate: 45.0,
         most: servers * 2,
+        calls: hazelspur_fleetbed::bed::CALLS,
         joint: false,
     };
     let verdict = play(plan, &mut |_, _| {}).unwrap_or_else(|why| panic!("{script}: {why:#}"));
@@ -73,6 +74,7 @@
         seed: 1,
         rate: 1.0,
         most: 18,
+        calls: hazelspur_fleetbed::bed::CALLS,
         joint: false,
     };
     let mut bed = Bed::new(plan).expect("a bed");
--- a/crates/hazelspur-server/tests/input.rs
+++ b/crates/hazelspur-server/tests/input.rs
@@ -366,7 +366,7 @@
     .assert_eq(&seen);
 }
 
-/// What waits on a link that was cut names a wait of its own length from the stamp, over before it is read: no
+/// What waits on a link that was cut names a wait that is long from the stamp and over before it is read: no
 /// fault of its connection, whose other ops are answered too.
 #[test]
 fn ops_that_were_long_on_their_way_are_answered_and_their_connection_stays() {
--- a/crates/hazelspur-server/tests/restarts.rs
+++ b/crates/hazelspur-server/tests/restarts.rs
@@ -5,6 +5,9 @@
 use hazelspur_fleetbed::script::Script;
 
 const SERVERS: usize = 30;
+/// Where the sum of calls is looked at.
+const CALLERS: usize = 20;
+const PART: f64 = 0.25;
 /// Nine in ten are ready within this after their start, the last one within three times as much.
 const READY_MS: u64 = 10_000;
 
@@ -20,6 +23,7 @@
         seed: 5,
         rate: 60.0,
         most: SERVERS * 2,
+        calls: hazelspur_fleetbed::bed::CALLS,
         joint: false,
     };
     let verdict = play(plan, &mut |_, _| {}).unwrap_or_else(|why| panic!("{why:#}"));
@@ -65,3 +69,25 @@
     let late: String = (0..SERVERS).map(|of| format!("; 0.5+9 delay:400 n{of} r{of}")).collect();
     all_come_back(&waves(&format!("{late}; 0.5+9 delay:900 servers list")));
 }
+
+/// All begin again in one moment while the ledger is slow: each has a part of a call, none hears of another.
+#[test]
+fn twenty_processes_that_begin_together_keep_within_what_the_ledger_takes() {
+    let all: Vec<String> = (0..CALLERS).map(|of| format!("2+1 term n{of}")).collect();
+    let plan = Plan {
+        server_binary: env!("CARGO_BIN_EXE_hazelspur-server").into(),
+        servers: CALLERS,
+        gateways: 4,
+        script: format!("{}; 1+12 slower:60 ledger", all.join("; ")).parse().expect("a script"),
+        seed: 7,
+        rate: 120.0,
+        most: CALLERS * 2,
+        calls: PART,
+        joint: false,
+    };
+    let verdict = play(plan, &mut |_, _| {}).unwrap_or_else(|why| panic!("{why:#}"));
+    assert!(verdict.breaches.is_empty(), "{}\n{:#?}", verdict.figures(), verdict.breaches);
+    let (limit, most) = (CALLERS as f64 * PART, verdict.evidence.calls_on_average);
+    println!("limit {limit}, most on average {most:.2}");
+    assert!((limit / 5.0..=limit).contains(&most), "{most} of {limit}");
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -107,6 +107,8 @@
         let op_types: Vec<OpType> = (0..4096).take_while(named).map(|i| OpType::told(&facts, i)).collect();
         let tenants = (0..4096).take_while(|i| facts.has(&format!("tenants.{i}.quota_per_s"))).count();
         let cold = facts.num("server.cold", 0.0) > 0.0;
+        // Servers that begin in one moment would end their cycles, and so move R, in step for ever.
+        let first_cycle = now.back(CYCLE_MAX.scaled(Pcg::new(!seed).unit()));
         let mut out = VecDeque::from([Decision::Health { good: true, from_store: true }]);
         if cold {
             out.push_back(Decision::Log("mode cold".into()));
@@ -119,7 +121,7 @@
             started: now,
             cold,
             refilled: now,
-            cycle_began: now,
+            cycle_began: first_cycle,
             out,
             call_budget: CALLS_PART * facts.num("server.calls_bound", 1e9),
             facts,
--- a/tests/sums.rs
+++ b/tests/sums.rs
@@ -182,3 +182,72 @@
     println!("{seen}");
     assert!(over.is_empty(), "{over:?}\n{seen}");
 }
+
+/// Servers that begin in the same instant, each under more than it can do: how many of them change R's mode within
+/// the same 100 ms, and how many of their nacked callers are to come back then, over the mean.
+#[test]
+fn servers_that_begin_together_do_not_keep_step() {
+    let mut chance = Pcg::new(3);
+    let began = |of: usize| {
+        let logic = Logic::new(facts("server.cold=1"), 1000 + of as u64, BEGIN).expect("sound settings");
+        let (runs, calls, lingering) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        Server { logic, begins: BEGIN, runs, calls, lingering, ops: 0 }
+    };
+    let mut all: Vec<Server> = (0..30).map(began).collect();
+    let (mut modes, mut backs) = (BTreeMap::<u64, u32>::new(), BTreeMap::<u64, u32>::new());
+    let mut now = BEGIN;
+    while now < BEGIN + Span::from_ms(20_000) {
+        now = now + STEP;
+        for (of, server) in all.iter_mut().enumerate() {
+            crowded(server, of, now, &mut chance, &mut modes, &mut backs);
+        }
+    }
+    let later = backs.range(10..190).map(|(_, n)| *n);
+    let mean = f64::from(later.clone().sum::<u32>()) / 180.0;
+    let (back, mode) = (later.max().unwrap_or(0), modes.values().max().copied().unwrap_or(0));
+    println!("come back: mean {mean:.1} most {back}; modes: most {mode} of {}", modes.values().sum::<u32>());
+    assert!(f64::from(back) < 2.0 * mean && mode <= 4, "{back} of {mean}, {mode}");
+}
+
+fn crowded(
+    server: &mut Server,
+    of: usize,
+    now: Moment,
+    chance: &mut Pcg,
+    modes: &mut BTreeMap<u64, u32>,
+    backs: &mut BTreeMap<u64, u32>,
+) {
+    let bin = |at: Moment| (at - BEGIN).us() / 100_000;
+    let Server { logic, runs, ops, .. } = server;
+    if chance.unit() < 0.2 {
+        *ops += 1;
+        let id = OpId::parse(&format!("{:-<36}", format!("{of}x{ops}"))).expect("a short name");
+        let (caller, kb) = (CallerId(*ops % 17), 10.0);
+        let (op_type, tenant) = (OpTypeId(0), TenantId(0));
+        logic.op_read(now, id, op_type, tenant, None, caller, None, None, kb, Span::ZERO, false, None);
+    }
+    let done: Vec<OpId> = runs.iter().filter(|(_, at)| **at <= now).map(|(op, _)| *op).collect();
+    for op in done {
+        runs.remove(&op);
+        logic.run_ended(now, op, Outcome::Ok);
+    }
+    logic.timer(now, &[("on_cores", runs.len() as f64)]);
+    while let Some(decision) = logic.next_decision(now) {
+        match decision {
+            Decision::Run(op) => {
+                let crowd = (runs.len() as u64 + 1).max(2);
+                let takes = Span::from_ms((60 + u64::from(chance.draw()) % 200) * crowd / 2);
+                runs.insert(op, now + takes);
+            }
+            Decision::Nack { come_back, .. } => *backs.entry(bin(now + come_back)).or_default() += 1,
+            Decision::Fail(op) | Decision::Stop(op) => {
+                runs.remove(&op);
+                logic.run_ended(now, op, Outcome::Stopped);
+            }
+            Decision::Log(line) if line.starts_with("mode bound") || line.starts_with("mode open") => {
+                *modes.entry(bin(now)).or_default() += 1;
+            }
+            _ => {}
+        }
+    }
+}
