--- a/crates/hazelspur-deliveries/src/book.rs
+++ b/crates/hazelspur-deliveries/src/book.rs
@@ -12,7 +12,7 @@
 
 use crate::memory::{Known, Memory};
 use crate::settlement::{Ending, Settlement, Table};
-use hazelspur::book::Repeats;
+use hazelspur::Repeats;
 use hazelspur::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
--- a/crates/hazelspur-deliveries/src/settlement.rs
+++ b/crates/hazelspur-deliveries/src/settlement.rs
@@ -1,7 +1,7 @@
 //! What is done with a delivery once its ending is known: a table, set for each queue.
 
+use hazelspur::Repeats;
 use hazelspur::Span;
-use hazelspur::book::Repeats;
 
 /// How a delivery ended here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/hazelspur-deliveries/tests/helpers/mod.rs
+++ b/crates/hazelspur-deliveries/tests/helpers/mod.rs
@@ -1,6 +1,6 @@
 //! A book whose steps are written down, with a clock in milliseconds.
 
-use hazelspur::book::Repeats;
+use hazelspur::Repeats;
 use hazelspur::{Moment, Span};
 use hazelspur_deliveries::{Arrived, Book, DeliveryId, Ending, Link, Memory, QueueId, Table, Tag, Terms};
 
--- a/crates/hazelspur-deliveries/tests/orders.rs
+++ b/crates/hazelspur-deliveries/tests/orders.rs
@@ -3,8 +3,8 @@
 
 mod helpers;
 
+use hazelspur::Repeats;
 use hazelspur::Span;
-use hazelspur::book::Repeats;
 use hazelspur_deliveries::*;
 use helpers::{at, book, came, tag};
 use std::collections::BTreeSet;
--- a/crates/hazelspur-deliveries/tests/traces.rs
+++ b/crates/hazelspur-deliveries/tests/traces.rs
@@ -2,8 +2,8 @@
 
 mod helpers;
 
+use hazelspur::Repeats::{Keyed, NonRetryable, Retryable};
 use hazelspur::Span;
-use hazelspur::book::Repeats::{Keyed, NonRetryable, Retryable};
 use hazelspur_deliveries::*;
 use helpers::{at, book, came, ends, steps, tag};
 
--- a/crates/hazelspur-parsers/src/settings.rs
+++ b/crates/hazelspur-parsers/src/settings.rs
@@ -1,27 +1,89 @@
-//! The settings object, flattened to the project's words: `lanes[0].aim-us` becomes
-//! `op_types.0.target_latency_us`, and so on.
+//! The settings object in the project's words: each of `lanes` is an op type, each of `orgs` a tenant, all else is
+//! flattened: `family-info.n-cores` becomes `server.cores`, and so on. Each entry is handed on as it is read, so that
+//! the whole is never held twice.
 
 use crate::Json;
+use hazelspur::catalog::{Catalog, Entries, EntryOf, MOST_FACTS, MOST_KEYS, take_entry};
 use hazelspur::{Fact, Facts};
 
-pub fn facts(object: Json) -> Facts {
-    let mut facts = Facts::default();
-    flatten(object, String::new(), &mut facts);
-    facts
+/// All of it as a catalog.
+pub fn catalog(object: Json) -> Result<Catalog, String> {
+    let mut catalog = Catalog::default();
+    let facts = read(object, &mut catalog)?;
+    catalog.complete(facts)
 }
 
-fn flatten(value: Json, name: String, facts: &mut Facts) {
-    let below = |part: &str| if name.is_empty() { part.into() } else { format!("{name}.{part}") };
-    if value.is_object() {
-        value.fields().for_each(|(key, v)| flatten(v, below(&our_name(&key)), facts));
-    } else if value.is_array() {
-        value.items().enumerate().for_each(|(i, v)| flatten(v, below(&i.to_string()), facts));
-    } else if let Some(text) = value.text() {
-        facts.0.insert(name, Fact::Text(our_word(&text).into()));
-    } else if let Some(flag) = value.flag() {
-        facts.0.insert(name, Fact::Num(f64::from(u8::from(flag))));
-    } else if !value.is_null() {
-        facts.0.insert(name, Fact::Num(value.number().unwrap_or(f64::NAN)));
+/// Hands op types and tenants to who takes them, and gives back all else.
+pub fn read(object: Json, to: &mut impl Entries) -> Result<Facts, String> {
+    let (mut rest, mut tables) = (Flat::new(MOST_FACTS), Vec::new());
+    for (key, value) in object.fields() {
+        let table = match &*key {
+            "lanes" => EntryOf::OpTypes,
+            "orgs" => EntryOf::Tenants,
+            _ => {
+                rest.take(value, our_name(&key));
+                continue;
+            }
+        };
+        if tables.contains(&table) {
+            return Err(format!("settings.{key}: there twice"));
+        }
+        tables.push(table);
+        table.fits(value.items().count())?;
+        for (at, entry) in value.items().enumerate() {
+            let mut of = Flat::new(MOST_KEYS);
+            of.take(entry, String::new());
+            take_entry(to, table, at, &of.done(&format!("settings.{key}.{at}"))?)?;
+        }
+    }
+    rest.done("settings")
+}
+
+/// The whole object as a plain map of dotted names, `most` at most.
+pub fn facts(object: Json, most: usize) -> Result<Facts, String> {
+    let mut flat = Flat::new(most);
+    flat.take(object, String::new());
+    flat.done("settings")
+}
+
+/// Figures by their dotted names; past the most they are counted and not held.
+struct Flat {
+    facts: Facts,
+    most: usize,
+    over: usize,
+}
+
+impl Flat {
+    fn new(most: usize) -> Self {
+        Self { facts: Facts::default(), most, over: 0 }
+    }
+
+    fn take(&mut self, value: Json, name: String) {
+        let below = |part: &str| if name.is_empty() { part.into() } else { format!("{name}.{part}") };
+        if value.is_object() {
+            return value.fields().for_each(|(key, v)| self.take(v, below(&our_name(&key))));
+        }
+        if value.is_array() {
+            return value.items().enumerate().for_each(|(i, v)| self.take(v, below(&i.to_string())));
+        }
+        let fact = match (value.text(), value.flag()) {
+            (Some(text), _) => Fact::Text(our_word(&text).into()),
+            (None, Some(flag)) => Fact::Num(f64::from(u8::from(flag))),
+            _ if value.is_null() => return,
+            _ => Fact::Num(value.number().unwrap_or(f64::NAN)),
+        };
+        if self.facts.0.len() >= self.most && !self.facts.has(&name) {
+            self.over += 1;
+        } else {
+            self.facts.0.insert(name, fact);
+        }
+    }
+
+    fn done(self, at: &str) -> Result<Facts, String> {
+        match self.over {
+            0 => Ok(self.facts),
+            over => Err(format!("{at}: {} figures, {} at most", self.most + over, self.most)),
+        }
     }
 }
 
--- a/crates/hazelspur-parsers/tests/texts.rs
+++ b/crates/hazelspur-parsers/tests/texts.rs
@@ -56,7 +56,7 @@
 fn settings_come_out_flat_and_in_our_words() {
     let text = r#"{"lanes":[{"aim-us":1800000,"semantics":"safe"}],"family-info":{"n-cores":6,"cold":true,
         "below":"silent","new":null,"odd":1e999},"orgs":[{"quota-rps":49.0}]}"#;
-    let facts = settings::facts(Json::parse(text.as_bytes()).expect("good"));
+    let facts = settings::facts(Json::parse(text.as_bytes()).expect("good"), 8).expect("few");
     let seen: String = facts.0.iter().map(|(name, fact)| format!("{name} {fact:?}\n")).collect();
     expect_test::expect![[r#"
         op_types.0.repeats Text("retryable")
--- a/crates/hazelspur-server/src/fleet/guidance.rs
+++ b/crates/hazelspur-server/src/fleet/guidance.rs
@@ -3,7 +3,7 @@
 
 use crate::ops::dispatcher::Dispatcher;
 use crate::start::fleet_keys::{CALLS, TENANT};
-use hazelspur::{Moment, Span, TenantId};
+use hazelspur::{Catalog, Moment, Span, TenantId};
 use hazelspur_fleet::gate::Change;
 use hazelspur_fleet::guidance::Guidance as Facts;
 use hazelspur_fleet::joint::Seen;
@@ -32,7 +32,7 @@
 
 impl Guidance {
     /// Errors name the key at fault.
-    pub fn new(together: bool, terms: Option<&Terms>, tenants: &[String]) -> Result<Self, String> {
+    pub fn new(together: bool, terms: Option<&Terms>, catalog: &Catalog) -> Result<Self, String> {
         let (mut limits, mut facts) = (Vec::new(), Vec::new());
         for (at, limit) in terms.iter().flat_map(|terms| &terms.limits).enumerate() {
             let name = limit.name.as_str();
@@ -40,8 +40,8 @@
                 None if name == CALLS => Of::Calls,
                 None => return Err(format!("fleet.shares: {name}: nothing goes by it")),
                 Some(tenant) => {
-                    let at = tenants.iter().position(|other| other == tenant);
-                    Of::Tenant(TenantId(at.ok_or(format!("fleet.shares: {name}: no such tenant"))?))
+                    let found = catalog.find_tenant(Some(tenant)).map(|(id, _)| id);
+                    Of::Tenant(found.ok_or(format!("fleet.shares: {name}: no such tenant"))?)
                 }
             };
             let fact = match of {
--- a/crates/hazelspur-server/src/fleet/talk.rs
+++ b/crates/hazelspur-server/src/fleet/talk.rs
@@ -9,7 +9,7 @@
 use crate::ops::dispatcher::Dispatcher;
 use crate::start::fleet_keys::Fleet;
 use crate::start::phases::{Phase, Phases};
-use hazelspur::Span;
+use hazelspur::{Catalog, Span};
 use hazelspur_fleet::{At, Generation, Installation, Joint, Key, MemberName, talk};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -45,18 +45,17 @@
     pub dispatcher: Rc<Dispatcher>,
     pub peers: Rc<Peers>,
     pub phases: Rc<Phases>,
-    /// Names of the tenants in the settings.
-    pub tenants: Vec<String>,
+    pub catalog: Rc<RefCell<Catalog>>,
 }
 
 impl Talk {
     /// Listens from here on. Errors name the key at fault.
     pub async fn new(fleet: &Fleet, (name, seed): (&str, u64), around: Around) -> Result<Self, String> {
-        let Around { dispatcher, peers, phases, tenants } = around;
+        let Around { dispatcher, peers, phases, catalog } = around;
         let name = MemberName::new(name).ok_or("name: longer than 31 characters, or not visible ones")?;
         let key = fleet.key.clone().ok_or("fleet.key_file: not read")?;
         let shares = fleet.share_terms().map_err(|(key, why)| format!("fleet.{key}: {why}"))?;
-        let guidance = Guidance::new(fleet.together, shares.as_ref(), &tenants)?;
+        let guidance = Guidance::new(fleet.together, shares.as_ref(), &catalog.borrow())?;
         let listen = fleet.listen.unwrap_or(fleet.at);
         let socket = UdpSocket::bind(listen).await.map_err(|e| format!("fleet.listen: {listen}: {e}"))?;
         let at = At { wall: dispatcher.clock.wall(), steady: dispatcher.clock.steady() };
--- a/crates/hazelspur-server/src/fronts/gateways.rs
+++ b/crates/hazelspur-server/src/fronts/gateways.rs
@@ -2,11 +2,10 @@
 
 use crate::clock::sleep;
 use crate::fronts::answers::{Answers, Stage};
-use crate::fronts::catalog::Catalog;
 use crate::ops::life::Services;
 use crate::start::descriptors::Descriptors;
 use crate::start::phases::{Phase, Phases};
-use hazelspur::Span;
+use hazelspur::{Catalog, Span};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::poll_fn;
@@ -36,7 +35,7 @@
 
 pub struct Gateways {
     pub services: Rc<Services>,
-    pub catalog: Rc<Catalog>,
+    pub catalog: Rc<RefCell<Catalog>>,
     phases: Rc<Phases>,
     /// Until no connection is taken any more.
     listener: RefCell<Option<TcpListener>>,
@@ -54,7 +53,7 @@
     pub fn new(
         services: Rc<Services>,
         phases: Rc<Phases>,
-        catalog: Rc<Catalog>,
+        catalog: Rc<RefCell<Catalog>>,
         listener: TcpListener,
         budget: Descriptors,
     ) -> Self {
--- a/crates/hazelspur-server/src/fronts/mod.rs
+++ b/crates/hazelspur-server/src/fronts/mod.rs
@@ -1,7 +1,6 @@
 //! Where ops are read and answered.
 
 pub mod answers;
-pub mod catalog;
 pub mod connection;
 pub mod gateways;
 pub mod queues;
--- a/crates/hazelspur-server/src/fronts/queues.rs
+++ b/crates/hazelspur-server/src/fronts/queues.rs
@@ -3,14 +3,13 @@
 //! decided by the module, as for every op.
 
 use crate::clock::{long, sleep};
-use crate::fronts::catalog::{Catalog, LONGEST_BODY};
 use crate::ops::deduplication::{Found, Key, Keyed};
 use crate::ops::dispatcher::News;
-use crate::ops::life::{Life, Services};
+use crate::ops::life::{LONGEST_BODY, Life, Read, Services};
 use crate::ops::owed::{Front, MayRun, Owed};
 use crate::start::operator::{Amqp, Operator, Queue, SentBy, Settle};
 use crate::start::phases::{Phase, Phases};
-use hazelspur::{CallerId, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
+use hazelspur::{CallerId, Catalog, Moment, OpId, OpType, OpTypeId, Span, TenantId, UserKey};
 use hazelspur_amqp::session::Phase as Talk;
 use hazelspur_amqp::{Field, Listener, Properties, Session, Table, TableWriter, Terms};
 use hazelspur_deliveries::{
@@ -56,6 +55,7 @@
 /// A message that can be run as an op.
 struct Readable {
     op_type: OpTypeId,
+    terms: Rc<OpType>,
     tenant: TenantId,
     user: Option<UserKey>,
     key: Option<Key>,
@@ -65,7 +65,7 @@
 pub struct Queues {
     services: Rc<Services>,
     phases: Rc<Phases>,
-    catalog: Rc<Catalog>,
+    catalog: Rc<RefCell<Catalog>>,
     amqp: Amqp,
     queues: Vec<Queue>,
     name: String,
@@ -100,7 +100,7 @@
     pub fn new(
         services: Rc<Services>,
         phases: Rc<Phases>,
-        catalog: Rc<Catalog>,
+        catalog: Rc<RefCell<Catalog>>,
         amqp: &Amqp,
         operator: &Operator,
         (name, seed): (&str, u64),
@@ -486,11 +486,11 @@
         let (dispatcher, op) = (&self.services.dispatcher, parts.op);
         let Some(news) = dispatcher.enroll(op) else { return log::error!(op:%; "an op id twice") };
         let keyed = read.key.clone().map(|key| {
-            let body = parts.body.clone();
+            let (of, body) = ((read.tenant, read.op_type), parts.body.clone());
             dispatcher
                 .deduplication
                 .borrow_mut()
-                .read(now, Keyed { op, key, arrived: now, body, vouched: true })
+                .read(now, Keyed { op, key, of, arrived: now, body, vouched: true })
         });
         let repeat_of = match keyed {
             None | Some(Found::First) => None,
@@ -505,17 +505,17 @@
         let life = Life {
             services: self.services.clone(),
             op,
-            class: self.catalog.name(read.op_type),
+            terms: read.terms.clone(),
             body: parts.body.clone(),
-            may_repeat: self.catalog.may_repeat(read.op_type),
             repeat_of,
             ran: false,
             owed: Owed::new(caller, dispatcher.clone()),
             news,
         };
-        let via = CallerId(u64::MAX - parts.queue.0 as u64);
-        let (op_type, tenant, user, kb) = (read.op_type, read.tenant, read.user, read.kb);
-        tokio::task::spawn_local(life.live(op_type, tenant, user, via, None, kb, now));
+        let caller = CallerId(u64::MAX - parts.queue.0 as u64);
+        let Readable { op_type, tenant, user, kb, .. } = *read;
+        let read = Read { op_type, tenant, user, caller, due: None, kb, arrived: now };
+        tokio::task::spawn_local(life.begin(&read).live());
     }
 
     fn reply(&self, session: &mut Session, id: DeliveryId, ending: Ending, result: &[u8]) -> bool {
@@ -599,8 +599,9 @@
         };
         let readable = || {
             let name = queue.op_type.as_deref().or(properties.kind).ok_or(Ending::Unknown)?;
-            let op_type = self.catalog.find(name).ok_or(Ending::Unknown)?;
-            let tenant = self.catalog.tenant(text("x-owner")?).ok_or(Ending::Poison)?;
+            let catalog = self.catalog.borrow();
+            let (op_type, terms) = catalog.find_op_type(name).ok_or(Ending::Unknown)?;
+            let (tenant, tenant_name) = catalog.find_tenant(text("x-owner")?).ok_or(Ending::Poison)?;
             let kb = match header("x-need-kb") {
                 None => queue.need_kb,
                 Some(Field::Number(kb)) => kb,
@@ -611,8 +612,8 @@
             }
             let subject = text("x-subject")?;
             let (user, op_key) = (subject.map(UserKey::of), properties.message_id);
-            let key = self.catalog.key(op_type, tenant, op_key, op_key.or(subject));
-            Ok(Readable { op_type, tenant, user, key, kb })
+            let key = Key::of(&terms, &tenant_name, op_key, op_key.or(subject));
+            Ok(Readable { op_type, terms, tenant, user, key, kb })
         };
         (readable(), sent, due, tries)
     }
@@ -723,7 +724,7 @@
             queue,
             message: known.message_id,
             redelivered,
-            repeats: read.as_ref().map(|read| front.catalog.repeats(read.op_type)).map_err(|ending| *ending),
+            repeats: read.as_ref().map(|read| read.terms.repeats).map_err(|ending| *ending),
             due,
             reply: known.reply_to.is_some_and(|to| !to.is_empty()),
             tries,
--- a/crates/hazelspur-server/src/fronts/requests.rs
+++ b/crates/hazelspur-server/src/fronts/requests.rs
@@ -1,11 +1,10 @@
 //! What gateways ask: lines, health checks, interrupts and ops, read strictly.
 
 use crate::fronts::answers::{Answers, Caller};
-use crate::fronts::catalog::LONGEST_BODY;
 use crate::fronts::gateways::Gateways;
-use crate::ops::deduplication::{Found, Keyed};
+use crate::ops::deduplication::{Found, Key, Keyed};
 use crate::ops::dispatcher::News;
-use crate::ops::life::Life;
+use crate::ops::life::{LONGEST_BODY, Life, Read};
 use crate::ops::owed::Owed;
 use hazelspur::{CallerId, Moment, OpId, Span, UserKey};
 use hazelspur_parsers::rpc::{self, RpcId};
@@ -110,7 +109,8 @@
     ) -> Result<(), Refusal> {
         let bad = |what: &'static str| (rpc::BAD_PARAMS, what);
         let dispatcher = &self.services.dispatcher;
-        let op_type = self.catalog.find(class).ok_or((rpc::NO_METHOD, "no such method"))?;
+        let named = self.catalog.borrow().find_op_type(class);
+        let (op_type, terms) = named.ok_or((rpc::NO_METHOD, "no such method"))?;
         let params = params.filter(|p| p.is_object()).ok_or(bad("params is no object"))?.table();
         let req = params.get("req").and_then(Json::text);
         let op = req.and_then(|req| OpId::padded(&req)).ok_or(bad("req is no id"))?;
@@ -120,7 +120,8 @@
         let need = need.ok_or(bad("need is out of range"))?;
         let level = params.get("level").is_none_or(|l| l.number().is_some_and(|l| (0.0..=1.0).contains(&l)));
         let owner = params.get("owner").map(|o| o.text().ok_or(bad("owner is no string"))).transpose()?;
-        let tenant = self.catalog.tenant(owner.as_deref()).ok_or(bad("owner is not known"))?;
+        let tenant = self.catalog.borrow().find_tenant(owner.as_deref());
+        let (tenant, tenant_name) = tenant.ok_or(bad("owner is not known"))?;
         let timeout = params.get("timeout").map(|t| t.number().filter(|ms| *ms >= 0.0));
         let timeout = timeout.map(|ms| ms.ok_or(bad("timeout is no time"))).transpose()?;
         let subject =
@@ -132,7 +133,7 @@
         let arrived = dispatcher.clock.stamped(Moment::from_us(ts.saturating_mul(1000)));
         let due = timeout.map(|ms| arrived + Span::from_secs(ms / 1000.0));
         // From now on: one that was long on its way may name a wait that is long from its stamp.
-        let longest = now + self.catalog.timeout(op_type).scaled(TIMEOUT_SLACK);
+        let longest = now + terms.op_timeout.scaled(TIMEOUT_SLACK);
         if !level || arrived > now + AHEAD || due.is_some_and(|due| due > longest) {
             return Err(bad("level, ts or timeout is out of range"));
         }
@@ -147,15 +148,16 @@
         if !dispatcher.is_open() {
             return Err((rpc::NACKED, "not serving yet"));
         }
-        if due.unwrap_or(arrived + self.catalog.timeout(op_type)) + LONG_PAST <= now {
+        if due.unwrap_or(arrived + terms.op_timeout) + LONG_PAST <= now {
             return Err((rpc::NACKED, "its time was over long ago"));
         }
         let news = dispatcher.enroll(op).ok_or(bad("this req is in hand"))?;
         let user = subject.as_deref().map(UserKey::of);
         let body: Rc<[u8]> = body.into();
-        let key = self.catalog.key(op_type, tenant, opkey.as_deref(), subject.as_deref());
+        let key = Key::of(&terms, &tenant_name, opkey.as_deref(), subject.as_deref());
         let found = key.clone().map_or(Found::First, |key| {
-            let keyed = Keyed { op, key, arrived, body: body.clone(), vouched: answers.known.get() };
+            let (of, body, vouched) = ((tenant, op_type), body.clone(), answers.known.get());
+            let keyed = Keyed { op, key, of, arrived, body, vouched };
             dispatcher.deduplication.borrow_mut().read(now, keyed)
         });
         let repeat_of = match found {
@@ -167,10 +169,10 @@
             }
         };
         let owed = Owed::new(Caller::new(answers.clone(), id, op), dispatcher.clone());
-        let class = self.catalog.name(op_type);
-        let (services, may_repeat) = (self.services.clone(), self.catalog.may_repeat(op_type));
-        let life = Life { services, op, class, body, may_repeat, repeat_of, ran: false, owed, news };
-        tokio::task::spawn_local(life.live(op_type, tenant, user, CallerId(via), due, need, arrived));
+        let services = self.services.clone();
+        let life = Life { services, op, terms, body, repeat_of, ran: false, owed, news };
+        let read = Read { op_type, tenant, user, caller: CallerId(via), due, kb: need, arrived };
+        tokio::task::spawn_local(life.begin(&read).live());
         Ok(())
     }
 }
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -16,18 +16,18 @@
 use clap::Parser;
 use clock::{long, sleep};
 use fleet::talk::{Around, Talk};
-use fronts::catalog::Catalog;
 use fronts::gateways::Gateways;
 use fronts::queues::Queues;
-use hazelspur::{Fact, Logic, Span};
+use hazelspur::{Catalog, Logic, Span};
 use ops::dispatcher::Dispatcher;
 use ops::life::Services;
 use start::command::{Command, Line, Serve, Shape};
 use start::descriptors::Descriptors;
+use start::logs;
 use start::operator::{self, Operator};
 use start::phases::{Phase, Phases};
+use start::reload::{self, Named};
 use start::startup::{self, Startup};
-use start::{logs, reload};
 use std::cell::RefCell;
 use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
@@ -60,9 +60,9 @@
         // Before anything else: a signal that nobody listens for ends the process.
         let signals = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
         drop(entered);
-        let startup = startup::read(|name| std::env::var(name).ok()).map_err(Error::other)?;
-        let operator = read_operator(&told, &startup).map_err(Error::other)?;
-        LocalSet::new().block_on(&runtime, serve(startup, operator, &told, signals))
+        let (startup, catalog) = startup::read(|name| std::env::var(name).ok()).map_err(Error::other)?;
+        let operator = read_operator(&told, &catalog).map_err(Error::other)?;
+        LocalSet::new().block_on(&runtime, serve(startup, catalog, operator, &told, signals))
     });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -108,8 +108,8 @@
     }
 }
 
-fn read_operator(told: &Serve, startup: &Startup) -> Result<Operator, String> {
-    let read = told.file.as_deref().map(|file| operator::read(file, Some(&startup.op_types)));
+fn read_operator(told: &Serve, catalog: &Catalog) -> Result<Operator, String> {
+    let read = told.file.as_deref().map(|file| operator::read(file, Some(catalog)));
     read.unwrap_or_else(|| Ok(Operator::default()))
 }
 
@@ -132,6 +132,7 @@
 
 async fn serve(
     startup: Startup,
+    catalog: Catalog,
     operator: Operator,
     line: &Serve,
     (hangup, mut leave): (Signal, Signal),
@@ -141,13 +142,13 @@
     let budget = Descriptors::allowed(startup.sockets);
     let (dispatcher, phases) = (Rc::new(Dispatcher::default()), Rc::new(Phases::default()));
     dispatcher.clock.set_apart(line.clock_apart_ms);
-    dispatcher.deduplication.replace(startup.deduplication());
+    dispatcher.deduplication.replace(startup.deduplication(&catalog));
     let peers = Rc::new(Peers::new(startup.addresses));
     let link = Rc::new(Link::new(dispatcher.clone(), peers.clone(), startup.gauges.clone()));
     let ledger = Rc::new(Ledger::new(peers.clone(), budget.calls));
     let services =
         Rc::new(Services { dispatcher: dispatcher.clone(), link: link.clone(), ledger: ledger.clone() });
-    let catalog = Rc::new(Catalog::new(&startup));
+    let catalog = Rc::new(RefCell::new(catalog));
     let queues = operator.amqp.as_ref().map(|amqp| {
         let who = (startup.name.as_str(), seed);
         Queues::new(services.clone(), phases.clone(), catalog.clone(), amqp, &operator, who)
@@ -159,7 +160,7 @@
                 dispatcher: dispatcher.clone(),
                 peers: peers.clone(),
                 phases: phases.clone(),
-                tenants: startup.tenants.clone(),
+                catalog: catalog.clone(),
             };
             let talk = Rc::new(Talk::new(fleet, who, around).await.map_err(Error::other)?);
             ledger.tells(talk.clone());
@@ -172,16 +173,21 @@
         bound = bind(listen) => bound?,
         _ = leave.recv() => return Ok(()),
     };
-    let gateways = Rc::new(Gateways::new(services, phases.clone(), catalog, listener, budget));
+    let gateways = Rc::new(Gateways::new(services, phases.clone(), catalog.clone(), listener, budget));
     let (name, queued) = (startup.name.as_str(), operator.queues.len());
-    log::info!(name, listen:%, stop_ms = stop.us() / 1000, queues = queued, connections = budget.gateways,
+    let (op_types, tenants) = catalog.borrow().size();
+    log::info!(name, listen:%, stop_ms = stop.us() / 1000, op_types, tenants, queues = queued, connections = budget.gateways,
         calls = budget.calls; "start");
 
     let reloader = reload::Reloader {
         peers: peers.clone(),
         running: startup.clone(),
+        dispatcher: dispatcher.clone(),
+        catalog: catalog.clone(),
         file: line.file.clone(),
         queues: queues.clone(),
+        changes: operator.reload.settings,
+        named: RefCell::new(Named::by(&operator)),
     };
     let reloader = Rc::new(reloader);
     supervise("reload", &hangup, move |hangup| reload::on_hangup(hangup, reloader.clone()));
@@ -205,15 +211,12 @@
         state = link.ready() => Some(state),
         _ = leave.recv() => None,
     };
-    let opened = known.map(|(hot, up)| {
-        let mut facts = startup.facts.clone();
-        facts.0.insert("server.cold".into(), Fact::Num(f64::from(u8::from(!hot))));
+    if let Some((hot, up)) = known {
         let began = dispatcher.clock.now().back(up);
-        dispatcher.open(Logic::new(facts, seed, began).map_err(Error::other)?);
+        dispatcher.open(Logic::with(catalog, !hot, seed, began));
         log::info!(cold = !hot, up_ms = up.us() / 1000; "runtime known");
-        Ok(())
-    });
-    let serving = matches!(opened, Some(Ok(())));
+    }
+    let serving = known.is_some();
     if serving {
         phases.enter(Phase::Serving, gateways.figures());
         leave.recv().await;
@@ -235,5 +238,5 @@
     queues.iter().for_each(|queues| queues.tell_figures());
     talk.iter().for_each(|talk| talk.left());
     phases.enter(Phase::Over, gateways.figures());
-    opened.unwrap_or(Ok(()))
+    Ok(())
 }
--- a/crates/hazelspur-server/src/ops/deduplication.rs
+++ b/crates/hazelspur-server/src/ops/deduplication.rs
@@ -1,7 +1,7 @@
 //! Deduplication of keyed ops and coalescing of reads: which try holds a key, what came of it, and who waits
 //! to hear. A key is held from the moment its op is read, so that of two tries read together one runs.
 
-use hazelspur::{Moment, OpId, OpTypeId, Outcome, Span, TenantId};
+use hazelspur::{Moment, OpId, OpType, OpTypeId, Outcome, Repeats, Span, TenantId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -16,19 +16,36 @@
     Read,
 }
 
-/// Whole texts are compared: a hash could hand out another op's result. Tenants share nothing.
+/// Whole texts are compared: a hash could hand out another op's result. Tenants share nothing. By name, so that a
+/// repeat is known though its op type or tenant went and came back meanwhile.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
-    pub tenant: TenantId,
-    pub op_type: OpTypeId,
+    pub tenant: Rc<str>,
+    pub op_type: Rc<str>,
     pub scope: Scope,
     pub text: Rc<str>,
 }
 
+impl Key {
+    /// What a repeat of this op would name: its op key, or as a read what it is about.
+    pub fn of(terms: &OpType, tenant: &Rc<str>, op_key: Option<&str>, subject: Option<&str>) -> Option<Self> {
+        let (scope, text) = match terms.repeats {
+            Repeats::Keyed => (Scope::Keyed, op_key?),
+            Repeats::Retryable => (Scope::Read, subject?),
+            Repeats::NonRetryable => return None,
+        };
+        Some(Self { tenant: tenant.clone(), op_type: terms.name.clone(), scope, text: text.into() })
+    }
+}
+
+/// Which tenant and op type an op is of: those that went and came back under their names are others.
+pub type Of = (TenantId, OpTypeId);
+
 /// An op that is read, as far as its key goes.
 pub struct Keyed {
     pub op: OpId,
     pub key: Key,
+    pub of: Of,
     pub arrived: Moment,
     pub body: Rc<[u8]>,
     /// The runtime has known an op of its connection. Anybody may name a subject: no other gets a shared
@@ -49,6 +66,7 @@
 /// What holds a key.
 struct Entry {
     op: OpId,
+    of: Of,
     /// What a repeat has to ask for too; not kept once its result could not be.
     body: Option<Rc<[u8]>>,
     until: Option<Moment>,
@@ -89,7 +107,7 @@
     /// Notes a try that is read; says whether it repeats one that holds its key.
     pub fn read(&mut self, now: Moment, new: Keyed) -> Found {
         self.expire(now);
-        let Keyed { op, key, arrived, body, vouched } = new;
+        let Keyed { op, key, of, arrived, body, vouched } = new;
         if key.scope == Scope::Read && (self.share == Span::ZERO || !vouched) {
             return Found::First;
         }
@@ -97,13 +115,19 @@
             // A window that ends while its try still runs goes on until that has ended.
             let since = if key.scope == Scope::Keyed { arrived } else { now };
             if held.end.is_none() || held.until.is_some_and(|until| until > since) {
-                let same = key.scope == Scope::Read || held.body.as_ref().is_none_or(|first| *first == body);
-                return if same { Found::RepeatOf(held.op) } else { Found::NotTheSame };
+                // A result never passes to another tenant or op type of the same name; what may have run under
+                // the one before does not run again.
+                let asks = key.scope == Scope::Read || held.body.as_ref().is_none_or(|first| *first == body);
+                match (held.of == of, key.scope) {
+                    (true, _) if asks => return Found::RepeatOf(held.op),
+                    (false, Scope::Read) => {}
+                    _ => return Found::NotTheSame,
+                }
             }
             self.forget(&key);
         }
         let body = Some(body).filter(|_| key.scope == Scope::Keyed);
-        let entry = Entry { op, body, until: None, end: None };
+        let entry = Entry { op, of, body, until: None, end: None };
         self.bytes += weight(&key, &entry);
         self.entries.insert(key.clone(), entry);
         self.live.insert(op, Live { key, waiting: Vec::new() });
--- a/crates/hazelspur-server/src/ops/dispatcher.rs
+++ b/crates/hazelspur-server/src/ops/dispatcher.rs
@@ -4,7 +4,8 @@
 use crate::clock::Clock;
 use crate::ops::deduplication::Deduplication;
 use hazelspur::book::View;
-use hazelspur::{Decision, Logic, Moment, OpId, Outcome, Span, TenantId};
+use hazelspur::change::{Change, Changed};
+use hazelspur::{Catalog, Decision, Logic, Moment, OpId, Outcome, Span, TenantId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -68,6 +69,21 @@
         self.stirred.notify_one();
     }
 
+    /// Other settings from now on, all of them or none with the key at fault; also before the module is there.
+    pub fn change(&self, catalog: &RefCell<Catalog>, change: &Change) -> Result<Changed, String> {
+        let now = self.clock.now();
+        let changed = match self.logic.borrow_mut().as_mut() {
+            Some(logic) => logic.change(now, change)?,
+            None => {
+                let mut catalog = catalog.borrow_mut();
+                catalog.check(now, change)?;
+                catalog.apply(now, change).0
+            }
+        };
+        self.stirred.notify_one();
+        Ok(changed)
+    }
+
     /// What servers found out together, for the module. Of leases: when they end, and what holds then.
     pub fn guide(&self, told: Vec<(String, Option<f64>)>, leases: Option<Leases>) {
         *self.leases.borrow_mut() = leases;
--- a/crates/hazelspur-server/src/ops/life.rs
+++ b/crates/hazelspur-server/src/ops/life.rs
@@ -6,12 +6,15 @@
 use crate::ops::deduplication::Key;
 use crate::ops::dispatcher::{Dispatcher, News};
 use crate::ops::owed::{MayRun, Owed};
-use hazelspur::{CallerId, Decision, Moment, OpId, OpTypeId, Outcome, TenantId, UserKey};
+use hazelspur::{CallerId, Decision, Moment, OpId, OpType, OpTypeId, Outcome, Repeats, TenantId, UserKey};
 use std::future::{Future, pending};
 use std::pin::Pin;
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+/// The largest body of an op, in bytes.
+pub const LONGEST_BODY: usize = 2048;
+
 /// What an op's task works with.
 pub struct Services {
     pub dispatcher: Rc<Dispatcher>,
@@ -22,10 +25,9 @@
 pub struct Life {
     pub services: Rc<Services>,
     pub op: OpId,
-    pub class: Rc<str>,
+    /// As they were when it was read, whatever is in force since.
+    pub terms: Rc<OpType>,
     pub body: Rc<[u8]>,
-    /// Whether its calls may be made again though they may have run.
-    pub may_repeat: bool,
     /// The key that it is read under, and the try that held that key then.
     pub repeat_of: Option<(Key, OpId)>,
     /// It may have run: what stands on its key must not run again.
@@ -36,26 +38,33 @@
 
 type CallUnderWay = Pin<Box<dyn Future<Output = (Outcome, Vec<u8>)>>>;
 
+/// What is known of an op that is read, besides its body.
+pub struct Read {
+    pub op_type: OpTypeId,
+    pub tenant: TenantId,
+    pub user: Option<UserKey>,
+    pub caller: CallerId,
+    pub due: Option<Moment>,
+    pub kb: f64,
+    pub arrived: Moment,
+}
+
 impl Life {
-    #[allow(clippy::too_many_arguments)]
-    pub async fn live(
-        mut self,
-        op_type: OpTypeId,
-        tenant: TenantId,
-        user: Option<UserKey>,
-        caller: CallerId,
-        due: Option<Moment>,
-        kb: f64,
-        arrived: Moment,
-    ) {
-        let services = self.services.clone();
-        let (dispatcher, link) = (&services.dispatcher, &services.link);
-        // read
+    /// Tells the module at once, so that no change of terms comes between an op's reading and its beginning.
+    pub fn begin(self, read: &Read) -> Self {
         let (op, repeat_of) = (self.op, self.repeat_of.as_ref().map(|(_, first)| *first));
-        dispatcher.tell(|logic, now| {
+        let Read { op_type, tenant, user, caller, due, kb, arrived } = *read;
+        self.services.dispatcher.tell(|logic, now| {
             let age = now - arrived;
             logic.op_read(now, op, op_type, tenant, user, caller, due, None, kb, age, false, repeat_of);
         });
+        self
+    }
+
+    pub async fn live(mut self) {
+        let services = self.services.clone();
+        let (dispatcher, link) = (&services.dispatcher, &services.link);
+        let op = self.op;
         let mut awaits_first = false;
         'held: while let Some(news) = self.news.recv().await {
             // decided
@@ -105,7 +114,7 @@
             }
             // run
             self.ran = true;
-            link.start(self.op, self.class.clone(), self.body.clone());
+            link.start(self.op, self.terms.name.clone(), self.body.clone());
             let (mut wanted, mut repeated): (Rc<[u8]>, bool) = (Rc::from([]), false);
             let mut call: CallUnderWay = Box::pin(pending());
             loop {
@@ -130,7 +139,8 @@
                     }
                     Some(News::Decided(Decision::Call { patience, .. })) => {
                         let (services, op, wanted) = (services.clone(), self.op, wanted.clone());
-                        let fresh = repeated || !self.may_repeat;
+                        // Only what is retryable is called again though it may have run.
+                        let fresh = repeated || self.terms.repeats != Repeats::Retryable;
                         call = Box::pin(async move {
                             services
                                 .ledger
--- a/crates/hazelspur-server/src/start/operator.rs
+++ b/crates/hazelspur-server/src/start/operator.rs
@@ -1,10 +1,10 @@
-//! The operator's own file: a Starlark script that calls `amqp(...)` and `fleet(...)` once and `queue(...)`
-//! for each queue. It has no files and no network, its steps and memory are bounded; what it says is decoded
+//! The operator's own file: a Starlark script that calls `amqp(...)`, `fleet(...)` and `reload(...)` once and
+//! `queue(...)` for each queue. It has no files and no network, its steps and memory are bounded; what it says is decoded
 //! and checked, and every message names the key and the line.
 
 use crate::start::fleet_keys::Fleet;
 use garde::Validate;
-use hazelspur::Span;
+use hazelspur::{Catalog, Span};
 use hazelspur_deliveries::{Rule, Settlement, Table};
 use serde::Deserialize;
 use starlark::any::ProvidesStaticType;
@@ -39,6 +39,18 @@
     pub queues: Vec<Queue>,
     #[garde(dive)]
     pub fleet: Option<Fleet>,
+    #[serde(default)]
+    #[garde(skip)]
+    pub reload: Reload,
+}
+
+/// What a SIGHUP may change besides addresses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Reload {
+    /// Op types, tenants and some figures of the platform's settings change in place.
+    #[serde(default)]
+    pub settings: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize, Validate)]
@@ -271,13 +283,20 @@
 }
 
 #[starlark_module]
-fn fleet_call(builder: &mut GlobalsBuilder) {
+fn other_calls(builder: &mut GlobalsBuilder) {
     fn fleet<'v>(
         #[starlark(kwargs)] keys: starlark::collections::SmallMap<String, Value<'v>>,
         eval: &mut Evaluator<'v, '_, '_>,
     ) -> anyhow::Result<NoneType> {
         note("fleet", keys, eval)
     }
+
+    fn reload<'v>(
+        #[starlark(kwargs)] keys: starlark::collections::SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        note("reload", keys, eval)
+    }
 }
 
 fn note<'v>(
@@ -298,15 +317,15 @@
     Ok(NoneType)
 }
 
-/// Reads and checks the file; `op_types` are those of the platform's settings, or none to leave them
+/// Reads and checks the file; the op types are those of the platform's settings, or none to leave them
 /// unchecked.
-pub fn read(path: &str, op_types: Option<&[String]>) -> Result<Operator, String> {
+pub fn read(path: &str, catalog: Option<&Catalog>) -> Result<Operator, String> {
     let length = std::fs::metadata(path).map_err(|e| format!("{path}: {e}"))?.len();
     if length > LONGEST_FILE {
         return Err(format!("{path}: longer than {LONGEST_FILE} bytes"));
     }
     let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-    let mut operator = check(path, &text, op_types)?;
+    let mut operator = check(path, &text, catalog)?;
     if let Some(amqp) = &mut operator.amqp
         && let Some(file) = &amqp.password_file
     {
@@ -319,7 +338,7 @@
     Ok(operator)
 }
 
-pub fn check(path: &str, text: &str, op_types: Option<&[String]>) -> Result<Operator, String> {
+pub fn check(path: &str, text: &str, catalog: Option<&Catalog>) -> Result<Operator, String> {
     let sections = run(path, text)?;
     let mut all = serde_json::Map::new();
     let mut queues = Vec::new();
@@ -358,8 +377,8 @@
         if operator.queues[..i].iter().any(|other| other.name == queue.name) {
             return Err(format!("{}: named twice", key("name")));
         }
-        if let (Some(known), Some(op_type)) = (op_types, &queue.op_type)
-            && !known.contains(op_type)
+        if let (Some(catalog), Some(op_type)) = (catalog, &queue.op_type)
+            && catalog.find_op_type(op_type).is_none()
         {
             return Err(format!("{}: no such op type in the settings", key("op_type")));
         }
@@ -376,7 +395,7 @@
         format!("{path}:{at} {}", e.without_diagnostic())
     };
     let ast = AstModule::parse(path, text.to_owned(), &Dialect::Standard).map_err(told)?;
-    let globals: Globals = GlobalsBuilder::standard().with(calls).with(fleet_call).build();
+    let globals: Globals = GlobalsBuilder::standard().with(calls).with(other_calls).build();
     let sections = Sections::default();
     Module::with_temp_heap(|module| {
         let mut eval = Evaluator::new(&module);
--- a/crates/hazelspur-server/src/start/reload.rs
+++ b/crates/hazelspur-server/src/start/reload.rs
@@ -1,11 +1,17 @@
 //! A new configuration while the program runs: SIGHUP has the file read and checked as at the start. What it
-//! says of the parties' addresses holds at once; the rest is told at the next start only.
+//! says of the parties' addresses holds at once; where the operator's file has `reload(settings = True)`, so does
+//! what has changed of the settings, all of it or nothing of the file. The rest is told at the next start only.
 
 use crate::back::peers::Peers;
 use crate::fronts::queues::Queues;
-use crate::start::operator;
+use crate::ops::dispatcher::Dispatcher;
+use crate::start::fleet_keys::TENANT;
+use crate::start::operator::{self, Operator};
 use crate::start::startup::{self, Startup};
+use hazelspur::change::{Change, Edit};
+use hazelspur::{Catalog, OpType, Tenant};
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
 
@@ -13,43 +19,111 @@
 pub struct Reloader {
     pub peers: Rc<Peers>,
     pub running: Rc<Startup>,
+    pub dispatcher: Rc<Dispatcher>,
+    pub catalog: Rc<RefCell<Catalog>>,
     /// The operator's file, and the consumer that goes by it.
     pub file: Option<String>,
     pub queues: Option<Rc<Queues>>,
+    /// Whether settings change in place.
+    pub changes: bool,
+    pub named: RefCell<Named>,
+}
+
+/// Op types and tenants that the operator's file names: they can't go before it does not.
+#[derive(Default)]
+pub struct Named {
+    op_types: BTreeSet<String>,
+    tenants: BTreeSet<String>,
+}
+
+impl Named {
+    pub fn by(operator: &Operator) -> Self {
+        let shares = operator.fleet.iter().flat_map(|fleet| &fleet.shares);
+        Self {
+            op_types: operator.queues.iter().filter_map(|queue| queue.op_type.clone()).collect(),
+            tenants: shares.filter_map(|key| Some(key.limit.as_str().strip_prefix(TENANT)?.into())).collect(),
+        }
+    }
+
+    fn check(&self, change: &Change) -> Result<(), String> {
+        let named = |of: &str, name: &str| Err(format!("{of}: {name}: the operator's file names it"));
+        for edit in &change.op_types {
+            match edit {
+                Edit::<OpType>::Remove(name) if self.op_types.contains(&**name) => {
+                    return named("settings.lanes", name);
+                }
+                _ => {}
+            }
+        }
+        for edit in &change.tenants {
+            match edit {
+                Edit::<Tenant>::Remove(name) if self.tenants.contains(&**name) => {
+                    return named("settings.orgs", name);
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
 }
 
 pub async fn on_hangup(hangup: Rc<RefCell<Signal>>, reloader: Rc<Reloader>) {
     // Nobody else borrows it: one task listens, or the next after that one failed.
     while std::future::poll_fn(|context| hangup.borrow_mut().poll_recv(context)).await.is_some() {
-        match startup::read(|name| std::env::var(name).ok()) {
-            Ok(new) => take(&reloader.peers, &reloader.running, &new),
-            Err(why) => log::error!(why; "reload refused, the old configuration stays"),
-        }
-        if let (Some(file), Some(queues)) = (&reloader.file, &reloader.queues) {
-            match operator::read(file, Some(&reloader.running.op_types)) {
-                Ok(new) => queues.move_to(&new),
-                Err(why) => log::error!(why; "reload refused, the old operator's file stays"),
-            }
-        }
+        reloader.platform();
+        reloader.operator();
     }
 }
 
-fn take(peers: &Peers, running: &Startup, new: &Startup) {
-    let others = running.others_keys(new);
-    if !others.is_empty() {
-        // Whole: its addresses lead to another server's parties.
-        return log::error!(keys = others.join(" "); "reload refused, the file is not this server's");
+impl Reloader {
+    fn platform(&self) {
+        let read = startup::reread(|name| std::env::var(name).ok(), &self.catalog.borrow());
+        let taken = read.and_then(|(new, change)| self.take(&new, &change));
+        if let Err(why) = taken {
+            log::error!(why; "reload refused, the old configuration stays");
+        }
+    }
+
+    fn operator(&self) {
+        let (Some(file), Some(queues)) = (&self.file, &self.queues) else { return };
+        match operator::read(file, Some(&self.catalog.borrow())) {
+            Ok(new) => {
+                queues.move_to(&new);
+                self.named.borrow_mut().op_types = Named::by(&new).op_types;
+            }
+            Err(why) => log::error!(why; "reload refused, the old operator's file stays"),
+        }
     }
-    let differ = running.fixed_keys_that_differ(new);
-    if !differ.is_empty() {
-        log::warn!(keys = differ.join(" "); "reload leaves to the next start");
+
+    fn take(&self, new: &Startup, change: &Change) -> Result<(), String> {
+        let mut others = self.running.others_keys(new);
+        if !self.changes && !change.is_empty() {
+            others.push("settings");
+        }
+        if !others.is_empty() {
+            // Whole: its addresses lead to another server's parties.
+            log::error!(keys = others.join(" "); "reload refused, the file is not this server's");
+            return Ok(());
+        }
+        if !change.is_empty() {
+            self.named.borrow().check(change)?;
+            let changed = self.dispatcher.change(&self.catalog, change)?;
+            let each = |[new, altered, gone]: [usize; 3]| format!("+{new} ~{altered} -{gone}");
+            let (op_types, tenants) = (each(changed.op_types), each(changed.tenants));
+            log::info!(op_types, tenants, figures = changed.facts; "settings changed");
+        }
+        let differ = self.running.fixed_keys_that_differ(new);
+        if !differ.is_empty() {
+            log::warn!(keys = differ.join(" "); "reload leaves to the next start");
+        }
+        let (old, new) = (self.peers.now(), new.addresses);
+        log::info!(
+            runtime_moved = old.runtime != new.runtime,
+            ledger_moved = old.ledger != new.ledger,
+            control_moved = old.control != new.control;
+            "reload"
+        );
+        self.peers.move_to(new);
+        Ok(())
     }
-    let (old, new) = (peers.now(), new.addresses);
-    log::info!(
-        runtime_moved = old.runtime != new.runtime,
-        ledger_moved = old.ledger != new.ledger,
-        control_moved = old.control != new.control;
-        "reload"
-    );
-    peers.move_to(new);
 }
--- a/crates/hazelspur-server/src/start/startup.rs
+++ b/crates/hazelspur-server/src/start/startup.rs
@@ -4,12 +4,16 @@
 use crate::back::peers::Addresses;
 use crate::fronts::requests::{LONG_PAST, TIMEOUT_SLACK};
 use crate::ops::deduplication::Deduplication;
-use hazelspur::book::{OpType, Repeats};
-use hazelspur::{Facts, Moment, Span};
+use hazelspur::catalog::Entries;
+use hazelspur::change::Difference;
+use hazelspur::{Catalog, Change, Facts, Span};
 use hazelspur_parsers::{Json, settings};
+use std::io::Read;
 use std::net::SocketAddr;
 
 const LONGEST_STOP: f64 = 600_000.0;
+/// The longest configuration that is read, in bytes: 8,700 op types and 42,000 tenants take 4 MB.
+pub const LONGEST_FILE: u64 = 8 * 1024 * 1024;
 /// One part in so many of the program's memory may hold results for repeats.
 const RESULTS_PART: usize = 8;
 
@@ -24,23 +28,17 @@
     pub sockets: usize,
     /// What the program may take of memory, in bytes.
     pub memory: usize,
-    pub op_types: Vec<String>,
-    pub op_timeouts: Vec<Span>,
-    pub repeats: Vec<Repeats>,
-    pub tenants: Vec<String>,
     pub gauges: Vec<String>,
     /// What arrives later than this after the leave notice does not run.
     pub grace: Span,
     /// How long the result of a read may serve others.
     pub coalesce_for: Span,
-    pub facts: Facts,
 }
 
 impl Startup {
     /// A part of the memory for results; what is read later than any caller waits repeats nothing.
-    pub fn deduplication(&self) -> Deduplication {
-        let longest = self.op_timeouts.iter().max().copied().unwrap_or_default();
-        let read_late = longest.scaled(TIMEOUT_SLACK) + LONG_PAST;
+    pub fn deduplication(&self, catalog: &Catalog) -> Deduplication {
+        let read_late = catalog.longest_timeout().scaled(TIMEOUT_SLACK) + LONG_PAST;
         Deduplication::new(self.coalesce_for, read_late, self.memory / RESULTS_PART)
     }
 
@@ -55,25 +53,56 @@
         fixed.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
     }
 
-    /// The keys that differ where the file is for another server, or one of another installation.
+    /// The keys that differ where the file is for another server.
     pub fn others_keys(&self, new: &Self) -> Vec<&'static str> {
-        let own = [
-            ("name", self.name != new.name),
-            ("listen", self.listen != new.listen),
-            ("settings", self.facts.0 != new.facts.0),
-        ];
+        let own = [("name", self.name != new.name), ("listen", self.listen != new.listen)];
         own.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
     }
 }
 
 /// Reads the file that `ROUTER_CONFIG` names; `ROUTER_NAME` and `ROUTER_LISTEN` stand in for absent keys.
-pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Startup, String> {
+pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<(Startup, Catalog), String> {
+    let text = text(&variable)?;
+    let mut catalog = Catalog::default();
+    let (startup, facts) = check(&text, variable, &mut catalog)?;
+    if catalog.size().0 == 0 {
+        return Err("settings.lanes: missing or empty".into());
+    }
+    Ok((startup, catalog.complete(facts).map_err(settings_at)?))
+}
+
+/// Reads it again: what it says of this server, and what its settings change of those in force.
+pub fn reread(
+    variable: impl Fn(&str) -> Option<String>,
+    in_force: &Catalog,
+) -> Result<(Startup, Change), String> {
+    let text = text(&variable)?;
+    let mut difference = Difference::new(in_force);
+    let (startup, facts) = check(&text, variable, &mut difference)?;
+    Ok((startup, difference.complete(&facts).map_err(settings_at)?))
+}
+
+/// The whole file, or none of it.
+fn text(variable: impl Fn(&str) -> Option<String>) -> Result<Vec<u8>, String> {
     let path = variable("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
-    let text = std::fs::read(&path).map_err(|e| format!("ROUTER_CONFIG: {path}: {e}"))?;
-    check(&text, variable)
+    let told = |e: std::io::Error| format!("ROUTER_CONFIG: {path}: {e}");
+    let file = std::fs::File::open(&path).map_err(told)?;
+    let length = file.metadata().map_err(told)?.len();
+    let mut text = Vec::with_capacity(length.min(LONGEST_FILE) as usize + 1);
+    file.take(LONGEST_FILE + 1).read_to_end(&mut text).map_err(told)?;
+    if text.len() as u64 > LONGEST_FILE {
+        let length = length.max(text.len() as u64);
+        return Err(format!("ROUTER_CONFIG: {path}: {length} bytes, {LONGEST_FILE} at most"));
+    }
+    Ok(text)
 }
 
-pub fn check(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Startup, String> {
+/// All but the settings' entries, which go to `entries`, and the rest of the settings.
+fn check(
+    text: &[u8],
+    variable: impl Fn(&str) -> Option<String>,
+    entries: &mut impl Entries,
+) -> Result<(Startup, Facts), String> {
     let all = Json::parse(text).filter(|all| all.is_object()).ok_or("the configuration is no JSON object")?;
     let word = |key: &str, instead: Option<String>| match all.get(key) {
         Some(value) => value.text().map(|t| t.into_owned()).ok_or(format!("{key}: not a string")),
@@ -94,20 +123,12 @@
     number(limit("cores"), "limits.cores", 1.0, 0.01..=1e4)?;
     let memory_mb = number(limit("memory_mb"), "limits.memory_mb", 192.0, 1.0..=1e7)?;
     let settings = all.get("settings").filter(|s| s.is_object()).ok_or("settings: missing or no object")?;
-    let mut facts = settings::facts(settings);
+    let mut facts = settings::read(settings, entries).map_err(settings_at)?;
     // On sockets no word tells a runtime to go on without its call.
     facts.0.retain(|name, _| !name.starts_with("server.skip_worth"));
-    if !facts.has("op_types.0.target_latency_us") {
-        return Err("settings.lanes: missing or empty".into());
-    }
-    hazelspur::Logic::new(facts.clone(), 0, Moment::default()).map_err(|e| format!("settings: {e}"))?;
-    let names = |before: &str, after: &str| -> Vec<String> {
-        let name = |i: usize| facts.text(&format!("{before}.{i}{after}")).to_string();
-        (0..4096).map(name).take_while(|name| !name.is_empty()).collect()
-    };
+    let gauge = |i: usize| facts.text(&format!("server.meters.{i}")).to_string();
+    let gauges = (0..facts.0.len()).map(gauge).take_while(|name| !name.is_empty()).collect();
     let span = |name: &str| Span::from_us(facts.num(name, 0.0) as u64);
-    let op_types = names("op_types", ".name");
-    let told: Vec<OpType> = (0..op_types.len()).map(|i| OpType::told(&facts, i)).collect();
     let seed = match all.get("seed") {
         None => 0,
         Some(seed) => seed
@@ -115,7 +136,7 @@
             .and_then(|hex| u64::from_str_radix(&hex, 16).ok())
             .ok_or("seed: not 16 hexadecimal digits")?,
     };
-    Ok(Startup {
+    let startup = Startup {
         name: word("name", variable("ROUTER_NAME"))?,
         listen: address("listen", variable("ROUTER_LISTEN"))?,
         addresses: Addresses {
@@ -127,13 +148,13 @@
         stop: Span::from_secs(number(all.get("stop_ms"), "stop_ms", 3000.0, 1.0..=LONGEST_STOP)? / 1e3),
         sockets: number(limit("sockets"), "limits.sockets", 1024.0, 32.0..=1e7)? as usize,
         memory: (memory_mb * 1024.0 * 1024.0) as usize,
-        repeats: told.iter().map(|kind| kind.repeats).collect(),
-        op_timeouts: told.iter().map(|kind| kind.op_timeout).collect(),
-        op_types,
-        tenants: names("tenants", ".name"),
-        gauges: names("server.meters", ""),
+        gauges,
         grace: span("rules.drain_grace_us"),
         coalesce_for: span("server.share_reads_us"),
-        facts,
-    })
+    };
+    Ok((startup, facts))
+}
+
+fn settings_at(why: String) -> String {
+    if why.starts_with("settings") { why } else { format!("settings: {why}") }
 }
--- a/src/book.rs
+++ b/src/book.rs
@@ -1,12 +1,16 @@
 //! What is written down about ops and op types, and samples with the figures worked out from them.
 
-use crate::{CallerId, Facts, Moment, OpId, Span, UserKey};
+use crate::catalog::OpType;
+use crate::{CallerId, Moment, OpId, OpTypeId, Span, UserKey};
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 
 /// How many users and callers are remembered, runs and calls of an op type, and waits of its callers.
 pub const SEEN_KEPT: usize = 4096;
 pub const SAMPLES: usize = 24;
 pub const WAITS: usize = 32;
+/// Op types and tenants of whom something learned is kept: those seen lately, however many the settings have.
+pub const LEARNED_KEPT: usize = 4096;
 
 /// The last few samples of something; figures are worked out when asked for.
 #[derive(Clone, Debug)]
@@ -16,7 +20,7 @@
 
 impl<T, const MOST: usize> Default for Recent<T, MOST> {
     fn default() -> Self {
-        Self { samples: VecDeque::with_capacity(MOST) }
+        Self { samples: VecDeque::new() }
     }
 }
 
@@ -83,23 +87,9 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeats {
-    Retryable,
-    Keyed,
-    NonRetryable,
-}
-
-#[derive(Clone, Debug)]
-pub struct OpType {
-    pub target_latency: Span,
-    pub target_stretch: f64,
-    pub op_timeout: Span,
-    pub importance: f64,
-    pub late_worth: f64,
-    pub skip_worth: f64,
-    pub repeats: Repeats,
-    pub window: Span,
+/// What the last acked ops and the last ops read tell of an op type.
+#[derive(Clone, Debug, Default)]
+pub struct Learned {
     /// Cost told and seconds run (disk waits too), and seconds at calls, of the last acked ops.
     pub runs: Recent<(f64, f64), SAMPLES>,
     pub calls: Recent<f64, SAMPLES>,
@@ -107,28 +97,57 @@
     pub waits: Recent<u64, WAITS>,
 }
 
-impl OpType {
-    /// The `i`th op type of the settings.
-    pub fn told(facts: &Facts, i: usize) -> Self {
-        let num = |name: &str, default| facts.num(&format!("op_types.{i}.{name}"), default);
-        let target = num("target_latency_us", 1e6);
-        Self {
-            target_latency: Span::from_us(target as u64),
-            target_stretch: num("target_stretch", 0.0),
-            op_timeout: Span::from_us(num("op_timeout_us", target * 2.0) as u64),
-            importance: num("importance", 1.0),
-            late_worth: num("late_worth", 0.0),
-            skip_worth: facts.num(&format!("server.skip_worth.{i}"), 0.0),
-            repeats: match facts.text(&format!("op_types.{i}.repeats")) {
-                "retryable" => Repeats::Retryable,
-                "keyed" => Repeats::Keyed,
-                _ => Repeats::NonRetryable,
-            },
-            window: Span::from_us(num("window_us", 5e6) as u64),
-            runs: Recent::default(),
-            calls: Recent::default(),
-            waits: Recent::default(),
+/// What is known of those seen lately: past `MOST` the half that was not seen for longest is forgotten.
+#[derive(Clone, Debug)]
+pub struct Lately<K, V, const MOST: usize> {
+    known: BTreeMap<K, (u64, V)>,
+    /// Counts who is seen: the order, not the time.
+    seen: u64,
+}
+
+impl<K, V, const MOST: usize> Default for Lately<K, V, MOST> {
+    fn default() -> Self {
+        Self { known: BTreeMap::new(), seen: 0 }
+    }
+}
+
+impl<K: Ord + Copy, V: Default, const MOST: usize> Lately<K, V, MOST> {
+    /// What is known of one that is seen now.
+    pub fn see(&mut self, who: K) -> &mut V {
+        if self.known.len() >= MOST && !self.known.contains_key(&who) {
+            let mut order: Vec<u64> = self.known.values().map(|(seen, _)| *seen).collect();
+            order.sort_unstable();
+            let middle = order[order.len() / 2];
+            self.known.retain(|_, (seen, _)| *seen >= middle);
         }
+        self.seen += 1;
+        let (seen, known) = self.known.entry(who).or_default();
+        *seen = self.seen;
+        known
+    }
+
+    pub fn get(&self, who: &K) -> Option<&V> {
+        self.known.get(who).map(|(_, known)| known)
+    }
+
+    pub fn get_mut(&mut self, who: &K) -> Option<&mut V> {
+        self.known.get_mut(who).map(|(_, known)| known)
+    }
+
+    pub fn forget(&mut self, who: &K) {
+        self.known.remove(who);
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &V> {
+        self.known.values().map(|(_, known)| known)
+    }
+
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
     }
 }
 
@@ -145,7 +164,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Op {
     pub seq: u64,
-    pub op_type: usize,
+    pub op_type: OpTypeId,
+    /// As they were when it was read.
+    pub terms: Rc<OpType>,
     pub user: Option<UserKey>,
     pub caller: CallerId,
     pub arrived: Moment,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! Admission and scheduling for a server that sees only what reaches it. See `logic` for the calls.
 
 pub mod book;
+pub mod catalog;
+pub mod change;
 pub mod decision;
 pub mod facts;
 pub mod ids;
@@ -9,6 +11,8 @@
 pub mod time;
 
 pub use book::Outcome;
+pub use catalog::{Catalog, OpType, Repeats, Tenant};
+pub use change::Change;
 pub use decision::Decision;
 pub use facts::{Fact, Facts};
 pub use ids::{CallerId, OpId, OpTypeId, TenantId, UserKey};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,12 +4,17 @@
 //! The interface is this type's `pub fn`s and `Decision` in decision.rs; docs/design.md says why.
 
 use crate::book::{
-    Cycle, Op, OpType, Outcome, Read, Recent, Repeats, SAMPLES, State, View, mean, middle, note, parts,
+    Cycle, LEARNED_KEPT, Lately, Learned, Op, Outcome, Read, Recent, SAMPLES, State, View, mean, middle,
+    note, parts,
 };
+use crate::catalog::{Catalog, Repeats};
+use crate::change::{Change, Changed};
 use crate::pcg::Pcg;
 use crate::{CallerId, Decision, Fact, Facts, Moment, OpId, OpTypeId, Span, TenantId, UserKey};
+use std::cell::RefCell;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 
 /// The design's own figures (the paper's values but for the cycle, which ends by successes or by time).
 const RATIO_THRESHOLD: f64 = 0.9;
@@ -52,12 +57,16 @@
     facts: Facts,
     chance: Pcg,
     cores: f64,
-    op_types: Vec<OpType>,
+    /// Op types and tenants, as all fronts have them too.
+    catalog: Rc<RefCell<Catalog>>,
+    learned: Lately<OpTypeId, Learned, LEARNED_KEPT>,
     ops: BTreeMap<OpId, Op>,
     /// Short and long work, best first.
     lines: [Vec<OpId>; 2],
     users: BTreeMap<UserKey, Moment>,
-    tenants: Vec<Recent<Moment, TENANT_SAMPLES>>,
+    /// When ops of each tenant were read, and how many a second servers agreed on for this one.
+    tenants: Lately<TenantId, Recent<Moment, TENANT_SAMPLES>, LEARNED_KEPT>,
+    tenant_shares: BTreeMap<TenantId, f64>,
     keys: VecDeque<(Moment, OpId)>,
     seq: u64,
     started: Moment,
@@ -94,30 +103,25 @@
 }
 
 impl Logic {
+    /// From a plain map of dotted names; whether it starts cold is among them.
     pub fn new(facts: Facts, seed: u64, now: Moment) -> Result<Self, String> {
-        let above_zero = ["server.cores", "server.memory_kb", "server.run_factor"];
-        for (name, fact) in &facts.0 {
-            let Fact::Num(n) = fact else { continue };
-            let least = if above_zero.contains(&name.as_str()) { f64::MIN_POSITIVE } else { 0.0 };
-            if !n.is_finite() || (*n < least && (least > 0.0 || name.ends_with("_us"))) {
-                return Err(format!("setting {name} is absurd: {n}"));
-            }
-        }
-        let named = |i: &usize| facts.has(&format!("op_types.{i}.target_latency_us"));
-        let op_types: Vec<OpType> = (0..4096).take_while(named).map(|i| OpType::told(&facts, i)).collect();
-        let tenants = (0..4096).take_while(|i| facts.has(&format!("tenants.{i}.quota_per_s"))).count();
         let cold = facts.num("server.cold", 0.0) > 0.0;
+        let catalog = Rc::new(RefCell::new(Catalog::from_facts(facts)?));
+        Ok(Self::with(catalog, cold, seed, now))
+    }
+
+    pub fn with(catalog: Rc<RefCell<Catalog>>, cold: bool, seed: u64, now: Moment) -> Self {
+        let facts = catalog.borrow().facts.clone();
         // Servers that begin in one moment would end their cycles, and so move R, in step for ever.
         let first_cycle = now.back(CYCLE_MAX.scaled(Pcg::new(!seed).unit()));
         let mut out = VecDeque::from([Decision::Health { good: true, from_store: true }]);
         if cold {
             out.push_back(Decision::Log("mode cold".into()));
         }
-        Ok(Self {
+        Self {
             chance: Pcg::new(seed),
             cores: facts.num("server.cores", 1.0),
-            op_types,
-            tenants: vec![Recent::default(); tenants],
+            catalog,
             started: now,
             cold,
             refilled: now,
@@ -126,7 +130,7 @@
             call_budget: CALLS_PART * facts.num("server.calls_bound", 1e9),
             facts,
             ..Self::default()
-        })
+        }
     }
 
     // ---- inputs: they only update what is known ----
@@ -147,21 +151,20 @@
         write: bool,
         repeat_of: Option<OpId>,
     ) {
-        if op_type.0 >= self.op_types.len() {
+        let Some(terms) = self.catalog.borrow().op_type(op_type).cloned() else {
             let never = Decision::Nack { op: id, come_back: Span::ZERO, nowhere_else: true };
             return self.out.push_back(never);
-        }
+        };
         let arrived = now.back(age);
         let cost = cost.map_or(1.0, |c| c.secs().max(1e-4));
-        let timeout = self.op_types[op_type.0].op_timeout;
-        let gone_by = due.map_or(Span::ZERO, |due| self.gone_by(op_type.0, due - arrived, timeout));
+        let timeout = terms.op_timeout;
+        let gone_by = due.map_or(Span::ZERO, |due| self.gone_by(op_type, due - arrived, timeout));
         let due = due.unwrap_or(arrived + timeout);
-        let kind = &self.op_types[op_type.0];
-        let target = kind.target_latency + Span::from_secs(kind.target_stretch * cost);
+        let target = terms.target_latency + Span::from_secs(terms.target_stretch * cost);
         let listed = user.and_then(|u| self.users.get(&u)).is_some_and(|seen| now - *seen < USER_IDLE);
-        let importance = kind.importance * if listed { LISTED_BOOST } else { 1.0 };
+        let importance = terms.importance * if listed { LISTED_BOOST } else { 1.0 };
         let share = self.share_factor(now, tenant);
-        let expected = self.run_secs(op_type.0, cost).max(1e-4);
+        let expected = self.run_secs(op_type, terms.target_latency, cost).max(1e-4);
         let work = if self.facts.text("counted_by") == "work" { 1.0 } else { expected };
         let idle = self.span("server.caller_idle_us");
         let last = note(&mut self.callers, caller, now, idle);
@@ -170,7 +173,8 @@
         self.seq += 1;
         let op = Op {
             seq: self.seq,
-            op_type: op_type.0,
+            op_type,
+            terms,
             user,
             caller,
             arrived,
@@ -195,9 +199,9 @@
     /// How long ago the client's first try was, by how long its caller still waits: a first try's wait is a
     /// common one; a shorter one is a repeat within it, a longer one a last try with all that is left.
     /// Guards against late acks after repeats; says nothing where callers draw their waits by chance.
-    fn gone_by(&mut self, op_type: usize, left: Span, timeout: Span) -> Span {
+    fn gone_by(&mut self, op_type: OpTypeId, left: Span, timeout: Span) -> Span {
         let step = left.us() / WAIT_STEP.us();
-        let seen = &mut self.op_types[op_type].waits;
+        let seen = &mut self.learned.see(op_type).waits;
         seen.push(step);
         let often = |s: u64| seen.samples.iter().filter(|other| other.abs_diff(s) <= 1).count();
         let mut common = seen.samples.iter().copied().filter(|s| often(*s) * 8 >= seen.samples.len());
@@ -241,10 +245,13 @@
         }
         if outcome == Outcome::Ok && op.state != State::AwaitsResult {
             let run = op.ran_for(now);
-            let kind = &mut self.op_types[op.op_type];
             self.paces.push(run / op.expected);
-            kind.runs.push((op.cost, run));
-            kind.calls.push(op.at_calls.secs());
+            // Nothing is learned of a type that has gone, nor from ops of one that stands in its place.
+            if self.catalog.borrow().op_type(op.op_type).is_some() {
+                let learned = self.learned.see(op.op_type);
+                learned.runs.push((op.cost, run));
+                learned.calls.push(op.at_calls.secs());
+            }
             if op.owed && now <= op.target_at {
                 self.acks.push((op.cost, (now - op.arrived).secs()));
             }
@@ -282,7 +289,7 @@
         // Only a refusal speaks of load: what broke or never came is made again at once.
         let wait = if never_ran { op.call_tries } else { 0 };
         op.call_after = now + Span::from_ms(50).scaled(f64::from(wait));
-        if !never_ran && self.op_types[op.op_type].repeats != Repeats::Retryable {
+        if !never_ran && op.terms.repeats != Repeats::Retryable {
             op.call_tries = CALL_TRIES;
         }
     }
@@ -314,12 +321,40 @@
     /// What servers found out together, by names under `joint.`; `None` once they don't know any more.
     pub fn told(&mut self, now: Moment, name: &str, value: Option<f64>) {
         self.refill(now);
-        match value.filter(|n| name.starts_with("joint.") && n.is_finite() && *n >= 0.0) {
+        let value = value.filter(|n| n.is_finite() && *n >= 0.0);
+        let tenant = name.strip_prefix("joint.tenants.").and_then(|rest| rest.strip_suffix(".per_s"));
+        if let Some(tenant) = tenant.and_then(|at| at.parse().ok()).map(TenantId) {
+            match value {
+                Some(n) => self.tenant_shares.insert(tenant, n),
+                None => self.tenant_shares.remove(&tenant),
+            };
+            return;
+        }
+        match value.filter(|_| name.starts_with("joint.")) {
             Some(n) => self.facts.0.insert(name.into(), Fact::Num(n)),
             None => self.facts.0.remove(name).filter(|_| name.starts_with("joint.")),
         };
     }
 
+    /// Other settings from now on, all of them or, with the key at fault, none. Ops in hand go on by the terms under
+    /// which they were read; R, what was learned of types that stay, users and callers remain.
+    pub fn change(&mut self, now: Moment, change: &Change) -> Result<Changed, String> {
+        self.refill(now);
+        let mut catalog = self.catalog.borrow_mut();
+        catalog.check(now, change)?;
+        let (changed, op_types, tenants) = catalog.apply(now, change);
+        for (key, fact) in &change.facts {
+            match fact {
+                Some(fact) => self.facts.0.insert(key.clone(), fact.clone()),
+                None => self.facts.0.remove(key),
+            };
+        }
+        op_types.iter().for_each(|id| self.learned.forget(id));
+        tenants.iter().for_each(|id| self.tenants.forget(id));
+        tenants.iter().for_each(|id| _ = self.tenant_shares.remove(id));
+        Ok(changed)
+    }
+
     // ---- decisions, one by one ----
 
     pub fn next_decision(&mut self, now: Moment) -> Option<Decision> {
@@ -353,9 +388,7 @@
     fn answer_due(&mut self, now: Moment) -> Option<Decision> {
         let stop = self.leaving.is_some_and(|(_, stop)| now >= stop.back(DRAIN_MARGIN));
         let stops = self.facts.text("server.stop") != "none";
-        let worthless = |op: &Op| {
-            stops && op.ran && now + BEAT >= op.target_at && self.op_types[op.op_type].late_worth <= 0.0
-        };
+        let worthless = |op: &Op| stops && op.ran && now + BEAT >= op.target_at && op.terms.late_worth <= 0.0;
         let id = self.first_by_seq(|op| op.owed && (now + BEAT >= op.due || stop || worthless(op)))?;
         Some(self.give_up(now, id))
     }
@@ -381,9 +414,8 @@
     /// Rule 2: keyed ops are marked when read, and a repeat is served from the first try, never run.
     fn answer_repeats(&mut self, now: Moment) -> Option<Decision> {
         let shares_reads = self.facts.num("server.share_reads_us", 0.0) > 0.0;
-        let keyed = |op: &Op| self.op_types[op.op_type].repeats == Repeats::Keyed;
-        let shares =
-            |op: &Op| shares_reads && !op.write && self.op_types[op.op_type].repeats == Repeats::Retryable;
+        let keyed = |op: &Op| op.terms.repeats == Repeats::Keyed;
+        let shares = |op: &Op| shares_reads && !op.write && op.terms.repeats == Repeats::Retryable;
         let marked = |op: &Op| keyed(op) || (shares(op) && op.user.is_some());
         let id = self.first_by_seq(|op| {
             let repeat = op.repeat_of.is_some() && (keyed(op) || shares(op));
@@ -402,11 +434,8 @@
             self.ops.get_mut(&id)?.repeat_of = None;
             return self.answer_repeats(now);
         }
-        let span = if keyed(op) {
-            self.op_types[op.op_type].window
-        } else {
-            self.span("server.share_reads_us") + (op.due - now)
-        };
+        let span =
+            if keyed(op) { op.terms.window } else { self.span("server.share_reads_us") + (op.due - now) };
         let fits = self.memory() + self.facts.num("server.key_kb", 0.0) <= self.memory_limit();
         if !fits && keyed(op) {
             return Some(self.give_up(now, id));
@@ -423,10 +452,10 @@
     /// survives. Guards against slow spells; gives up calls for which others may have left room.
     fn make_calls(&mut self, now: Moment) -> Option<Decision> {
         let ready = |op: &Op| op.state == State::WantsCall && op.owed && op.call_after <= now;
-        let skips = |op: &Op| self.breaker_open() && self.op_types[op.op_type].skip_worth > 0.0;
+        let skips = |op: &Op| self.breaker_open() && op.terms.skip_worth > 0.0;
         if let Some(id) = self.first_by_seq(|op| ready(op) && (op.call_tries >= CALL_TRIES || skips(op))) {
             let op = self.ops.get_mut(&id)?;
-            if self.op_types[op.op_type].skip_worth > 0.0 {
+            if op.terms.skip_worth > 0.0 {
                 op.call_over(now);
                 return Some(Decision::SkipCall(id));
             }
@@ -446,7 +475,7 @@
         op.call_after = now;
         op.call_tries += 1;
         // A reply that never comes must not hold its run: only the last try waits for as long as there is.
-        let last = op.call_tries >= CALL_TRIES || self.op_types[op.op_type].repeats != Repeats::Retryable;
+        let last = op.call_tries >= CALL_TRIES || op.terms.repeats != Repeats::Retryable;
         let usual = Span::from_secs(if last { f64::INFINITY } else { usual * CALL_PATIENCE });
         Some(Decision::Call { op: id, patience: (op.due - now).min(lasts).min(usual).max(BEAT) })
     }
@@ -462,7 +491,7 @@
             self.tokens -= 1.0;
             self.ops.get_mut(&id)?.admitted = true;
         }
-        let early = |op: &Op| self.op_types[op.op_type].op_timeout.scaled(EARLY_SHARE);
+        let early = |op: &Op| op.terms.op_timeout.scaled(EARLY_SHARE);
         let id = self.first_by_seq(|op| {
             op.state == State::Held && !op.admitted && now + BEAT - op.arrived >= early(op)
         })?;
@@ -482,8 +511,8 @@
         for id in ids {
             let op = &self.ops[&id];
             let run = op.expected * drag;
-            let kind = &self.op_types[op.op_type];
-            let calls = kind.calls.mean_without_top(COSTLY).unwrap_or(0.0);
+            let kind = &op.terms;
+            let calls = self.call_part(op.op_type).unwrap_or(0.0);
             let refused =
                 self.leaving.is_some_and(|(at, _)| op.arrived > at + self.span("rules.drain_grace_us"));
             let last = if kind.late_worth > 0.0 { op.due } else { op.target_at };
@@ -540,9 +569,7 @@
         let room = self.memory_limit() - self.memory();
         let factor = self.facts.num("server.run_factor", 8.0) - 1.0;
         let open = self.breaker_open();
-        let kind = |op: &Op| &self.op_types[op.op_type];
-        let calls =
-            |op: &Op| kind(op).skip_worth <= 0.0 && kind(op).calls.mean_without_top(COSTLY) > Some(0.0);
+        let calls = |op: &Op| op.terms.skip_worth <= 0.0 && self.call_part(op.op_type) > Some(0.0);
         self.lines[line].iter().copied().find(|id| {
             let op = &self.ops[id];
             !(open && calls(op)) && op.admitted && (op.paused || op.kb * factor <= room) && now < op.due
@@ -671,10 +698,14 @@
         (b.paused.cmp(&a.paused)).then(rank).then(a.target_at.cmp(&b.target_at)).then(a.seq.cmp(&b.seq))
     }
 
-    fn run_secs(&self, op_type: usize, cost: f64) -> f64 {
-        let kind = &self.op_types[op_type];
-        let unknown = if cost == 1.0 { kind.target_latency.secs() * 0.2 } else { cost };
-        kind.runs.expect(cost, COSTLY).unwrap_or(unknown)
+    fn run_secs(&self, op_type: OpTypeId, target_latency: Span, cost: f64) -> f64 {
+        let unknown = if cost == 1.0 { target_latency.secs() * 0.2 } else { cost };
+        self.learned.get(&op_type).and_then(|known| known.runs.expect(cost, COSTLY)).unwrap_or(unknown)
+    }
+
+    /// Seconds that an op of this type is at calls, by the last ones.
+    fn call_part(&self, op_type: OpTypeId) -> Option<f64> {
+        self.learned.get(&op_type).and_then(|known| known.calls.mean_without_top(COSTLY))
     }
 
     fn usual_run_secs(&self) -> f64 {
@@ -707,8 +738,10 @@
 
     /// What an op of this tenant is worth by the tenant's share here: traffic past it earns little.
     fn share_factor(&mut self, now: Moment, tenant: TenantId) -> f64 {
-        let quota = self.facts.num(&format!("tenants.{}.quota_per_s", tenant.0), 0.0);
-        let Some(seen) = self.tenants.get_mut(tenant.0) else { return 1.0 };
+        let Some(quota) = self.catalog.borrow().tenant(tenant).and_then(|terms| terms.quota_per_s) else {
+            return 1.0;
+        };
+        let seen = self.tenants.see(tenant);
         seen.push(now);
         let over = self.facts.num("over_share_worth", 1.0);
         if seen.samples.len() < TENANT_SAMPLES / 2 {
@@ -716,7 +749,7 @@
         }
         let rate = seen.samples.len() as f64 / (now - seen.samples[0]).secs().max(0.01);
         let here = quota / self.facts.num("servers", 1.0).max(1.0);
-        let here = self.facts.num(&format!("joint.tenants.{}.per_s", tenant.0), here);
+        let here = self.tenant_shares.get(&tenant).copied().unwrap_or(here);
         let within = (here / rate).min(1.0);
         within + (1.0 - within) * over
     }
@@ -775,7 +808,7 @@
     /// How many ops in hand could still be acked within their targets, by what those leave after an op's own
     /// run; only a part, since what is sent in vain costs more than the choice among more ops brings.
     pub fn room(&self, now: Moment) -> f64 {
-        let target = |op: &Op| self.op_types[op.op_type].target_latency.secs();
+        let target = |op: &Op| op.terms.target_latency.secs();
         let target = mean(self.ops.values().map(target)).unwrap_or(0.0);
         self.run_bound(now) * ((target / self.usual_run_secs().max(1e-3) - 1.0) * ROOM).clamp(1.0, 20.0)
     }
@@ -784,7 +817,7 @@
     pub fn view(&self, now: Moment) -> View {
         let since = self.reads.samples.front().map_or(Span::ZERO, |read| now - read.at).secs().max(0.2);
         // By runs that were seen: a type that never got a call would say for ever that it needs none.
-        let runs = mean(self.op_types.iter().flat_map(|kind| kind.runs.samples.iter().map(|run| run.1)));
+        let runs = mean(self.learned.all().flat_map(|known| known.runs.samples.iter().map(|run| run.1)));
         let can = runs.map_or(f64::INFINITY, |secs| self.cores / secs.max(1e-4));
         let rate = (self.reads.samples.len() as f64 / since).min(can);
         let calls = self.call_secs().map(|secs| rate * secs / CALLS_PART * CALLS_ROOM);
@@ -794,7 +827,7 @@
     /// Ops a second that came of this tenant lately.
     pub fn tenant_rate(&self, now: Moment, tenant: TenantId) -> f64 {
         let seen =
-            self.tenants.get(tenant.0).and_then(|seen| Some((seen.samples.len(), *seen.samples.front()?)));
+            self.tenants.get(&tenant).and_then(|seen| Some((seen.samples.len(), *seen.samples.front()?)));
         seen.map_or(0.0, |(count, first)| count as f64 / (now - first).secs().max(0.2))
     }
 
@@ -814,8 +847,7 @@
             self.tokens += 1.0; // it never came to count
         }
         let (ran, state, repeat, kept) = (op.ran, op.state, op.repeat_of.is_some(), op.key_kept);
-        let hopeless = now + Span::from_secs(op.expected * 0.5) > op.target_at
-            && self.op_types[op.op_type].late_worth <= 0.0;
+        let hopeless = now + Span::from_secs(op.expected * 0.5) > op.target_at && op.terms.late_worth <= 0.0;
         self.refused.push(1.0);
         let come_back = self.come_back(now, op.caller);
         if matches!(state, State::Held | State::AwaitsResult) {
--- /dev/null
+++ b/tests/changes.rs
@@ -0,0 +1,357 @@
+//! Settings that change while ops are in hand: what holds for whom, what is refused, what survives.
+
+mod helpers;
+
+use expect_test::expect;
+use hazelspur::change::MOST_EDITS;
+use hazelspur::pcg::Pcg;
+use hazelspur::{Catalog, Decision, Fact, Outcome, Span};
+use helpers::{Play, Read, facts};
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+/// Three op types and two tenants; each word in `edits` replaces what is said of its key.
+fn file(edits: &str) -> String {
+    let plain = "op_types.0.name=view op_types.1.name=book op_types.1.target_latency_us=1000000 \
+        op_types.1.op_timeout_us=4000000 op_types.1.repeats=keyed op_types.1.window_us=5000000 \
+        op_types.2.name=pay op_types.2.target_latency_us=1000000 op_types.2.op_timeout_us=4000000 \
+        op_types.2.repeats=non-retryable tenants.0.name=a tenants.0.quota_per_s=50 tenants.1.name=b \
+        tenants.1.quota_per_s=50 ";
+    plain.to_string() + edits
+}
+
+/// The same without some op types or tenants, counted anew.
+fn without(gone: &[&str], edits: &str) -> String {
+    let all: Vec<String> = file(edits).split_whitespace().map(String::from).collect();
+    let mut out = String::new();
+    for table in ["op_types", "tenants"] {
+        let mut at = 0;
+        for old in 0..3 {
+            let prefix = format!("{table}.{old}.");
+            let of: Vec<&String> = all.iter().filter(|word| word.starts_with(&prefix)).collect();
+            if of.is_empty() || gone.iter().any(|name| of.contains(&&format!("{prefix}name={name}"))) {
+                continue;
+            }
+            for word in of {
+                let _ = write!(out, "{table}.{at}.{} ", &word[prefix.len()..]);
+            }
+            at += 1;
+        }
+    }
+    out + "op_types.0.target_latency_us=1000000 op_types.0.op_timeout_us=4000000"
+}
+
+fn play() -> Play {
+    let mut play = Play::new(&file(""));
+    play.pull();
+    play.seen(&[]);
+    play
+}
+
+#[test]
+fn ops_in_hand_go_on_by_the_terms_under_which_they_were_read() {
+    let mut play = play();
+    // Two run, two wait by the old terms; a call of the first may be made again, it being retryable.
+    for (name, op_type) in [("one", 0), ("two", 0), ("old-low", 0), ("old-pay", 2)] {
+        play.read(name, Read { op_type, wait_ms: 4000, ..Read::default() });
+    }
+    play.pull();
+    play.call_wanted("one").pull();
+    let changed = play.change(&file(
+        "op_types.0.importance=9 op_types.0.op_timeout_us=900000 op_types.0.target_latency_us=800000 \
+         op_types.0.repeats=non-retryable tenants.0.quota_per_s=5",
+    ));
+    assert_eq!(changed.map(|changed| changed.op_types), Ok([0, 1, 0]));
+    play.read("new-high", Read { op_type: 0, wait_ms: 900, ..Read::default() });
+    play.pull();
+    play.call_ended("one", Outcome::Broken).pull();
+    play.at(100).ended("two", Outcome::Ok).pull();
+    play.at(860).beat(2.0).pull();
+    play.at(960).beat(2.0).pull();
+    play.at(4000).beat(2.0).pull();
+    expect![[r#"
+        0     Run(one)
+        0     Run(two)
+        0     Call { op: one, patience: Span(4000000) }
+        0     Run(old-low)
+        0     Call { op: one, patience: Span(4000000) }
+        100   Run(new-high)
+        860   Fail(new-high)
+        860   Stop(new-high)
+        860   Nack { op: old-pay, come_back: Span(168517), nowhere_else: false }
+        960   Fail(one)
+        960   Fail(old-low)
+        960   Stop(old-low)
+        4000  Stop(old-low)
+        4000  Stop(new-high)
+    "#]]
+    .assert_eq(&play.seen(&[]));
+}
+
+#[test]
+fn the_ops_of_a_type_that_went_end_as_they_began_and_new_ones_are_unknown() {
+    let mut play = play();
+    play.read("runs", Read { op_type: 2, ..Read::default() });
+    play.read("runs-too", Read { op_type: 0, ..Read::default() });
+    play.read("waits", Read { op_type: 2, ..Read::default() });
+    play.pull();
+    play.change(&without(&["pay"], "")).expect("a sound change");
+    play.read("late", Read { op_type: 2, ..Read::default() });
+    play.pull();
+    play.at(50).ended("runs", Outcome::Ok).pull();
+    play.at(90).ended("waits", Outcome::Ok).pull();
+    play.change(&file("")).expect("a sound change");
+    let again = play.catalog.borrow().find_op_type("pay").expect("back").0;
+    assert_eq!(again.0, 3, "another id than before");
+    play.read("back", Read { op_type: again.0, ..Read::default() });
+    play.pull();
+    expect![[r#"
+        0     Run(runs)
+        0     Run(runs-too)
+        0     Nack { op: late, come_back: Span(0), nowhere_else: true }
+        50    Run(waits)
+        90    Run(back)
+    "#]]
+    .assert_eq(&play.seen(&[]));
+}
+
+#[test]
+fn what_cannot_be_safe_is_refused_with_its_key_and_nothing_of_it_holds() {
+    let mut play = play();
+    let seen = |play: &Play| {
+        let catalog = play.catalog.borrow();
+        format!("{:?} {:?} {:?}", catalog.op_types(), catalog.tenants(), catalog.facts)
+    };
+    let before = seen(&play);
+    let many: String = (2..MOST_EDITS + 4).map(|i| format!(" tenants.{i}.name=n{i}")).collect();
+    // With each, something that would be taken by itself.
+    let good = "op_types.0.importance=9 tenants.1.quota_per_s=70 ";
+    let faults = [
+        "op_types.1.window_us=4999999",
+        "op_types.1.repeats=retryable",
+        "op_types.1.repeats=non-retryable",
+        "op_types.1.op_timeout_us=4000001",
+        "op_types.3.name=new op_types.3.target_latency_us=1 op_types.3.repeats=keyed op_types.3.op_timeout_us=9000000",
+        "op_types.2.importance=-1",
+        "op_types.2.repeats=sometimes",
+        "op_types.2.colour=red",
+        "op_types.2.name=view",
+        "tenants.1.quota_per_s=inf",
+        "tenants.2.name=",
+        "server.cores=3",
+        "server.calls_bound=9",
+        "rules.drain_grace_us=1",
+        "new.figure=1",
+        "limits.max_retry_after_us=-1",
+        &many,
+    ];
+    let mut told = String::new();
+    for fault in faults {
+        let why = play.change(&file(&format!("{good}{fault}"))).expect_err(fault);
+        let _ = writeln!(told, "{why}");
+        assert_eq!(seen(&play), before, "{fault}");
+    }
+    for other in ["op_types.0.name=x op_types.0.target_latency_us=9", "tenants.0.name=x"] {
+        let file = file("").replace("view", "x1").replace("book", "x2").replace("pay", "x3");
+        let file = if other.starts_with("op") {
+            file
+        } else {
+            self::file("").replace("name=a", "name=c").replace("name=b", "name=d")
+        };
+        let _ = writeln!(told, "{}", play.change(&file).expect_err(other));
+        assert_eq!(seen(&play), before, "{other}");
+    }
+    expect![[r#"
+        settings: op_types.book.window_us: shorter than that of ops whose keys are kept; waits for the next start
+        settings: op_types.book.repeats: its keys are kept, a repeat would run again; waits for the next start
+        settings: op_types.book.repeats: its keys are kept, a repeat would run again; waits for the next start
+        settings: op_types.book.op_timeout_us: keys are kept for no longer than the start's waits; waits for the next start
+        settings: op_types.new.op_timeout_us: keys are kept for no longer than the start's waits; waits for the next start
+        setting op_types.2.importance is absurd: -1
+        setting op_types.2.repeats is not known: sometimes
+        settings: op_types.colour: an unknown key, not there at the start
+        settings.lanes: view: named twice
+        setting tenants.1.quota_per_s is absurd: inf
+        settings.orgs: an entry without a name can't change in place
+        settings: server.cores: waits for the next start
+        settings: server.calls_bound: waits for the next start
+        settings: rules.drain_grace_us: waits for the next start
+        settings: new.figure: waits for the next start
+        setting limits.max_retry_after_us is absurd: -1
+        settings: more than 4096 differences, the most of one change
+        settings.lanes: none of those in force is left: another installation's file
+        settings.orgs: none of those in force is left: another installation's file
+    "#]].assert_eq(&told);
+    play.change(&file(good)).expect("what is good alone");
+}
+
+#[test]
+fn a_keyed_type_that_went_does_not_come_back_with_less_memory_while_keys_are_kept() {
+    let mut play = play();
+    play.change(&without(&["book"], "")).expect("a sound change");
+    let back = |repeats: &str| {
+        file("").replace("op_types.1.repeats=keyed", &format!("op_types.1.repeats={repeats}"))
+    };
+    let early = play.change(&back("retryable")).expect_err("its keys are kept");
+    play.at(20_999);
+    let kept = play.change(&back("retryable")).expect_err("the last repeat may still be read");
+    play.at(21_000);
+    let late = play.change(&back("retryable")).map(|changed| changed.op_types);
+    expect![[r#"
+        settings: op_types.book.repeats: its keys are kept, a repeat would run again; waits for the next start
+        settings: op_types.book.repeats: its keys are kept, a repeat would run again; waits for the next start
+        Ok([1, 0, 0])
+    "#]]
+    .assert_eq(&format!("{early}\n{kept}\n{late:?}\n"));
+}
+
+#[test]
+fn the_rate_what_was_learned_and_users_under_way_survive() {
+    let (mut changed, mut unchanged) = (play(), play());
+    let mut seen = [String::new(), String::new()];
+    for (play, seen) in [&mut changed, &mut unchanged].into_iter().zip(&mut seen) {
+        play.load(8000, 9);
+        play.run = Span::from_ms(300);
+        play.load(6000, 20);
+        *seen = play.seen(&["mode bound"]);
+    }
+    changed.change(&file("op_types.2.importance=3 tenants.1.quota_per_s=9")).expect("a sound change");
+    for (play, seen) in [&mut changed, &mut unchanged].into_iter().zip(&mut seen) {
+        play.load(6000, 20);
+        *seen += &play.seen(&["mode"]);
+    }
+    assert!(seen[0].contains("mode bound"), "{}", seen[0]);
+    assert_eq!(seen[0], seen[1], "the same lines at the same times");
+}
+
+/// What each op was answered, by the decisions that were pulled.
+fn answers(all: &mut BTreeMap<String, u32>, decisions: &[Decision]) {
+    for decision in decisions {
+        if let Decision::Nack { op, .. } | Decision::Fail(op) = decision {
+            *all.entry(op.to_string()).or_default() += 1;
+        }
+    }
+}
+
+#[test]
+fn thirty_changes_in_a_minute_and_one_in_a_drain_cost_no_answer() {
+    let mut chance = Pcg::new(5);
+    let mut play = play();
+    let (mut answered, mut read, mut ends) = (BTreeMap::new(), 0, BTreeMap::new());
+    for step in 0..6000u64 {
+        play.at(step * 10);
+        if step % 200 == 100 {
+            let gone: &[&str] = if step % 400 == 100 { &["pay"] } else { &[] };
+            let more = format!("op_types.0.importance={} tenants.0.quota_per_s={}", 1 + step % 7, step);
+            play.change(&without(gone, &more)).expect("a sound change");
+        }
+        if step == 5500 {
+            play.logic.leave_notice(play.now, play.now + Span::from_ms(4000));
+        }
+        if step < 5500 {
+            for name in ["view", "book", "pay"] {
+                let id = play.catalog.borrow().find_op_type(name).map(|(id, _)| id.0);
+                if let Some(op_type) = id.filter(|_| chance.unit() < 0.08) {
+                    read += 1;
+                    let (user, tenant) = (format!("u{}", read % 50), read % 2);
+                    play.read(&format!("op{read}"), Read { op_type, tenant, user: &user, ..Read::default() });
+                }
+            }
+        }
+        let over: Vec<String> =
+            ends.iter().filter(|(_, at)| **at <= step).map(|(op, _): (&String, _)| op.clone()).collect();
+        for op in over {
+            ends.remove(&op);
+            play.ended(&op, Outcome::Ok);
+            *answered.entry(op).or_default() += 1;
+        }
+        if step % 4 == 0 {
+            play.beat(ends.len() as f64);
+        }
+        let decisions = play.pull();
+        answers(&mut answered, &decisions);
+        for decision in &decisions {
+            let name = |op: &hazelspur::OpId| op.to_string().trim_end_matches('-').to_string();
+            match decision {
+                Decision::Run(op) => drop(ends.insert(name(op), step + 5 + u64::from(chance.draw() % 40))),
+                // The answer is out already: what ends later is no second one.
+                Decision::Stop(op) => {
+                    ends.remove(&name(op));
+                    play.ended(&name(op), Outcome::Stopped);
+                }
+                _ => {}
+            }
+        }
+    }
+    let answered: BTreeMap<String, u32> =
+        answered.into_iter().fold(BTreeMap::new(), |mut all, (op, n): (String, u32)| {
+            *all.entry(op.trim_end_matches('-').to_string()).or_default() += n;
+            all
+        });
+    assert!(read > 1000, "{read}");
+    assert_eq!(answered.len(), read, "each op has an answer");
+    let twice: Vec<&String> = answered.iter().filter(|(_, n)| **n > 1).map(|(op, _)| op).collect();
+    assert!(twice.is_empty(), "{twice:?}");
+}
+
+/// A file of some op types and tenants, each with figures, all drawn.
+fn drawn(chance: &mut Pcg) -> Vec<(String, Fact)> {
+    let mut words: Vec<(String, Fact)> = Vec::new();
+    for (table, most) in [("op_types", 9), ("tenants", 7)] {
+        let mut at = 0;
+        for of in 0..most {
+            // The first stays, so that no file is another one altogether.
+            if of > 0 && chance.unit() < 0.4 {
+                continue;
+            }
+            let mut put = |key: &str, fact| words.push((format!("{table}.{at}.{key}"), fact));
+            put("name", Fact::Text(format!("{table}{of}")));
+            if table == "op_types" {
+                put("target_latency_us", Fact::Num(f64::from(chance.draw() % 3 + 1) * 1e5));
+                put("repeats", Fact::Text(["retryable", "non-retryable"][chance.draw() as usize % 2].into()));
+            } else {
+                put("quota_per_s", Fact::Num(f64::from(chance.draw() % 5)));
+            }
+            at += 1;
+        }
+    }
+    words
+}
+
+#[test]
+fn after_any_walk_of_changes_what_holds_is_what_the_last_file_says() {
+    let (mut most_id, mut changes) = (0, 0);
+    for seed in 0..40 {
+        let mut chance = Pcg::new(seed);
+        let mut play = Play::new("op_types.0.name=op_types0 tenants.0.name=tenants0");
+        let mut names: BTreeMap<usize, String> = BTreeMap::new();
+        for _ in 0..40 {
+            let more: String = drawn(&mut chance)
+                .into_iter()
+                .map(|(key, fact)| match fact {
+                    Fact::Num(n) => format!("{key}={n} "),
+                    Fact::Text(text) => format!("{key}={text} "),
+                })
+                .collect();
+            play.change(&more).expect("a sound change");
+            changes += 1;
+            let fresh = Catalog::from_facts(facts(&more)).expect("sound settings");
+            let held = play.catalog.borrow();
+            let by_name = |catalog: &Catalog| {
+                let mut all: Vec<String> =
+                    catalog.op_types().iter().map(|(_, of)| format!("{of:?}")).collect();
+                all.extend(catalog.tenants().iter().map(|(_, of)| format!("{of:?}")));
+                all.sort();
+                let first = catalog.find_tenant(None).map(|(_, name)| name);
+                (all, catalog.facts.0.clone(), first)
+            };
+            assert_eq!(by_name(&held), by_name(&fresh), "seed {seed}: {more}");
+            for (id, terms) in held.op_types() {
+                most_id = most_id.max(id.0);
+                let of = names.entry(id.0).or_insert_with(|| terms.name.to_string());
+                assert_eq!(**of, *terms.name, "an id has one name for good");
+            }
+        }
+    }
+    assert!(changes == 1600 && most_id > 50, "{changes} {most_id}");
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,13 +1,18 @@
 //! Feeds a `Logic` by hand and prints what it decides, a line each.
 #![allow(dead_code)] // each test file uses its part
 
+use hazelspur::catalog::take_facts;
+use hazelspur::change::{Changed, Difference};
 use hazelspur::{
-    CallerId, Decision, Fact, Facts, Logic, Moment, OpId, OpTypeId, Outcome, Span, TenantId, UserKey,
+    CallerId, Catalog, Decision, Fact, Facts, Logic, Moment, OpId, OpTypeId, Outcome, Span, TenantId, UserKey,
 };
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 pub struct Play {
     pub logic: Logic,
+    pub catalog: Rc<RefCell<Catalog>>,
     start: Moment,
     pub now: Moment,
     trace: String,
@@ -20,6 +25,7 @@
 
 pub struct Read<'a> {
     pub op_type: usize,
+    pub tenant: usize,
     pub user: &'a str,
     pub caller: u64,
     pub wait_ms: u64,
@@ -30,7 +36,16 @@
 
 impl Default for Read<'_> {
     fn default() -> Self {
-        Self { op_type: 0, user: "", caller: 0, wait_ms: 4000, cost_ms: None, kb: 10.0, repeat_of: None }
+        Self {
+            op_type: 0,
+            tenant: 0,
+            user: "",
+            caller: 0,
+            wait_ms: 4000,
+            cost_ms: None,
+            kb: 10.0,
+            repeat_of: None,
+        }
     }
 }
 
@@ -54,9 +69,23 @@
 impl Play {
     pub fn new(more: &str) -> Self {
         let now = Moment::from_us(50_000_000);
-        let logic = Logic::new(facts(more), 7, now).expect("sound settings");
+        let catalog = Catalog::from_facts(facts(more)).expect("sound settings");
+        let cold = catalog.facts.num("server.cold", 0.0) > 0.0;
+        let catalog = Rc::new(RefCell::new(catalog));
+        let logic = Logic::with(catalog.clone(), cold, 7, now);
         let run = Span::from_ms(200);
-        Self { logic, start: now, now, trace: String::new(), ends: BTreeMap::new(), run, reads: 0.0 }
+        Self { logic, catalog, start: now, now, trace: String::new(), ends: BTreeMap::new(), run, reads: 0.0 }
+    }
+
+    /// Has the settings become those of a newer file, or says why not.
+    pub fn change(&mut self, more: &str) -> Result<Changed, String> {
+        let change = {
+            let in_force = self.catalog.borrow();
+            let mut difference = Difference::new(&in_force);
+            let rest = take_facts(&mut difference, facts(more))?;
+            difference.complete(&rest)?
+        };
+        self.logic.change(self.now, &change)
     }
 
     pub fn at(&mut self, ms: u64) -> &mut Self {
@@ -72,7 +101,7 @@
             self.now,
             id(name),
             op_type,
-            TenantId(0),
+            TenantId(read.tenant),
             user,
             CallerId(read.caller),
             Some(due),
