hazelspur-lab scale: what the machines cost a server as the fleet grows

Cause: no figure said how members, signals and shares grow to 810 servers and beyond in two regions of three zones.

Change: the network has regions with a lag and a loss of their own (one region unless told otherwise); the town counts each server's traffic and lets servers leave in good order; the real machines are played in six zones through a storm of starts, rest, a zone lost and back cold, regions apart for a minute, and bunched restarts; shares by themselves with 1 and 16 limits. CPU is the thread's, with and without that of the queue played alone by hollow talkers; heap is counted by an allocator that only this program installs.

--- a/crates/hazelspur-lab/src/lib.rs
+++ b/crates/hazelspur-lab/src/lib.rs
@@ -7,9 +7,12 @@
 //! - `town`: many talkers over that network, stopped, killed and started by a script;
 //! - `drive`: the real `Logic` of many servers between `models` of cores, ledger, list and gateways;
 //! - `ways`: the ways of knowing who is here that are compared;
-//! - `studies`: what is measured, as tables.
+//! - `studies`: what is measured, as tables;
+//! - `cpu`, `heap`: what a run cost the machine that played it.
 
+pub mod cpu;
 pub mod drive;
+pub mod heap;
 pub mod kernel;
 pub mod models;
 pub mod network;
--- a/crates/hazelspur-lab/src/main.rs
+++ b/crates/hazelspur-lab/src/main.rs
@@ -9,8 +9,13 @@
 use hazelspur_lab::ways::beats::Beats;
 use hazelspur_lab::ways::library::Library;
 use hazelspur_lab::ways::own::Own;
+use std::path::PathBuf;
 use std::time::Instant;
 
+/// What a run holds is counted.
+#[global_allocator]
+static HEAP: hazelspur_lab::heap::Counting = hazelspur_lab::heap::Counting;
+
 #[derive(Parser)]
 #[command(name = "hazelspur-lab", version, about = "Many servers in virtual time")]
 struct Line {
@@ -34,6 +39,8 @@
         #[arg(long, default_value_t = 5)]
         seeds: u64,
     },
+    /// What the machines cost a server as the fleet grows, in two regions of three zones.
+    Scale(Scale),
     /// What choices that all make alike come to in sum: reports, subsets, turns.
     Sums {
         #[arg(long, value_delimiter = ',', default_value = "1,10,100,300,1000")]
@@ -41,6 +48,47 @@
     },
 }
 
+#[derive(Args)]
+struct Scale {
+    #[arg(long, value_delimiter = ',', default_value = "100,200,400,810,1620")]
+    sizes: Vec<usize>,
+    #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
+    seeds: Vec<u64>,
+    /// Of members, joint (members, signals and shares of one limit together), shares (by themselves).
+    #[arg(long, value_delimiter = ',', default_value = "members,joint,shares")]
+    of: Vec<String>,
+    /// Of storm-and-rest, zone, regions, bunch; shares have troubles of their own.
+    #[arg(long, value_delimiter = ',', default_value = "storm-and-rest,zone,regions,bunch")]
+    cases: Vec<String>,
+    /// Limits, for shares by themselves.
+    #[arg(long, value_delimiter = ',', default_value = "1,16")]
+    limits: Vec<usize>,
+    /// One way, from region to region.
+    #[arg(long, default_value_t = 40)]
+    region_lag_ms: u64,
+    /// The share of datagrams lost from region to region.
+    #[arg(long, default_value_t = 0.0)]
+    region_loss: f64,
+    /// The share of all datagrams lost.
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
+    /// Traffic is counted for so long in each case.
+    #[arg(long, default_value_t = 30)]
+    window_s: u64,
+    /// No run is begun after so many minutes; what was left out is said. A run that was begun is ended.
+    #[arg(long, default_value_t = 30.0)]
+    minutes: f64,
+    /// Writes all points there.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Keeps what the file has of other points.
+    #[arg(long, requires = "json")]
+    append: bool,
+    /// Runs played at once. What CPU a run costs grows with them, since they share the machine's caches.
+    #[arg(long, default_value_t = std::thread::available_parallelism().map_or(1, |n| n.get()))]
+    threads: usize,
+}
+
 #[derive(Args)]
 struct Choices {
     #[arg(long, value_delimiter = ',', default_value = "100")]
@@ -115,10 +163,118 @@
         Command::Together(asked) => together(&asked),
         Command::Choices(asked) => choices(&asked),
         Command::Shares { sizes, seeds } => shares(&sizes, seeds),
+        Command::Scale(asked) => {
+            if let Err(why) = scale(&asked) {
+                eprintln!("{why}");
+                std::process::exit(1);
+            }
+        }
         Command::Sums { sizes } => sums(&sizes),
     }
 }
 
+fn scale(asked: &Scale) -> Result<(), String> {
+    use hazelspur_lab::studies::scale::points::{Point, Study, lines};
+    use hazelspur_lab::studies::scale::{Between, Case, Machine, SharesCase, Situation, play, play_shares};
+    use hazelspur_lab::studies::shares::Trouble;
+    enum Run {
+        Machine(Case),
+        Shares(SharesCase),
+    }
+    let known = |name: &String, of: &[&str], flag: &str| match of.contains(&name.as_str()) {
+        true => Ok(()),
+        false => Err(format!("--{flag}: {name} is none of {}", of.join(", "))),
+    };
+    let machines: Vec<&str> = Machine::ALL.iter().map(|m| m.name()).chain(["shares"]).collect();
+    let situations: Vec<&str> = Situation::ALL.iter().map(|s| s.name()).collect();
+    asked.of.iter().try_for_each(|name| known(name, &machines, "of"))?;
+    asked.cases.iter().try_for_each(|name| known(name, &situations, "cases"))?;
+    let lag = Span::from_ms(asked.region_lag_ms);
+    let between = Between { lag, region_loss: asked.region_loss, loss: asked.loss };
+    let window = Span::from_ms(asked.window_s.max(1) * 1000);
+    let mut runs = Vec::new();
+    for (size, seed) in asked.sizes.iter().flat_map(|size| asked.seeds.iter().map(|seed| (*size, *seed))) {
+        for machine in Machine::ALL.into_iter().filter(|m| asked.of.iter().any(|name| name == m.name())) {
+            let wanted = |s: &Situation| asked.cases.iter().any(|name| name == s.name());
+            for situation in Situation::ALL.into_iter().filter(wanted) {
+                runs.push(Run::Machine(Case { machine, situation, size, seed, between, window }));
+            }
+        }
+        if asked.of.iter().any(|name| name == "shares") {
+            for (limits, trouble) in
+                asked.limits.iter().flat_map(|limits| Trouble::OF_SCALE.map(|trouble| (*limits, trouble)))
+            {
+                runs.push(Run::Shares(SharesCase { servers: size, limits, trouble, seed, between }));
+            }
+        }
+    }
+    let began = Instant::now();
+    let outcomes = on_all_cores(&runs, asked.threads, |run| {
+        if began.elapsed().as_secs_f64() > asked.minutes * 60.0 {
+            return None;
+        }
+        let from = Instant::now();
+        let points = match run {
+            Run::Machine(case) => play(case),
+            Run::Shares(case) => play_shares(case),
+        };
+        Some((points, from.elapsed().as_secs_f64()))
+    });
+    for (run, outcome) in runs.iter().zip(&outcomes) {
+        let what = match run {
+            Run::Machine(case) => {
+                format!("{} {} {} seed {}", case.machine.name(), case.situation.name(), case.size, case.seed)
+            }
+            Run::Shares(case) => {
+                let (limits, trouble) = (case.limits, case.trouble.name());
+                format!("shares of {limits}, {trouble}, {} seed {}", case.servers, case.seed)
+            }
+        };
+        match outcome {
+            Some((_, secs)) => eprintln!("{what}: played in {secs:.1} s"),
+            None => eprintln!("{what}: NOT RUN, the time was over"),
+        }
+    }
+    let points: Vec<Point> = outcomes.into_iter().flatten().flat_map(|(points, _)| points).collect();
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    let head = ["figure", "case", "unit"].map(str::to_string).into_iter();
+    table.set_header(head.chain(asked.sizes.iter().map(|size| format!("{size} servers"))));
+    for line in lines(&points, &asked.sizes) {
+        let cells = line.cells.iter().map(|cell| match cell {
+            Some((least, mean, most)) if least < most => format!("{mean:.1} ({least:.1} to {most:.1})"),
+            Some((_, mean, _)) => format!("{mean:.1}"),
+            None => "not measured".into(),
+        });
+        table.add_row([line.figure, line.case, line.unit].into_iter().chain(cells));
+    }
+    println!("{table}");
+    if let Some(file) = &asked.json {
+        let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+        let line: Vec<String> = std::env::args().skip(1).collect();
+        let mut study = Study {
+            study: "scale".into(),
+            command: format!("cargo run --release -p hazelspur-lab -- {}", line.join(" ")),
+            text: text_of_the_tree(),
+            machine: format!("{cores} cores, simulated, {} runs at once", asked.threads),
+            points,
+        };
+        if asked.append {
+            study = study.append_to(file)?;
+        }
+        study.write(file)?;
+    }
+    Ok(())
+}
+
+/// The short hash of the text that is checked out here, with a mark where it was changed.
+fn text_of_the_tree() -> String {
+    let asked = std::process::Command::new("git").args(["describe", "--always", "--dirty"]).output();
+    let said = asked.ok().filter(|out| out.status.success()).map(|out| out.stdout).unwrap_or_default();
+    let said = String::from_utf8_lossy(&said).trim().to_string();
+    if said.is_empty() { "not known".into() } else { said }
+}
+
 /// Mean and the half width of a 95% interval, by Student's t for few.
 fn interval(of: &[f64]) -> (f64, f64) {
     const T: [f64; 9] = [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26];
@@ -216,7 +372,9 @@
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get());
     for size in sizes {
         for trouble in Trouble::ALL {
-            let cases: Vec<Case> = (1..=seeds).map(|seed| Case { servers: *size, trouble, seed }).collect();
+            let cases: Vec<Case> = (1..=seeds)
+                .map(|seed| Case { servers: *size, trouble, seed, limits: 1, between: None })
+                .collect();
             let all = on_all_cores(&cases, threads, play);
             let mean =
                 |of: &dyn Fn(&Outcome) -> f64| all.iter().map(of).sum::<f64>() / all.len().max(1) as f64;
--- a/crates/hazelspur-lab/src/network.rs
+++ b/crates/hazelspur-lab/src/network.rs
@@ -1,5 +1,7 @@
 //! Datagrams between servers. Times are those of a network within a city: a base with an exponential tail,
 //! which reorders by itself. Loss is by chance and independent; a cut is a rule over sender and receiver.
+//! Sites may lie in regions, with a lag and a loss of their own between these; there is one region unless told
+//! otherwise.
 
 use hazelspur::Span;
 use hazelspur::pcg::Pcg;
@@ -15,6 +17,12 @@
 #[derive(Clone)]
 pub struct Network {
     pub sites: usize,
+    /// Site and region of a server go round by its number, so that each region has as many sites.
+    pub regions: usize,
+    /// One way, from region to region; in place of what is usual from site to site.
+    pub region_lag: Span,
+    /// The share of datagrams lost from region to region, besides `loss`.
+    pub region_loss: f64,
     /// Shares of datagrams.
     pub loss: f64,
     pub doubled: f64,
@@ -23,23 +31,34 @@
 
 impl Network {
     pub fn new(sites: usize) -> Self {
-        Self { sites, loss: 0.0, doubled: 0.0, cut: None }
+        let region_lag = Span::from_us((ACROSS_MS * 1000.0) as u64);
+        Self { sites, regions: 1, region_lag, region_loss: 0.0, loss: 0.0, doubled: 0.0, cut: None }
     }
 
     pub fn site(&self, of: usize) -> usize {
         of % self.sites.max(1)
     }
 
+    pub fn region(&self, of: usize) -> usize {
+        self.site(of) % self.regions.max(1)
+    }
+
     /// After how long each copy arrives; none where it is lost.
     pub fn carry(&self, chance: &mut Pcg, from: usize, to: usize) -> Vec<Span> {
         if self.cut.is_some_and(|cut| cut(from, to)) {
             return Vec::new();
         }
-        let base = if self.site(from) == self.site(to) { WITHIN_MS } else { ACROSS_MS };
+        let apart = self.region(from) != self.region(to);
+        let base = match () {
+            () if apart => self.region_lag.secs() * 1000.0,
+            () if self.site(from) == self.site(to) => WITHIN_MS,
+            () => ACROSS_MS,
+        };
+        let loss = if apart { 1.0 - (1.0 - self.loss) * (1.0 - self.region_loss) } else { self.loss };
         let copies = 1 + usize::from(self.doubled > 0.0 && chance.unit() < self.doubled);
         let mut arrive = Vec::with_capacity(copies);
         for _ in 0..copies {
-            let lost = self.loss > 0.0 && chance.unit() < self.loss;
+            let lost = loss > 0.0 && chance.unit() < loss;
             let tail = -TAIL_MS * (1.0 - chance.unit()).ln();
             if !lost {
                 arrive.push(Span::from_us(((base + tail) * 1000.0) as u64));
--- a/crates/hazelspur-lab/src/studies.rs
+++ b/crates/hazelspur-lab/src/studies.rs
@@ -1,6 +1,7 @@
 //! What is measured.
 
 pub mod choices;
+pub mod scale;
 pub mod shares;
 pub mod sums;
 pub mod together;
--- /dev/null
+++ b/crates/hazelspur-lab/src/studies/scale/mod.rs
@@ -0,0 +1,394 @@
+//! What the real machines cost a server as the fleet grows, in two regions of three zones each: traffic of the
+//! mean and of the busiest server, time until all agree, CPU and heap. `hazelspur-lab scale` plays it and the
+//! slope tests take their counts from it; it judges nothing.
+
+pub mod points;
+mod shares;
+
+pub use shares::{SharesCase, play_shares};
+
+use crate::network::Network;
+use crate::town::{Town, Traffic};
+use crate::ways::Way;
+use crate::ways::hollow::{Hollow, Rate};
+use crate::ways::zoned::{REGIONS, Together, ZONES, Zoned};
+use crate::{cpu, heap};
+use hazelspur::Span;
+use points::Point;
+
+/// All start within this.
+const STORM: Span = Span::from_ms(1000);
+/// After a storm of starts the fleet is left alone for so long.
+const SETTLE: Span = Span::from_ms(30_000);
+/// A minute apart.
+const APART: Span = Span::from_ms(60_000);
+/// One in so many restarts in a bunch, within so long, and is away for so long.
+const BUNCH_PART: usize = 40;
+const BUNCH: Span = Span::from_ms(10_000);
+const AWAY: Span = Span::from_ms(1500);
+/// CPU is taken over so many server-seconds at least.
+const CPU_SERVER_SECS: f64 = 40_000.0;
+/// How often it is looked whether all agree; traffic's worst second is over so many looks.
+const LOOK: Span = Span::from_ms(250);
+const LOOKS_A_SECOND: usize = 4;
+/// Nobody waits longer than this for all to agree.
+const LONGEST: Span = Span::from_ms(180_000);
+/// The zone that is lost; its first server is a contact point and a keeper.
+const LOST_ZONE: usize = 0;
+
+/// Room for a quarter more than there are.
+pub fn most(servers: usize) -> usize {
+    servers + servers.div_ceil(4)
+}
+
+/// What lies between zones and regions.
+#[derive(Clone, Copy, Debug)]
+pub struct Between {
+    /// One way, from region to region.
+    pub lag: Span,
+    /// Share of datagrams lost from region to region.
+    pub region_loss: f64,
+    /// Share of all datagrams lost.
+    pub loss: f64,
+}
+
+impl Between {
+    pub fn network(&self) -> Network {
+        let mut network = Network::new(ZONES);
+        network.regions = REGIONS;
+        (network.region_lag, network.region_loss, network.loss) = (self.lag, self.region_loss, self.loss);
+        network
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Situation {
+    /// A storm of starts, and rest after it; CPU and heap are those at rest.
+    StormAndRest,
+    /// A sixth gone at once; back cold a minute or more later.
+    Zone,
+    Regions,
+    Bunch,
+}
+
+impl Situation {
+    pub const ALL: [Self; 4] = [Self::StormAndRest, Self::Zone, Self::Regions, Self::Bunch];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::StormAndRest => "storm-and-rest",
+            Self::Zone => "zone",
+            Self::Regions => "regions",
+            Self::Bunch => "bunch",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Machine {
+    Members,
+    /// Members, signals and shares of one limit.
+    Joint,
+}
+
+impl Machine {
+    pub const ALL: [Self; 2] = [Self::Members, Self::Joint];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Members => "members",
+            Self::Joint => "joint",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub machine: Machine,
+    pub situation: Situation,
+    pub size: usize,
+    pub seed: u64,
+    pub between: Between,
+    /// Traffic is counted for so long from the beginning of each case.
+    pub window: Span,
+}
+
+pub fn play(case: &Case) -> Vec<Point> {
+    match case.machine {
+        Machine::Members => play_as::<Zoned>(case),
+        Machine::Joint => play_as::<Together<1>>(case),
+    }
+}
+
+/// A server's traffic over a window.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// Of the mean server, a second.
+    pub datagrams_out: f64,
+    pub bytes_out: f64,
+    /// Of the server with most of it, a second.
+    pub busiest_datagrams_out: f64,
+    pub busiest_bytes_out: f64,
+    pub busiest_datagrams_in: f64,
+    pub busiest_bytes_in: f64,
+    /// The most bytes that one server sent in one second.
+    pub worst_second: f64,
+}
+
+impl Load {
+    /// The mean is over `servers`.
+    fn of(before: &[Traffic], after: &[Traffic], worst_second: u64, secs: f64, servers: usize) -> Self {
+        let first = |at: usize| before.get(at).copied().unwrap_or_default();
+        let each: Vec<Traffic> = after.iter().enumerate().map(|(at, after)| after.since(first(at))).collect();
+        let most = |of: fn(&Traffic) -> u64| each.iter().map(of).max().unwrap_or(0) as f64 / secs;
+        let mean = |of: fn(&Traffic) -> u64| each.iter().map(of).sum::<u64>() as f64 / servers as f64 / secs;
+        Self {
+            datagrams_out: mean(|t| t.out),
+            bytes_out: mean(|t| t.bytes_out),
+            busiest_datagrams_out: most(|t| t.out),
+            busiest_bytes_out: most(|t| t.bytes_out),
+            busiest_datagrams_in: most(|t| t.came),
+            busiest_bytes_in: most(|t| t.bytes_in),
+            worst_second: worst_second as f64,
+        }
+    }
+}
+
+/// A window of a played town, and when all agreed.
+#[derive(Clone, Copy, Debug)]
+pub struct Watched {
+    pub load: Load,
+    /// Seconds from the beginning until all agreed first; none within three minutes.
+    pub agreed: Option<f64>,
+}
+
+/// Plays for `window`, and on until all agree or three minutes are over.
+fn watch<W: Way>(town: &mut Town<W>, window: Span, size: usize) -> Watched {
+    let from = town.now();
+    let before: Vec<Traffic> = town.traffic().collect();
+    let (mut second, mut worst) = (before.clone(), 0);
+    let (mut agreed, mut load, mut looks) = (None, None, 0);
+    loop {
+        let passed = town.now() - from;
+        if agreed.is_none() && town.agree() {
+            agreed = Some(passed.secs());
+        }
+        if load.is_none() && passed >= window {
+            let after: Vec<Traffic> = town.traffic().collect();
+            load = Some(Load::of(&before, &after, worst, passed.secs(), size));
+        }
+        if let Some(load) = load
+            && (agreed.is_some() || passed >= LONGEST)
+        {
+            return Watched { load, agreed };
+        }
+        town.play(LOOK);
+        looks += 1;
+        if looks % LOOKS_A_SECOND == 0 {
+            let after: Vec<Traffic> = town.traffic().collect();
+            let sent = |(at, after): (usize, &Traffic)| {
+                after.bytes_out - second.get(at).map_or(0, |before| before.bytes_out)
+            };
+            worst = after.iter().enumerate().map(sent).max().unwrap_or(0).max(worst);
+            second = after;
+        }
+    }
+}
+
+/// All start within a second, each at its part of it.
+pub fn start_all<W: Way>(town: &mut Town<W>, numbers: impl ExactSizeIterator<Item = usize>) {
+    let part = Span::from_us(STORM.us() / numbers.len().max(1) as u64);
+    for of in numbers {
+        town.start(of);
+        town.play(part);
+    }
+}
+
+/// A fleet of so many, started and at rest.
+pub fn at_rest<W: Way>(size: usize, seed: u64, between: &Between) -> Town<W> {
+    let mut town = Town::new(between.network(), most(size), seed);
+    start_all(&mut town, 0..size);
+    let from = town.now();
+    while !town.agree() && town.now() - from < LONGEST {
+        town.play(LOOK);
+    }
+    town.play(SETTLE);
+    town
+}
+
+/// What a fleet at rest sends and holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Rest {
+    pub load: Load,
+    /// Entries in the tables of the mean and of the fullest server.
+    pub entries: f64,
+    pub most_entries: usize,
+}
+
+/// Counts `town` for so long.
+pub fn rest<W: Way>(town: &mut Town<W>, window: Span, size: usize) -> Rest {
+    let before: Vec<Traffic> = town.traffic().collect();
+    let (mut second, mut worst, from) = (before.clone(), 0, town.now());
+    while town.now() - from < window {
+        town.play(Span::from_ms(1000));
+        let after: Vec<Traffic> = town.traffic().collect();
+        let sent = after.iter().zip(&second).map(|(after, before)| after.bytes_out - before.bytes_out);
+        worst = sent.max().unwrap_or(0).max(worst);
+        second = after;
+    }
+    let load = Load::of(&before, &second, worst, (town.now() - from).secs(), size);
+    let entries: Vec<usize> = town.ways().map(|(_, way)| way.entries()).collect();
+    let sum: usize = entries.iter().sum();
+    let mean = sum as f64 / entries.len().max(1) as f64;
+    Rest { load, entries: mean, most_entries: entries.into_iter().max().unwrap_or(0) }
+}
+
+/// One situation of one fleet as points, from a storm of starts on.
+pub fn play_as<W: Way>(case: &Case) -> Vec<Point> {
+    let mut out = Sheet { case, points: Vec::new() };
+    let (size, between) = (case.size, &case.between);
+    if case.situation == Situation::StormAndRest {
+        let mut town: Town<W> = Town::new(between.network(), most(size), case.seed);
+        // Traffic of the second in which they start counts too; the time until all agree is from its end.
+        let before: Vec<Traffic> = town.traffic().collect();
+        start_all(&mut town, 0..size);
+        let first = Load::of(&before, &town.traffic().collect::<Vec<_>>(), 0, 1.0, size);
+        let watched = watch(&mut town, case.window, size);
+        out.watched("storm", &watched);
+        out.point("datagrams_out_per_s", "first second of the storm", "1/s", first.datagrams_out);
+        out.point("bytes_out_per_s", "first second of the storm", "B/s", first.bytes_out);
+        town.play(SETTLE);
+        rest_points(&mut out, &mut town);
+        return out.points;
+    }
+    let mut town: Town<W> = at_rest(size, case.seed, between);
+    match case.situation {
+        Situation::StormAndRest => {}
+        Situation::Zone => {
+            let lost: Vec<usize> = (0..size).filter(|of| of % ZONES == LOST_ZONE).collect();
+            lost.iter().for_each(|of| town.kill(*of));
+            let gone = watch(&mut town, case.window, size - lost.len());
+            out.watched("zone lost", &gone);
+            start_all(&mut town, lost.into_iter());
+            let back = watch(&mut town, case.window, size);
+            out.watched("zone back", &back);
+        }
+        Situation::Regions => {
+            town.network.cut = Some(|from, to| from % ZONES % REGIONS != to % ZONES % REGIONS);
+            town.play(APART);
+            town.network.cut = None;
+            let healed = watch(&mut town, case.window, size);
+            out.watched("regions healed", &healed);
+        }
+        Situation::Bunch => {
+            let before: Vec<Traffic> = town.traffic().collect();
+            let many = (size / BUNCH_PART).max(1);
+            let gap = Span::from_us(BUNCH.us() / many as u64);
+            let mut away = std::collections::VecDeque::new();
+            let from = town.now();
+            for i in 0..many {
+                // Neither contact points nor keepers, and of all zones in turn.
+                let of = (i * BUNCH_PART + i % ZONES + 7) % size;
+                town.leave(of);
+                away.push_back((town.now() + AWAY, of));
+                if i + 1 == many {
+                    break;
+                }
+                let next = from + gap.scaled((i + 1) as f64);
+                while let Some((at, of)) = away.front().copied().filter(|(at, _)| *at <= next) {
+                    town.play(at - town.now());
+                    town.start(of);
+                    away.pop_front();
+                }
+                town.play(next - town.now());
+            }
+            for (at, of) in away {
+                town.play(at - town.now());
+                town.start(of);
+            }
+            let during = (town.now() - from).secs();
+            let load = Load::of(&before, &town.traffic().collect::<Vec<_>>(), 0, during, size);
+            out.load("bunched restarts, while they go on", &load);
+            let watched = watch(&mut town, case.window, size);
+            out.watched("bunched restarts, after the last", &watched);
+        }
+    }
+    out.points
+}
+
+/// Traffic, entries, CPU and heap at rest. The heap is that of a zone's servers, taken from what their end
+/// gives back.
+fn rest_points<W: Way>(out: &mut Sheet, town: &mut Town<W>) {
+    let case = out.case;
+    let rest = rest(town, case.window, case.size);
+    // The kernel counts in steps of some milliseconds: a small fleet is played for longer.
+    let long = case.window.max(Span::from_secs(CPU_SERVER_SECS / case.size as f64));
+    let before = cpu::of_this_thread();
+    town.play(long);
+    let spent = before.zip(cpu::of_this_thread()).map(|(before, after)| after - before);
+    out.load("rest", &rest.load);
+    out.point("entries", "rest", "entries", rest.entries);
+    let held = heap::live();
+    let zone: Vec<usize> = (0..case.size).filter(|of| of % ZONES == LOST_ZONE).collect();
+    zone.iter().for_each(|of| town.kill(*of));
+    if let Some((before, after)) = held.zip(heap::live()) {
+        let each = (before - after) as f64 / zone.len().max(1) as f64 + size_of::<W>() as f64;
+        out.point("state_bytes", "rest", "B", each);
+    }
+    if let Some(spent) = spent {
+        let us = spent.us() as f64 / (long.secs() * case.size as f64);
+        out.point("cpu_with_queue_us_per_s", "rest", "us/s", us);
+        if let Some(queue) = queue_alone(case, &rest.load, long) {
+            out.point("cpu_of_queue_us_per_s", "rest", "us/s", queue);
+            out.point("cpu_us_per_s", "rest", "us/s", us - queue);
+        }
+    }
+}
+
+/// CPU of the laboratory's own queue and network for the same traffic, in microseconds a server-second.
+fn queue_alone(case: &Case, load: &Load, long: Span) -> Option<f64> {
+    let rate = Rate { servers: case.size, datagrams: load.datagrams_out, bytes: load.bytes_out };
+    let mut town: Town<Hollow> = Town::new(case.between.network(), case.size, case.seed);
+    for of in 0..case.size {
+        let hollow = Hollow::new(of, rate, case.seed.wrapping_mul(1_000_003) + of as u64, town.now());
+        town.start_as(of, hollow);
+    }
+    town.play(Span::from_ms(2000));
+    let before = cpu::of_this_thread()?;
+    town.play(long);
+    let spent = cpu::of_this_thread()? - before;
+    Some(spent.us() as f64 / (long.secs() * case.size as f64))
+}
+
+/// Collects the points of one run.
+struct Sheet<'a> {
+    case: &'a Case,
+    points: Vec<Point>,
+}
+
+impl Sheet<'_> {
+    fn point(&mut self, figure: &str, case: &str, unit: &str, value: f64) {
+        let figure = format!("{}.{figure}", self.case.machine.name());
+        self.points.push(Point::of_servers(&figure, case, unit, self.case.size, self.case.seed, value));
+    }
+
+    fn load(&mut self, case: &str, load: &Load) {
+        self.point("datagrams_out_per_s", case, "1/s", load.datagrams_out);
+        self.point("bytes_out_per_s", case, "B/s", load.bytes_out);
+        self.point("busiest_datagrams_out_per_s", case, "1/s", load.busiest_datagrams_out);
+        self.point("busiest_bytes_out_per_s", case, "B/s", load.busiest_bytes_out);
+        self.point("busiest_datagrams_in_per_s", case, "1/s", load.busiest_datagrams_in);
+        self.point("busiest_bytes_in_per_s", case, "B/s", load.busiest_bytes_in);
+        if load.worst_second > 0.0 {
+            self.point("most_bytes_out_in_a_second", case, "B", load.worst_second);
+        }
+    }
+
+    fn watched(&mut self, case: &str, watched: &Watched) {
+        self.load(case, &watched.load);
+        match watched.agreed {
+            Some(secs) => self.point("agree_s", case, "s", secs),
+            None => self.point("not_agreed_within_s", case, "s", LONGEST.secs()),
+        }
+    }
+}
--- a/crates/hazelspur-lab/src/studies/shares.rs
+++ b/crates/hazelspur-lab/src/studies/shares.rs
@@ -3,12 +3,16 @@
 
 use crate::kernel::Kernel;
 use crate::network::{Cut, Network};
+use crate::studies::scale::Between;
 use crate::town::START;
-use crate::ways::own::name;
+use crate::ways::own::{address, name};
+use crate::ways::zoned::{REGIONS, ZONES};
 use hazelspur::pcg::Pcg;
 use hazelspur::{Moment, Span};
-use hazelspur_fleet::shares::{Life, Limit, LimitId, Shares, Terms, Word, level_of};
-use hazelspur_fleet::{Generation, LimitName};
+use hazelspur_fleet::shares::{Life, Limit, LimitId, Print, Shares, Terms, Word, level_of};
+use hazelspur_fleet::{
+    Body, Claim, Datagram, Generation, Incarnation, Installation, LimitName, Says, SiteName, talk,
+};
 use std::collections::VecDeque;
 
 const SLOTS: LimitId = LimitId(0);
@@ -16,6 +20,7 @@
 const LOOK: Span = Span::from_ms(100);
 /// The fleet is at rest by then.
 const FROM: Span = Span::from_ms(20_000);
+const APART: Span = Span::from_ms(60_000);
 /// In use over what could be: settled.
 const SETTLED: f64 = 0.9;
 
@@ -34,6 +39,8 @@
     Halves,
     /// A tenth stand still for 10 s.
     Stopped,
+    /// Two regions don't hear each other for a minute; three of the five keepers are in one of them.
+    RegionsApart,
 }
 
 impl Trouble {
@@ -47,6 +54,14 @@
         Self::Stopped,
     ];
 
+    /// Those that are played as the fleet grows.
+    pub const OF_SCALE: [Self; 4] = [Self::None, Self::Replaced, Self::DividerEnds, Self::RegionsApart];
+
+    /// How long regions are apart.
+    pub fn apart(self) -> Span {
+        if self == Self::RegionsApart { APART } else { Span::ZERO }
+    }
+
     pub fn name(self) -> &'static str {
         match self {
             Self::None => "none",
@@ -56,6 +71,7 @@
             Self::DividerEnds => "divider ends",
             Self::Halves => "halves for 20 s",
             Self::Stopped => "a tenth stopped for 10 s",
+            Self::RegionsApart => "regions apart for 60 s",
         }
     }
 }
@@ -65,6 +81,10 @@
     pub servers: usize,
     pub trouble: Trouble,
     pub seed: u64,
+    /// Limits alike, of which the first is looked at.
+    pub limits: usize,
+    /// Two regions of three zones each; three sites of one region where none is given.
+    pub between: Option<Between>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -81,6 +101,8 @@
     pub dip: f64,
     /// Messages to and from the divider in a second, at the end.
     pub divider: f64,
+    /// Bytes of these as datagrams, without IP and UDP heads and without claims that go along.
+    pub divider_bytes: f64,
 }
 
 enum Event {
@@ -110,6 +132,8 @@
     nodes: Vec<Node>,
     lives: u64,
     at_divider: u64,
+    bytes_at_divider: u64,
+    frame: Datagram,
 }
 
 /// What a server would use, as unequal as a thirtieth to one.
@@ -117,6 +141,34 @@
     total / servers as f64 * [0.1, 0.3, 0.5, 0.8, 1.0, 1.5, 2.0, 3.0][of * 7 % 8] * 1.3
 }
 
+/// A datagram of nothing but its head, by which the length of all others is told.
+fn frame(print: Print) -> Datagram {
+    let from = Claim {
+        name: name(100),
+        site: SiteName::new("east-1").expect("a short name"),
+        at: address(100),
+        generation: Generation(START.us() / 1000),
+        incarnation: Incarnation(0),
+        says: Says::Alive,
+    };
+    Datagram {
+        installation: Installation::new("lab").expect("a short name"),
+        from,
+        number: 1000,
+        sent_ms: START.us() / 1000,
+        body: Body::Share { print, word: Word::Drop { round: 0 } },
+        word: None,
+        claims: Vec::new(),
+    }
+}
+
+fn framed(frame: &mut Datagram, of: &Word) -> u64 {
+    if let Body::Share { word, .. } = &mut frame.body {
+        *word = of.clone();
+    }
+    talk::length(frame) as u64
+}
+
 impl Sim {
     fn start(&mut self, of: usize) {
         let now = self.kernel.now;
@@ -124,8 +176,9 @@
         let life = Life { name: name(of), generation: Generation(self.lives) };
         let seed = u64::from(self.chance.draw());
         let mut shares = Shares::new(self.terms.clone(), life, seed, now);
-        let total = self.terms.limits[0].total;
-        shares.want(SLOTS, want(of, self.terms.most * 4 / 5, total));
+        for (at, limit) in self.terms.limits.iter().enumerate() {
+            shares.want(LimitId(at), want(of + at, self.terms.most * 4 / 5, limit.total));
+        }
         self.nodes[of] = Node {
             shares: Some(shares),
             life,
@@ -143,7 +196,10 @@
         let divides = shares.divides(now).is_some();
         while let Some((to, word)) = shares.next_out() {
             let to: usize = to.as_str()[1..].parse().unwrap_or(usize::MAX);
-            self.at_divider += u64::from(divides);
+            if divides {
+                self.at_divider += 1;
+                self.bytes_at_divider += framed(&mut self.frame, &word);
+            }
             for after in self.network.carry(&mut self.chance, of, to) {
                 self.kernel.at(now + after, Event::Word(to, node.life, word.clone()));
             }
@@ -179,7 +235,10 @@
                     return self.kernel.at(node.stopped, event);
                 }
                 if let Some(shares) = &mut node.shares {
-                    self.at_divider += u64::from(shares.divides(now).is_some());
+                    if shares.divides(now).is_some() {
+                        self.at_divider += 1;
+                        self.bytes_at_divider += framed(&mut self.frame, word);
+                    }
                     shares.heard(now, from, word);
                 }
                 self.spoke(to);
@@ -231,8 +290,8 @@
 
 pub fn play(case: &Case) -> Outcome {
     let n = case.servers;
-    let limit = Limit {
-        name: LimitName::new("calls").expect("a short name"),
+    let limit = |at: usize| Limit {
+        name: LimitName::new(&format!("calls-{at}")).expect("a short name"),
         total: 4.0 * n as f64,
         floor: 0.2,
         linger: LINGER,
@@ -242,10 +301,12 @@
         keepers: (0..5).map(name).collect(),
         most: n + n.div_ceil(4),
         span: Span::from_ms(4000),
-        limits: vec![limit],
+        limits: (0..case.limits).map(limit).collect(),
     };
-    let mut network = Network::new(3);
-    network.loss = if case.trouble == Trouble::Loss { 0.05 } else { 0.0 };
+    let mut network = case.between.map_or(Network::new(3), |between| between.network());
+    if case.trouble == Trouble::Loss {
+        network.loss = 0.05;
+    }
     let gone = || Node {
         shares: None,
         life: Life { name: name(0), generation: Generation(0) },
@@ -258,9 +319,11 @@
         network,
         chance: Pcg::new(case.seed),
         nodes: (0..terms.most).map(|_| gone()).collect(),
+        frame: frame(terms.print()),
         terms,
         lives: 0,
         at_divider: 0,
+        bytes_at_divider: 0,
     };
     let first = if case.trouble == Trouble::GrowAndShrink { n.min(10) } else { n };
     (0..first).for_each(|of| sim.start(of));
@@ -290,6 +353,12 @@
             sim.kernel.at(at(20_000), Event::Cut(None));
             over = 20_000;
         }
+        Trouble::RegionsApart => {
+            let cut: Cut = |from, to| from % ZONES % REGIONS != to % ZONES % REGIONS;
+            sim.kernel.at(at(0), Event::Cut(Some(cut)));
+            sim.kernel.at(START + FROM + APART, Event::Cut(None));
+            over = APART.us() / 1000;
+        }
         Trouble::Stopped => {
             for of in (0..n).filter(|of| of % 10 == 3) {
                 sim.kernel.at(at(0), Event::Stop(of, Span::from_ms(10_000)));
@@ -300,7 +369,7 @@
     let end = FROM + Span::from_ms(over + 30_000);
     let mut out = Outcome { dip: 1.0, ..Outcome::default() };
     let (mut last, mut unsettled, mut tail): (Vec<(f64, f64)>, f64, Vec<f64>) = (Vec::new(), 0.0, Vec::new());
-    let mut counted = 0;
+    let mut counted = (0, 0);
     while sim.kernel.now < START + end {
         let next = sim.kernel.now + LOOK;
         while let Some(event) = sim.kernel.next(next) {
@@ -319,14 +388,15 @@
         }
         if sim.kernel.now + Span::from_ms(10_000) >= START + end {
             if tail.is_empty() {
-                counted = sim.at_divider;
+                counted = (sim.at_divider, sim.bytes_at_divider);
             }
             tail.push(part);
         }
         last = held;
     }
     out.used = tail.iter().sum::<f64>() / tail.len().max(1) as f64;
-    out.divider = (sim.at_divider - counted) as f64 / 10.0;
+    out.divider = (sim.at_divider - counted.0) as f64 / 10.0;
+    out.divider_bytes = (sim.bytes_at_divider - counted.1) as f64 / 10.0;
     out.settled_s = unsettled;
     let parts: Vec<f64> = last.iter().map(|(held, fair)| held / fair.max(1e-9)).collect();
     out.least = parts.iter().copied().fold(f64::INFINITY, f64::min);
--- a/crates/hazelspur-lab/src/town.rs
+++ b/crates/hazelspur-lab/src/town.rs
@@ -13,7 +13,8 @@
 
 enum Event<P> {
     Tick(usize, u64),
-    Arrives(usize, P),
+    /// At whom, what, and its bytes.
+    Arrives(usize, P, usize),
     GoesOn(usize, u64),
 }
 
@@ -26,6 +27,29 @@
     /// The tick that is set.
     set: Moment,
     last_stop: Moment,
+    traffic: Traffic,
+}
+
+/// What went out of one server and came to it since the beginning, over all its lives. Bytes are those of the
+/// datagrams without their IP and UDP heads.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    pub out: u64,
+    pub bytes_out: u64,
+    pub came: u64,
+    pub bytes_in: u64,
+}
+
+impl Traffic {
+    /// What was added since.
+    pub fn since(self, before: Self) -> Self {
+        Self {
+            out: self.out - before.out,
+            bytes_out: self.bytes_out - before.bytes_out,
+            came: self.came - before.came,
+            bytes_in: self.bytes_in - before.bytes_in,
+        }
+    }
 }
 
 /// What was said, when, by whom.
@@ -68,6 +92,13 @@
     /// A new life of this one.
     pub fn start(&mut self, of: usize) {
         let now = self.now();
+        let seed = u64::from(self.chance.draw()) << 32 | u64::from(self.chance.draw());
+        let way = W::start(of, self.most, seed, now);
+        self.start_as(of, way);
+    }
+
+    /// A new life of this one, made elsewhere.
+    pub fn start_as(&mut self, of: usize, way: W) {
         while self.nodes.len() <= of {
             self.nodes.push(Node {
                 way: None,
@@ -76,14 +107,14 @@
                 unread: VecDeque::new(),
                 set: Moment::default(),
                 last_stop: Moment::default(),
+                traffic: Traffic::default(),
             });
         }
-        let seed = u64::from(self.chance.draw()) << 32 | u64::from(self.chance.draw());
         let node = &mut self.nodes[of];
         node.life += 1;
         node.stopped = None;
         node.unread.clear();
-        node.way = Some(W::start(of, self.most, seed, now));
+        node.way = Some(way);
         self.served(of);
     }
 
@@ -93,6 +124,16 @@
         node.life += 1;
     }
 
+    /// It ends in good order, and says so.
+    pub fn leave(&mut self, of: usize) {
+        let now = self.now();
+        if let Some(way) = &mut self.nodes[of].way {
+            way.leave(now);
+            self.served(of);
+        }
+        self.kill(of);
+    }
+
     pub fn stop(&mut self, of: usize, span: Span) {
         let until = self.now() + span;
         let node = &mut self.nodes[of];
@@ -120,6 +161,11 @@
         self.nodes.iter().enumerate().filter_map(|(of, node)| Some((of, node.way.as_ref()?)))
     }
 
+    /// By number, of those who run or ever ran.
+    pub fn traffic(&self) -> impl Iterator<Item = Traffic> {
+        self.nodes.iter().map(|node| node.traffic)
+    }
+
     /// Whether each holds as many others for alive as run.
     pub fn agree(&self) -> bool {
         let others = self.running().saturating_sub(1);
@@ -141,9 +187,11 @@
                     way.tick(now);
                     self.served(of);
                 }
-                Event::Arrives(of, packet) => {
+                Event::Arrives(of, packet, bytes) => {
                     let Some(node) = self.nodes.get_mut(of) else { continue };
                     let Some(way) = &mut node.way else { continue };
+                    node.traffic.came += 1;
+                    node.traffic.bytes_in += bytes as u64;
                     if node.stopped.is_some() {
                         if node.unread.len() < MOST_UNREAD {
                             node.unread.push_back(packet);
@@ -179,8 +227,10 @@
         while let Some((to, packet, bytes)) = way.next_out(now) {
             self.datagrams += 1;
             self.bytes += bytes as u64;
+            node.traffic.out += 1;
+            node.traffic.bytes_out += bytes as u64;
             for after in self.network.carry(&mut self.chance, of, to) {
-                self.kernel.at(now + after, Event::Arrives(to, packet.clone()));
+                self.kernel.at(now + after, Event::Arrives(to, packet.clone(), bytes));
             }
         }
         while let Some(notice) = way.next_notice() {
--- /dev/null
+++ b/crates/hazelspur-lab/src/ways/hollow.rs
@@ -0,0 +1,94 @@
+//! Talkers without a machine, that send as many datagrams of as many claims as asked for and forget what they
+//! hear: played to measure what the laboratory itself costs. They know nobody and hold nothing.
+
+use super::own::{address, name};
+use super::{Notice, Way};
+use hazelspur::pcg::Pcg;
+use hazelspur::{Moment, Span};
+use hazelspur_fleet::{Body, Claim, Datagram, Generation, Incarnation, Installation, Says, SiteName, talk};
+
+/// What each sends.
+#[derive(Clone, Copy, Debug)]
+pub struct Rate {
+    pub servers: usize,
+    /// A second.
+    pub datagrams: f64,
+    pub bytes: f64,
+}
+
+pub struct Hollow {
+    chance: Pcg,
+    servers: usize,
+    every: Span,
+    next: Moment,
+    waits: bool,
+    packet: Datagram,
+}
+
+impl Hollow {
+    /// Claims go along until the datagram is as long as is asked for.
+    pub fn new(me: usize, rate: Rate, seed: u64, now: Moment) -> Self {
+        let claim = |of: usize| Claim {
+            name: name(of),
+            site: SiteName::new("east-1").expect("a short name"),
+            at: address(of),
+            generation: Generation(now.us() / 1000),
+            incarnation: Incarnation(0),
+            says: Says::Alive,
+        };
+        let mut packet = Datagram {
+            installation: Installation::new("lab").expect("a short name"),
+            from: claim(me),
+            number: 1,
+            sent_ms: now.us() / 1000,
+            body: Body::Gossip,
+            word: None,
+            claims: Vec::new(),
+        };
+        let long = rate.bytes / rate.datagrams.max(1e-9);
+        while (talk::length(&packet) as f64) < long && packet.claims.len() < talk::MOST_CLAIMS {
+            packet.claims.push(claim(packet.claims.len()));
+        }
+        let every = Span::from_secs(1.0 / rate.datagrams.max(1e-3));
+        let mut chance = Pcg::new(seed);
+        let next = now + every.scaled(chance.unit());
+        Self { chance, servers: rate.servers, every, next, waits: false, packet }
+    }
+}
+
+impl Way for Hollow {
+    const NAME: &'static str = "no machine";
+    type Packet = Datagram;
+
+    fn start(me: usize, most: usize, seed: u64, now: Moment) -> Self {
+        Self::new(me, Rate { servers: most, datagrams: 10.0, bytes: 1000.0 }, seed, now)
+    }
+
+    fn heard(&mut self, _now: Moment, _packet: &Datagram) {}
+
+    fn tick(&mut self, now: Moment) {
+        if now >= self.next {
+            (self.next, self.waits) = (self.next + self.every, true);
+        }
+    }
+
+    fn next_tick(&self) -> Moment {
+        self.next
+    }
+
+    fn next_out(&mut self, _now: Moment) -> Option<(usize, Datagram, usize)> {
+        if !std::mem::take(&mut self.waits) {
+            return None;
+        }
+        let to = self.chance.draw() as usize % self.servers.max(1);
+        Some((to, self.packet.clone(), talk::length(&self.packet)))
+    }
+
+    fn next_notice(&mut self) -> Option<Notice> {
+        None
+    }
+
+    fn alive(&self) -> usize {
+        0
+    }
+}
--- a/crates/hazelspur-lab/src/ways/mod.rs
+++ b/crates/hazelspur-lab/src/ways/mod.rs
@@ -1,8 +1,10 @@
 //! Ways of knowing who is here, behind one interface, so that the same town plays them all.
 
 pub mod beats;
+pub mod hollow;
 pub mod library;
 pub mod own;
+pub mod zoned;
 
 use hazelspur::Moment;
 
@@ -26,8 +28,14 @@
     /// To whom, what, and how many bytes that is on the wire without its UDP head.
     fn next_out(&mut self, now: Moment) -> Option<(usize, Self::Packet, usize)>;
     fn next_notice(&mut self) -> Option<Notice>;
+    /// The last word of a life that ends in good order, where the way has one.
+    fn leave(&mut self, _now: Moment) {}
     /// How many others it holds for alive.
     fn alive(&self) -> usize;
+    /// Entries in its table, whatever it holds them for.
+    fn entries(&self) -> usize {
+        self.alive()
+    }
 }
 
 /// Contact points: these are tried first.
--- a/crates/hazelspur-lab/src/ways/own.rs
+++ b/crates/hazelspur-lab/src/ways/own.rs
@@ -68,17 +68,35 @@
     }
 
     fn next_notice(&mut self) -> Option<Notice> {
-        loop {
-            match self.0.next_event()? {
-                Event::Joined(name) | Event::Back(name) => return Some(Notice::Here(number_of(name))),
-                Event::Lost(name) | Event::Left(name) => return Some(Notice::Gone(number_of(name))),
-                _ => {}
-            }
-        }
+        notice(&mut self.0)
+    }
+
+    fn leave(&mut self, now: Moment) {
+        self.0.left(now);
     }
 
     fn alive(&self) -> usize {
-        let alive = |standing| matches!(standing, Standing::Alive | Standing::Suspected);
-        self.0.standings().filter(|(_, standing)| alive(*standing)).count()
+        alive(&self.0)
+    }
+
+    fn entries(&self) -> usize {
+        self.0.standings().count()
+    }
+}
+
+/// How many others these hold for alive, the suspected among them.
+pub fn alive(members: &Members) -> usize {
+    let alive = |standing| matches!(standing, Standing::Alive | Standing::Suspected);
+    members.standings().filter(|(_, standing)| alive(*standing)).count()
+}
+
+/// The next event that concerns who is here.
+pub fn notice(members: &mut Members) -> Option<Notice> {
+    loop {
+        match members.next_event()? {
+            Event::Joined(name) | Event::Back(name) => return Some(Notice::Here(number_of(name))),
+            Event::Lost(name) | Event::Left(name) => return Some(Notice::Gone(number_of(name))),
+            _ => {}
+        }
     }
 }
--- /dev/null
+++ b/crates/hazelspur-lab/src/ways/zoned.rs
@@ -0,0 +1,166 @@
+//! The real machines in two regions of three zones each: members by themselves, and members, signals and shares
+//! together as one server has them. The studies of scale play them; nothing here decides.
+
+use super::own::{Own, alive, name, notice, number, terms as terms_of_three};
+use super::{Notice, Way};
+use hazelspur::{Moment, Span};
+use hazelspur_fleet::joint::Seen;
+use hazelspur_fleet::shares::{Limit, LimitId, Terms as ShareTerms};
+use hazelspur_fleet::{At, Datagram, Generation, Joint, LimitName, Members, SiteName, Terms, talk};
+
+pub const REGIONS: usize = 2;
+pub const ZONES: usize = 6;
+const ZONE_NAMES: [&str; ZONES] = ["east-1", "west-1", "east-2", "west-2", "east-3", "west-3"];
+/// Voters, one in each of so many zones.
+pub const KEEPERS: usize = 5;
+/// A server looks at its own work so often, as the program does.
+const LOOK: Span = Span::from_ms(200);
+/// What it sees there: calls of so many seconds, and nothing refused.
+const CALL_SECS: f64 = 0.02;
+/// Slots of each shared limit for a server.
+const SLOTS_EACH: f64 = 4.0;
+const FLOOR: f64 = 0.2;
+const LINGER: Span = Span::from_ms(500);
+const VOTE_SPAN: Span = Span::from_ms(4000);
+
+/// As those of three sites, in its zone.
+pub fn terms(me: usize, most: usize) -> Terms {
+    let site = SiteName::new(ZONE_NAMES[me % ZONES]).expect("a short name");
+    Terms { site, ..terms_of_three(me, most) }
+}
+
+/// So many limits alike over `servers`, divided among `most` at most.
+pub fn share_terms(servers: usize, most: usize, limits: usize) -> ShareTerms {
+    let limit = |at: usize| Limit {
+        name: LimitName::new(&format!("limit-{at}")).expect("a short name"),
+        total: SLOTS_EACH * servers as f64,
+        floor: FLOOR,
+        linger: LINGER,
+        whole: None,
+    };
+    let keepers = (0..KEEPERS).map(name).collect();
+    ShareTerms { keepers, most, span: VOTE_SPAN, limits: (0..limits).map(limit).collect() }
+}
+
+/// Members alone.
+pub struct Zoned(pub Own);
+
+impl Way for Zoned {
+    const NAME: &'static str = "members";
+    type Packet = Datagram;
+
+    fn start(me: usize, most: usize, seed: u64, now: Moment) -> Self {
+        Self(Own(Members::new(terms(me, most), Generation(now.us() / 1000), seed, now)))
+    }
+
+    fn heard(&mut self, now: Moment, packet: &Datagram) {
+        self.0.heard(now, packet);
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.0.tick(now);
+    }
+
+    fn next_tick(&self) -> Moment {
+        self.0.next_tick()
+    }
+
+    fn next_out(&mut self, now: Moment) -> Option<(usize, Datagram, usize)> {
+        self.0.next_out(now)
+    }
+
+    fn next_notice(&mut self) -> Option<Notice> {
+        self.0.next_notice()
+    }
+
+    fn leave(&mut self, now: Moment) {
+        self.0.leave(now);
+    }
+
+    fn alive(&self) -> usize {
+        self.0.alive()
+    }
+
+    fn entries(&self) -> usize {
+        self.0.entries()
+    }
+}
+
+/// All that one server has together, with so many limits shared.
+pub struct Together<const LIMITS: usize> {
+    pub joint: Joint,
+    /// The last input was then.
+    last: Moment,
+    next_look: Moment,
+}
+
+/// The laboratory's servers agree on the time.
+fn at(now: Moment) -> At {
+    At { wall: now, steady: now }
+}
+
+impl<const LIMITS: usize> Way for Together<LIMITS> {
+    const NAME: &'static str = "members, signals and shares";
+    type Packet = Datagram;
+
+    /// A fifth of `most` is room for more servers than there are.
+    fn start(me: usize, most: usize, seed: u64, now: Moment) -> Self {
+        let shares = share_terms(most * 4 / 5, most, LIMITS);
+        let generation = Generation(now.us() / 1000);
+        let mut joint = Joint::new(terms(me, most), Some(shares), generation, seed, at(now));
+        for limit in 0..LIMITS {
+            // Some want half of what an equal share were, some twice that.
+            let want = SLOTS_EACH * [0.5, 0.8, 1.2, 2.0][(me + limit) % 4];
+            joint.want(&format!("limit-{limit}"), want);
+        }
+        Self { joint, last: now, next_look: now + LOOK.scaled((seed % 1000) as f64 / 1000.0) }
+    }
+
+    fn heard(&mut self, now: Moment, packet: &Datagram) {
+        self.last = now;
+        let _ = self.joint.heard(at(now), packet); // what is dropped is dropped
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.last = now;
+        if now >= self.next_look {
+            self.next_look = now + LOOK;
+            self.joint.saw(at(now), Seen { call_secs: Some(CALL_SECS), refused: 0.0 });
+        }
+        self.joint.tick(at(now));
+    }
+
+    fn next_tick(&self) -> Moment {
+        self.next_look.min(self.last + self.joint.wait(at(self.last)))
+    }
+
+    fn next_out(&mut self, now: Moment) -> Option<(usize, Datagram, usize)> {
+        let (to, datagram) = self.joint.next_out(at(now))?;
+        let bytes = talk::length(&datagram);
+        Some((number(to), datagram, bytes))
+    }
+
+    fn next_notice(&mut self) -> Option<Notice> {
+        notice(&mut self.joint.members)
+    }
+
+    fn leave(&mut self, now: Moment) {
+        self.joint.leave(at(now));
+        self.joint.members.left(now);
+    }
+
+    fn alive(&self) -> usize {
+        alive(&self.joint.members)
+    }
+
+    fn entries(&self) -> usize {
+        self.joint.members.standings().count()
+    }
+}
+
+impl<const LIMITS: usize> Together<LIMITS> {
+    /// What it may use of a limit.
+    pub fn share(&self, now: Moment, limit: LimitId) -> f64 {
+        self.joint.shares.as_ref().map_or(0.0, |shares| shares.share(now, limit).amount)
+    }
+}
