Slope tests: what a server sends and holds at rest does not grow with the fleet

Change: tests/slopes.rs plays members alone, and members, signals and shares together, at 50 to 400 servers in two regions: datagrams and bytes of the mean server within 1.15 of the smallest fleet's, busiest within 1.6 of the mean (members alone; together the divider is the busiest), tables of exactly the others, messages at the divider on a line of 2.02 a server, those who left in good order gone from all tables after `remember`. Planted all-to-all and a planted table that keeps every name fail the same checks. Counts by seed, never times.

A first draft gave all servers 90 s to notice a lost zone of 120 servers; seed 2 takes 150 s (two servers hold three of the zone for alive until then), so the bound is three minutes.

--- /dev/null
+++ b/crates/hazelspur-lab/tests/slopes.rs
@@ -0,0 +1,270 @@
+//! How what a server sends, holds and is asked grows with the fleet: counts by seed, never times, so that one
+//! text has one verdict. The same checks are put to faults planted here, and must tell them.
+
+use hazelspur::{Moment, Span};
+use hazelspur_fleet::{Datagram, Generation, Members};
+use hazelspur_lab::studies::scale::{Between, Rest, SharesCase, at_rest, most, play_shares, rest, start_all};
+use hazelspur_lab::studies::shares::Trouble;
+use hazelspur_lab::town::Town;
+use hazelspur_lab::ways::own::Own;
+use hazelspur_lab::ways::zoned::{Together, Zoned, terms};
+use hazelspur_lab::ways::{Notice, Way};
+use std::collections::BTreeSet;
+
+const SIZES: [usize; 4] = [50, 100, 200, 400];
+const WINDOW: Span = Span::from_ms(20_000);
+
+fn between() -> Between {
+    Between { lag: Span::from_ms(40), region_loss: 0.0, loss: 0.0 }
+}
+
+fn at_sizes<W: Way>(sizes: &[usize]) -> Vec<(usize, Rest)> {
+    let plays = |size: &usize| {
+        let mut town: Town<W> = at_rest(*size, 1, &between());
+        assert!(town.agree(), "{size} servers don't agree at rest");
+        (*size, rest(&mut town, WINDOW, *size))
+    };
+    hazelspur_lab::on_all_cores(sizes, 4, plays)
+}
+
+/// What a growing fleet at rest may cost, against the smallest of the sizes.
+struct Bound {
+    /// Of the mean server's datagrams and bytes, over those of the smallest fleet.
+    flat: f64,
+    /// Of the busiest server, in and out, over the mean; none where one server is the divider.
+    busiest: Option<f64>,
+}
+
+/// Names each bound that is passed.
+fn check_rest(of: &[(usize, Rest)], bound: &Bound) -> Result<(), String> {
+    let Some((_, first)) = of.first() else { return Err("nothing was played".into()) };
+    let mut wrong = Vec::new();
+    for (size, rest) in of {
+        let (load, before) = (&rest.load, &first.load);
+        let mut within = |what: &str, is: f64, most: f64| {
+            if is > most {
+                wrong.push(format!("{size} servers: {what} {is:.1}, at most {most:.1}"));
+            }
+        };
+        within("datagrams/s", load.datagrams_out, before.datagrams_out * bound.flat);
+        within("bytes/s", load.bytes_out, before.bytes_out * bound.flat);
+        if let Some(busiest) = bound.busiest {
+            within("busiest, datagrams/s out", load.busiest_datagrams_out, load.datagrams_out * busiest);
+            within("busiest, datagrams/s in", load.busiest_datagrams_in, load.datagrams_out * busiest);
+            within("busiest, bytes/s out", load.busiest_bytes_out, load.bytes_out * busiest);
+            within("busiest, bytes/s in", load.busiest_bytes_in, load.bytes_out * busiest);
+        }
+        within("entries of the fullest", rest.most_entries as f64, (size - 1) as f64);
+        within("others missing in the mean table", (size - 1) as f64 - rest.entries, 0.0);
+    }
+    if wrong.is_empty() { Ok(()) } else { Err(wrong.join("; ")) }
+}
+
+/// As measured: 2.0 datagrams a second at each size, and 411 to 455 bytes from 50 servers to 810.
+const MEMBERS: Bound = Bound { flat: 1.15, busiest: Some(1.6) };
+
+#[test]
+fn a_server_at_rest_costs_as_much_in_a_large_fleet_as_in_a_small_one() {
+    check_rest(&at_sizes::<Zoned>(&SIZES), &MEMBERS).unwrap();
+}
+
+#[test]
+fn members_signals_and_shares_together_cost_a_mean_server_as_much_in_a_large_fleet() {
+    check_rest(&at_sizes::<Together<1>>(&SIZES), &Bound { busiest: None, ..MEMBERS }).unwrap();
+}
+
+/// Planted: probes all of its table in each period.
+struct AllToAll {
+    own: Own,
+    period: Span,
+    next: Moment,
+}
+
+impl Way for AllToAll {
+    const NAME: &'static str = "planted: all to all";
+    type Packet = Datagram;
+
+    fn start(me: usize, most: usize, seed: u64, now: Moment) -> Self {
+        let terms = terms(me, most);
+        let period = terms.period;
+        let own = Own(Members::new(terms, Generation(now.us() / 1000), seed, now));
+        Self { own, period, next: now + period }
+    }
+
+    fn heard(&mut self, now: Moment, packet: &Datagram) {
+        self.own.heard(now, packet);
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.own.tick(now);
+        if now >= self.next {
+            self.next = now + self.period;
+            let all: Vec<_> = self.own.0.standings().map(|(name, _)| name).collect();
+            for to in all {
+                self.own.0.send_word(to, hazelspur_fleet::Body::Gossip);
+            }
+        }
+    }
+
+    fn next_tick(&self) -> Moment {
+        self.own.next_tick().min(self.next)
+    }
+
+    fn next_out(&mut self, now: Moment) -> Option<(usize, Datagram, usize)> {
+        self.own.next_out(now)
+    }
+
+    fn next_notice(&mut self) -> Option<Notice> {
+        self.own.next_notice()
+    }
+
+    fn alive(&self) -> usize {
+        self.own.alive()
+    }
+
+    fn entries(&self) -> usize {
+        self.own.entries()
+    }
+}
+
+#[test]
+fn a_planted_all_to_all_is_told() {
+    let told = check_rest(&at_sizes::<AllToAll>(&[25, 50, 100]), &MEMBERS).unwrap_err();
+    assert!(told.contains("100 servers: datagrams/s"), "{told}");
+    assert!(told.contains("100 servers: bytes/s"), "{told}");
+}
+
+/// Of a fleet of `SIZES[0]`.
+const ENDS: usize = 15;
+/// Past what is remembered: until all have noticed, and what is still told of them goes round.
+const MARGIN: Span = Span::from_ms(180_000);
+
+/// Whether those who left are gone from the tables of all others.
+fn check_forgotten<W: Way>() -> Result<(), String> {
+    let size = SIZES[0];
+    let mut town: Town<W> = at_rest(size, 1, &between());
+    let gone: Vec<usize> = (0..size).filter(|of| of % 3 == 1).take(ENDS).collect();
+    for of in gone {
+        town.leave(of);
+    }
+    town.play(terms(0, most(size)).remember + MARGIN);
+    let left = size - ENDS - 1;
+    let all: Vec<usize> = town.ways().map(|(_, way)| way.entries()).collect();
+    let wrong = all.iter().filter(|entries| **entries != left).count();
+    let fullest = all.iter().max().copied().unwrap_or(0);
+    if wrong == 0 && town.agree() {
+        return Ok(());
+    }
+    Err(format!("{wrong} of {} tables don't hold the {left} that are left; the fullest {fullest}", all.len()))
+}
+
+#[test]
+fn who_leaves_is_gone_from_all_tables_once_it_need_not_be_remembered() {
+    check_forgotten::<Zoned>().unwrap();
+    check_forgotten::<Together<1>>().unwrap();
+}
+
+/// Planted: keeps each name that it ever heard of.
+struct Hoarder {
+    own: Zoned,
+    names: BTreeSet<String>,
+}
+
+impl Way for Hoarder {
+    const NAME: &'static str = "planted: a table that is never emptied";
+    type Packet = Datagram;
+
+    fn start(me: usize, most: usize, seed: u64, now: Moment) -> Self {
+        Self { own: Zoned::start(me, most, seed, now), names: BTreeSet::new() }
+    }
+
+    fn heard(&mut self, now: Moment, packet: &Datagram) {
+        self.own.heard(now, packet);
+        let all = packet.claims.iter().chain([&packet.from]).map(|claim| claim.name);
+        let me = self.own.0.0.me().name;
+        self.names.extend(all.filter(|name| *name != me).map(|name| name.to_string()));
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.own.tick(now);
+    }
+
+    fn next_tick(&self) -> Moment {
+        self.own.next_tick()
+    }
+
+    fn next_out(&mut self, now: Moment) -> Option<(usize, Datagram, usize)> {
+        self.own.next_out(now)
+    }
+
+    fn next_notice(&mut self) -> Option<Notice> {
+        self.own.next_notice()
+    }
+
+    fn leave(&mut self, now: Moment) {
+        self.own.leave(now);
+    }
+
+    fn alive(&self) -> usize {
+        self.own.alive()
+    }
+
+    fn entries(&self) -> usize {
+        self.names.len()
+    }
+}
+
+#[test]
+fn a_planted_table_that_is_never_emptied_is_told() {
+    let told = check_forgotten::<Hoarder>().unwrap_err();
+    assert!(told.contains(&format!("the fullest {}", SIZES[0] - 1)), "{told}");
+    // Nothing is wrong with it as long as nobody ends: only forgetting tells.
+    check_rest(&at_sizes::<Hoarder>(&SIZES[..2]), &MEMBERS).unwrap();
+}
+
+/// Messages a second at the one place that all ask: a line through nothing but its base.
+fn check_line(of: &[(usize, f64)], each: f64, base: f64) -> Result<(), String> {
+    let over = of.iter().filter(|(size, is)| *is > each * *size as f64 + base);
+    let over: Vec<String> = over.map(|(size, is)| format!("{size} servers: {is:.1} messages/s")).collect();
+    if over.is_empty() { Ok(()) } else { Err(over.join("; ")) }
+}
+
+/// A question and an answer a second for each server, and the votes of five keepers.
+const DIVIDER: (f64, f64) = (2.02, 10.0);
+
+#[test]
+fn what_the_divider_is_asked_grows_with_the_servers_and_not_faster() {
+    for limits in [1, 16] {
+        let plays = |servers: &usize| {
+            let trouble = Trouble::None;
+            let case = SharesCase { servers: *servers, limits, trouble, seed: 1, between: between() };
+            let points = play_shares(&case);
+            let messages = points.iter().find(|point| point.figure.ends_with("divider_messages_per_s"));
+            (*servers, messages.expect("it is measured").value)
+        };
+        let of = hazelspur_lab::on_all_cores(&SIZES, 4, plays);
+        assert!(of.iter().all(|(size, is)| *is > *size as f64), "few ask: {of:?}");
+        check_line(&of, DIVIDER.0, DIVIDER.1).unwrap();
+    }
+    let planted: Vec<(usize, f64)> = at_sizes::<AllToAll>(&[25, 50, 100])
+        .iter()
+        .map(|(size, rest)| (*size, rest.load.datagrams_out * *size as f64))
+        .collect();
+    check_line(&planted, DIVIDER.0, DIVIDER.1).unwrap_err();
+}
+
+/// Of all servers that a zone is gone; seed 2 takes 150 s.
+const NOTICED: Span = Span::from_ms(180_000);
+
+#[test]
+fn a_zone_that_starts_cold_finds_all_and_is_found() {
+    let size = 120;
+    let mut town: Town<Zoned> = at_rest(size, 2, &between());
+    let zone: Vec<usize> = (0..size).filter(|of| of % 6 == 0).collect();
+    zone.iter().for_each(|of| town.kill(*of));
+    town.play(NOTICED);
+    assert!(town.agree(), "a zone that is gone is not noticed by all");
+    start_all(&mut town, zone.into_iter());
+    town.play(Span::from_ms(30_000));
+    assert!(town.agree(), "a zone that is back is not known to all");
+}
