The capacity command: size from a file, slopes from studies, budgets checked

The table of docs/CAPACITY.md is arithmetic, so a command makes it: figures of the size, budgets and assumptions from docs/capacity/size.toml, straight lines through the points of all studies, constants of the code with the line that says them. Status 1 where a budget is passed that docs/capacity/missing.toml does not name, or a named row fits; 2 for bad input with the key named.

--- /dev/null
+++ b/crates/hazelspur-lab/src/capacity/command.rs
@@ -0,0 +1,137 @@
+//! `hazelspur-lab capacity`: reads the size, what was measured and the page, and prints what comes of them.
+
+use super::measured::{Measured, Study};
+use super::report::{Known, Report, report};
+use super::size::{Size, figures};
+use super::{digits, page, with_unit};
+use clap::Args;
+use comfy_table::{Table, presets};
+use std::path::{Path, PathBuf};
+
+/// What the command line says.
+#[derive(Args, Clone, Debug)]
+pub struct Asked {
+    /// The figures of the size, budgets and assumptions.
+    #[arg(long, default_value = "docs/capacity/size.toml")]
+    pub size: PathBuf,
+    /// The directory with the studies' JSON files, and with missing.toml.
+    #[arg(long, default_value = "docs/capacity")]
+    pub measured: PathBuf,
+    /// Writes the report as JSON.
+    #[arg(long)]
+    pub json: Option<PathBuf>,
+    /// Writes the tables into this page, between its markers.
+    #[arg(long)]
+    pub page: Option<PathBuf>,
+    /// Only says whether the page's tables are what the report gives.
+    #[arg(long, requires = "page")]
+    pub check: bool,
+}
+
+/// What was read from files.
+pub struct Told {
+    pub size: Size,
+    pub figures: Vec<super::size::Figure>,
+    pub measured: Measured,
+    pub known: Known,
+}
+
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Errors name the file and the key.
+pub fn read_all(size: &Path, measured: &Path) -> Result<Told, String> {
+    let of = |path: &Path, why: String| format!("{}: {why}", path.display());
+    let text = read(size)?;
+    let known_at = measured.join("missing.toml");
+    let known = if known_at.exists() {
+        Known::read(&read(&known_at)?).map_err(|why| of(&known_at, why))?
+    } else {
+        Known::default()
+    };
+    let there = std::fs::read_dir(measured).map_err(|e| of(measured, e.to_string()))?;
+    let mut files: Vec<PathBuf> = there.filter_map(|entry| entry.ok().map(|entry| entry.path())).collect();
+    files.retain(|path| path.extension().is_some_and(|kind| kind == "json"));
+    files.sort();
+    let mut studies = Vec::new();
+    for file in files {
+        let study = Study::read(&read(&file)?).map_err(|why| of(&file, why))?;
+        // A report of this command may have been left there.
+        if study.study != "capacity" {
+            studies.push(study);
+        }
+    }
+    Ok(Told {
+        size: Size::read(&text).map_err(|why| of(size, why))?,
+        figures: figures(&text).map_err(|why| of(size, why))?,
+        measured: Measured::of(studies),
+        known,
+    })
+}
+
+/// For a terminal.
+pub fn summary(report: &Report) -> String {
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    table.set_header(["role", "row", "at the target", "at twice", "budget", "ratio", "state"]);
+    for line in &report.lines {
+        let figure = |value: Option<f64>| value.map_or("-".into(), |value| with_unit(value, line.unit));
+        table.add_row([
+            line.role.name().to_string(),
+            line.row.to_string(),
+            page::at_target(line),
+            figure(line.twice),
+            figure(line.budget),
+            line.ratio.map_or("-".into(), digits),
+            line.state.name().into(),
+        ]);
+    }
+    let mut text = format!("{table}\n\nMissing, in the order in which they rest on each other:\n");
+    for (at, row) in report.order.iter().enumerate() {
+        text += &format!("{}. {row}, carries {}\n", at + 1, report.carries(row));
+    }
+    text
+}
+
+/// Prints, writes what was asked for, and gives the exit status: 0 where all is as named, 1 where a budget is
+/// passed that is not named as missing, a named one fits, or the page is out of step, 2 for bad input.
+pub fn run(asked: &Asked) -> i32 {
+    run_quietly(asked).unwrap_or_else(|why| {
+        eprintln!("{why}");
+        2
+    })
+}
+
+fn run_quietly(asked: &Asked) -> Result<i32, String> {
+    let told = read_all(&asked.size, &asked.measured)?;
+    let report = report(&told.size, &told.measured, &told.known);
+    if let Some(unknown) = report.unknown.first() {
+        return Err(format!(
+            "{}: row: there is no row {unknown}",
+            asked.measured.join("missing.toml").display()
+        ));
+    }
+    println!("{}", summary(&report));
+    if let Some(file) = &asked.json {
+        let text = serde_json::to_string_pretty(&report.json()).map_err(|e| e.to_string())? + "\n";
+        std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    let mut status = i32::from(!report.faults.is_empty());
+    report.faults.iter().for_each(|fault| eprintln!("{fault}"));
+    if let Some(file) = &asked.page {
+        let text = read(file)?;
+        let blocks = page::blocks(&told.figures, &told.measured, &report);
+        let of = |why: String| format!("{}: {why}", file.display());
+        if asked.check {
+            for name in page::differing(&text, &blocks).map_err(of)? {
+                eprintln!("{}: the table {name} is not what its slopes give", file.display());
+                status = 1;
+            }
+        } else {
+            let made = page::filled(&text, &blocks).map_err(of)?;
+            std::fs::write(file, made).map_err(|e| format!("{}: {e}", file.display()))?;
+        }
+    }
+    Ok(status)
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/capacity/constants.rs
@@ -0,0 +1,115 @@
+//! Figures that the code itself sets, from which rows are computed where nothing needs to be measured. Those
+//! that other packages don't show stand here with the line that says so; `tests/capacity.rs` looks the line up.
+
+/// A figure of the code.
+#[derive(Clone, Copy, Debug)]
+pub struct Constant {
+    /// From the root of the repository.
+    pub file: &'static str,
+    pub name: &'static str,
+    /// A piece of the file, word for word.
+    pub text: &'static str,
+    pub value: f64,
+}
+
+const fn constant(file: &'static str, name: &'static str, text: &'static str, value: f64) -> Constant {
+    Constant { file, name, text, value }
+}
+
+const CONTROL: &str = "crates/hazelspur-server/src/back/control.rs";
+const DESCRIPTORS: &str = "crates/hazelspur-server/src/start/descriptors.rs";
+const GATE: &str = "crates/hazelspur-fleet/src/gate.rs";
+const KEYS: &str = "crates/hazelspur-server/src/start/fleet_keys.rs";
+
+/// Mean wait between reports to the list, s: the middle of `EVERY`.
+pub const REPORT_EVERY: Constant =
+    constant(CONTROL, "EVERY", "const EVERY: [Span; 2] = [Span::from_ms(640), Span::from_ms(960)];", 0.8);
+/// The same after a miss, s: the middle of `AGAIN`.
+pub const REPORT_AGAIN: Constant =
+    constant(CONTROL, "AGAIN", "const AGAIN: [Span; 2] = [Span::from_ms(125), Span::from_ms(375)];", 0.25);
+/// Descriptors of the program's own.
+pub const OWN: Constant = constant(DESCRIPTORS, "OWN", "const OWN: usize = 16;", 16.0);
+/// Connections to the ledger, in use or kept.
+pub const CALLS: Constant = constant(DESCRIPTORS, "MOST_CALLS", "const MOST_CALLS: usize = 64;", 64.0);
+/// Gateways' connections on their way out.
+pub const CLOSING: Constant = constant(DESCRIPTORS, "MOST_CLOSING", "const MOST_CLOSING: usize = 64;", 64.0);
+/// `limits.sockets` where the platform says nothing.
+pub const SOCKETS: Constant = constant(
+    "crates/hazelspur-server/src/start/startup.rs",
+    "limits.sockets",
+    "number(limit(\"sockets\"), \"limits.sockets\", 1024.0,",
+    1024.0,
+);
+/// Idle connections to the ledger that are kept.
+pub const IDLE: Constant =
+    constant("crates/hazelspur-server/src/back/ledger.rs", "MOST_IDLE", "const MOST_IDLE: usize = 16;", 16.0);
+/// Callers and users that the decision module remembers.
+pub const SEEN: Constant = constant("src/book.rs", "SEEN_KEPT", "pub const SEEN_KEPT: usize = 4096;", 4096.0);
+/// Op types that are read at the start.
+pub const OP_TYPES: Constant = constant(
+    "crates/hazelspur-server/src/start/startup.rs",
+    "names, (0..4096)",
+    "(0..4096).map(name).take_while",
+    4096.0,
+);
+/// Tenants that the decision module reads.
+pub const TENANTS: Constant =
+    constant("src/logic.rs", "Logic::new, (0..4096)", "(0..4096).take_while(|i| facts.has(", 4096.0);
+/// The greatest `most` of the operator's file.
+pub const MOST: Constant =
+    constant(KEYS, "Fleet.most", "#[garde(range(min = 1, max = 4096))]\n    pub most: usize,", 4096.0);
+/// The part of a shared limit that is divided by `most` for good.
+pub const FLOOR: Constant = constant(KEYS, "floor()", "fn floor() -> f64 {\n    0.2\n}", 0.2);
+/// How long a vote holds, s.
+pub const LEASE: Constant = constant(KEYS, "lease()", "fn lease() -> f64 {\n    4.0\n}", 4.0);
+/// How often one other is probed, s.
+pub const PERIOD: Constant = constant(KEYS, "period()", "fn period() -> f64 {\n    1.0\n}", 1.0);
+/// The part of a lease after which a holder asks again.
+pub const RENEWAL: Constant = constant(
+    "crates/hazelspur-fleet/src/shares/terms.rs",
+    "Terms::renewal",
+    "pub fn renewal(&self) -> Span {\n        self.span.scaled(0.25)",
+    0.25,
+);
+/// How often a chosen server tries a ledger that is gone, s.
+pub const CHOSEN_EVERY: Constant =
+    constant(GATE, "CHOSEN_EVERY", "const CHOSEN_EVERY: Span = Span::from_ms(250);", 0.25);
+/// The same of the others, s.
+pub const OTHERS_EVERY: Constant =
+    constant(GATE, "OTHERS_EVERY", "const OTHERS_EVERY: Span = Span::from_ms(4000);", 4.0);
+/// Parts of the list that one server answers in a period.
+pub const PAGES: Constant =
+    constant("crates/hazelspur-fleet/src/members/mod.rs", "PAGES", "const PAGES: usize = 64;", 64.0);
+/// How often a piece of news goes out, times the logarithm of the size.
+pub const NEWS_TIMES: Constant =
+    constant("crates/hazelspur-fleet/src/news.rs", "TIMES", "const TIMES: u32 = 4;", 4.0);
+
+/// All of them.
+pub const ALL: [Constant; 19] = [
+    REPORT_EVERY,
+    REPORT_AGAIN,
+    OWN,
+    CALLS,
+    CLOSING,
+    SOCKETS,
+    IDLE,
+    SEEN,
+    OP_TYPES,
+    TENANTS,
+    MOST,
+    FLOOR,
+    LEASE,
+    PERIOD,
+    RENEWAL,
+    CHOSEN_EVERY,
+    OTHERS_EVERY,
+    PAGES,
+    NEWS_TIMES,
+];
+
+impl Constant {
+    /// As a page names it.
+    pub fn from(&self) -> String {
+        format!("{} {}", self.file, self.name)
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/capacity/measured.rs
@@ -0,0 +1,206 @@
+//! What was measured: points of all studies, and a straight line through those of one figure in one case.
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// One study's file.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Study {
+    pub study: String,
+    /// How it is made again.
+    #[serde(default)]
+    pub command: String,
+    /// The commit it was made on.
+    #[serde(default)]
+    pub text: String,
+    #[serde(default)]
+    pub machine: String,
+    #[serde(default)]
+    pub points: Vec<Point>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Point {
+    pub figure: String,
+    /// In which situation.
+    #[serde(default)]
+    pub case: String,
+    #[serde(default)]
+    pub unit: String,
+    /// What `size` counts.
+    pub by: String,
+    pub size: f64,
+    #[serde(default)]
+    pub seed: Option<u64>,
+    /// None where it could not be had.
+    pub value: Option<f64>,
+}
+
+/// A figure in a case, by a dimension.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Of {
+    pub figure: String,
+    pub case: String,
+    pub by: String,
+}
+
+/// All points of one figure, case and dimension.
+#[derive(Clone, Debug, Default)]
+pub struct Series {
+    pub unit: String,
+    pub studies: Vec<String>,
+    pub commands: Vec<String>,
+    /// Size and value, as they came.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Which of several seeds at a size counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seeds {
+    /// All, so that the line goes through their middle.
+    All,
+    /// The greatest of each size.
+    Worst,
+}
+
+/// `slope * size + base` by least squares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    pub slope: f64,
+    pub base: f64,
+    /// The largest distance of a point from the line, of the greatest value.
+    pub deviation: f64,
+    pub least: f64,
+    pub most: f64,
+    pub sizes: usize,
+    pub points: usize,
+}
+
+impl Fit {
+    pub fn at(&self, size: f64) -> f64 {
+        self.slope * size + self.base
+    }
+}
+
+/// All series, by figure, case and dimension.
+#[derive(Clone, Debug, Default)]
+pub struct Measured {
+    pub series: BTreeMap<Of, Series>,
+    /// As they came.
+    pub studies: Vec<Study>,
+}
+
+impl Study {
+    /// Errors name the key at fault.
+    pub fn read(text: &str) -> Result<Self, String> {
+        serde_json::from_str(text).map_err(|e| e.to_string())
+    }
+}
+
+impl Measured {
+    pub fn of(studies: Vec<Study>) -> Self {
+        let mut series: BTreeMap<Of, Series> = BTreeMap::new();
+        for study in &studies {
+            for point in &study.points {
+                let Some(value) = point.value.filter(|value| value.is_finite() && point.size.is_finite())
+                else {
+                    continue;
+                };
+                let Point { figure, case, by, unit, size, .. } = point.clone();
+                let of = series.entry(Of { figure, case, by }).or_default();
+                of.unit = unit;
+                if !of.studies.contains(&study.study) {
+                    of.studies.push(study.study.clone());
+                    of.commands.push(study.command.clone());
+                }
+                of.points.push((size, value));
+            }
+        }
+        Self { series, studies }
+    }
+
+    /// The series of some figures by a dimension, as one, in the first of the cases there is; without cases
+    /// in any.
+    pub fn find(&self, figures: &[&str], cases: &[&str], by: &str) -> Option<Series> {
+        let of_case = |case: Option<&str>| {
+            let fits = |of: &Of| {
+                figures.contains(&of.figure.as_str())
+                    && of.by == by
+                    && case.is_none_or(|case| case == of.case)
+            };
+            self.series
+                .iter()
+                .filter(|(of, _)| fits(of))
+                .map(|(_, series)| series.clone())
+                .reduce(Series::with)
+        };
+        if cases.is_empty() { of_case(None) } else { cases.iter().find_map(|case| of_case(Some(case))) }
+    }
+}
+
+impl Series {
+    fn with(mut self, other: Self) -> Self {
+        for (study, command) in other.studies.into_iter().zip(other.commands) {
+            if !self.studies.contains(&study) {
+                self.studies.push(study);
+                self.commands.push(command);
+            }
+        }
+        self.points.extend(other.points);
+        self
+    }
+
+    pub fn chosen(&self, seeds: Seeds) -> Vec<(f64, f64)> {
+        if seeds == Seeds::All {
+            return self.points.clone();
+        }
+        let mut worst: Vec<(f64, f64)> = Vec::new();
+        for (size, value) in &self.points {
+            match worst.iter_mut().find(|(other, _)| other == size) {
+                Some((_, greatest)) => *greatest = greatest.max(*value),
+                None => worst.push((*size, *value)),
+            }
+        }
+        worst
+    }
+
+    /// None with fewer than two sizes.
+    pub fn fit(&self, seeds: Seeds) -> Option<Fit> {
+        let points = self.chosen(seeds);
+        let mut sizes: Vec<f64> = points.iter().map(|(size, _)| *size).collect();
+        sizes.sort_by(f64::total_cmp);
+        sizes.dedup();
+        if sizes.len() < 2 {
+            return None;
+        }
+        let n = points.len() as f64;
+        let (mx, my) = points.iter().fold((0.0, 0.0), |(mx, my), (x, y)| (mx + x / n, my + y / n));
+        let (xy, xx) = points
+            .iter()
+            .fold((0.0, 0.0), |(xy, xx), (x, y)| (xy + (x - mx) * (y - my), xx + (x - mx) * (x - mx)));
+        let slope = xy / xx;
+        let base = my - slope * mx;
+        let greatest = points.iter().map(|(_, y)| y.abs()).fold(f64::MIN_POSITIVE, f64::max);
+        let off = points.iter().map(|(x, y)| (y - slope * x - base).abs()).fold(0.0, f64::max);
+        Some(Fit {
+            slope,
+            base,
+            deviation: off / greatest,
+            least: sizes[0],
+            most: sizes[sizes.len() - 1],
+            sizes: sizes.len(),
+            points: points.len(),
+        })
+    }
+
+    /// What was seen at this size, to a hundredth: the mean of all seeds, or the worst.
+    pub fn seen_at(&self, size: f64, seeds: Seeds) -> Option<f64> {
+        let there: Vec<f64> = self
+            .chosen(seeds)
+            .iter()
+            .filter(|(at, _)| (at - size).abs() < 0.01 * size)
+            .map(|p| p.1)
+            .collect();
+        (!there.is_empty()).then(|| there.iter().sum::<f64>() / there.len() as f64)
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/capacity/page.rs
@@ -0,0 +1,216 @@
+//! A report as tables, and a page whose tables stand between markers:
+//!
+//!     <!-- generated: NAME -->
+//!     <!-- end -->
+
+use super::report::{Line, Report, State, Stops};
+use super::rows::Role;
+use super::size::Figure;
+use super::{digits, measured, with_unit};
+
+/// A table by its marker's name.
+pub struct Block {
+    pub name: String,
+    pub text: String,
+}
+
+const NONE: &str = "-";
+const NOT_MEASURED: &str = "not measured";
+
+fn table(head: &[&str], rows: impl Iterator<Item = Vec<String>>) -> String {
+    let line = |cells: &[String]| format!("| {} |\n", cells.join(" | "));
+    let head: Vec<String> = head.iter().map(|cell| cell.to_string()).collect();
+    let under = format!("|{}\n", " --- |".repeat(head.len()));
+    rows.fold(line(&head) + &under, |text, cells| text + &line(&cells))
+}
+
+fn or_none(value: Option<f64>, unit: &str) -> String {
+    value.map_or(NONE.into(), |value| with_unit(value, unit))
+}
+
+/// A figure at the target, or why there is none.
+pub fn at_target(line: &Line) -> String {
+    match line.target.map(|target| with_unit(target, line.unit)) {
+        Some(part) if line.state == State::NotMeasured => format!("at least {part}"),
+        Some(target) => target,
+        None if line.state == State::Missing => "no mechanism".into(),
+        None => NOT_MEASURED.into(),
+    }
+}
+
+/// A slope is small beside its unit; three digits, no scaling of bytes.
+fn plain(value: Option<f64>) -> String {
+    value.map_or(NONE.into(), |value| match value.abs() {
+        n if n != 0.0 && n < 1e-3 => format!("{value:.2e}"),
+        _ => digits(value),
+    })
+}
+
+fn stops(line: &Line) -> String {
+    match line.stops_at {
+        Stops::At(size) => format!("{} {}", digits(size), line.by),
+        Stops::Never => "past 1,000 times the target".into(),
+        Stops::AnySize => "at any size".into(),
+        Stops::Unknown => NONE.into(),
+    }
+}
+
+fn role(lines: &[&Line]) -> String {
+    let head = [
+        "row",
+        "what",
+        "by",
+        "slope",
+        "base",
+        "off by",
+        "at the target",
+        "at twice",
+        "budget",
+        "ratio",
+        "stops at",
+        "state",
+    ];
+    let figures = lines.iter().map(|line| {
+        vec![
+            format!("`{}`", line.row),
+            line.what.into(),
+            format!("{} {}", digits(line.size), line.by),
+            plain(line.slope),
+            plain(line.base),
+            line.deviation.map_or(NONE.into(), |of| format!("{} %", digits(of * 100.0))),
+            at_target(line),
+            or_none(line.twice, line.unit),
+            or_none(line.budget, line.unit),
+            line.ratio.map_or(NONE.into(), digits),
+            stops(line),
+            line.state.name().into(),
+        ]
+    });
+    let carried = lines.iter().map(|line| {
+        let from = if line.from.is_empty() { NOT_MEASURED.into() } else { line.from.clone() };
+        let from = match &line.points {
+            Some(points) => format!("{from} ({points})"),
+            None => from,
+        };
+        let budget = if line.budget_from.is_empty() { NONE } else { line.budget_from };
+        vec![format!("`{}`", line.row), line.formula.clone(), from, budget.into(), line.mechanism.into()]
+    });
+    let second = ["row", "formula", "measured by, or computed from", "budget from", "carried by"];
+    table(&head, figures) + "\n" + &table(&second, carried)
+}
+
+fn missing(report: &Report) -> String {
+    let head = ["row", "what", "at the target", "budget", "ratio", "rests on", "carries", "why", "roadmap"];
+    let rows = report.missing().into_iter().map(|line| {
+        let (why, roadmap) = line.known.clone().unwrap_or(("not named in missing.toml".into(), NONE.into()));
+        let rests: Vec<String> = line.rests_on.iter().map(|under| format!("`{under}`")).collect();
+        vec![
+            format!("`{}`", line.row),
+            line.what.into(),
+            at_target(line),
+            or_none(line.budget, line.unit),
+            line.ratio.map_or(NONE.into(), digits),
+            if rests.is_empty() { NONE.into() } else { rests.join(", ") },
+            report.carries(line.row).to_string(),
+            why,
+            roadmap,
+        ]
+    });
+    table(&head, rows)
+}
+
+fn order(report: &Report) -> String {
+    let line = |(at, row): (usize, &&str)| {
+        let line = report.lines.iter().find(|line| line.row == *row);
+        let ratio =
+            line.and_then(|line| line.ratio).map_or("no figure".into(), |r| format!("{} times", digits(r)));
+        format!(
+            "{}. `{row}`: {}; {ratio}; carries {}\n",
+            at + 1,
+            line.map_or("", |l| l.what),
+            report.carries(row)
+        )
+    };
+    report.order.iter().enumerate().map(line).collect()
+}
+
+fn states(report: &Report) -> String {
+    let count = |state| report.lines.iter().filter(|line| line.state == state).count().to_string();
+    let all = [State::Fits, State::Missing, State::NotMeasured, State::Stated];
+    table(&["state", "rows"], all.into_iter().map(|state| vec![state.name().into(), count(state)]))
+}
+
+fn studies(measured: &measured::Measured) -> String {
+    if measured.studies.is_empty() {
+        return "No study is there yet: what is not computed is not measured.\n".into();
+    }
+    let rows = measured.studies.iter().map(|study| {
+        let measured::Study { study, text, machine, command, points } = study;
+        vec![study.clone(), text.clone(), machine.clone(), points.len().to_string(), format!("`{command}`")]
+    });
+    table(&["study", "text", "machine", "points", "command"], rows)
+}
+
+/// All tables, in the order of the page.
+pub fn blocks(figures: &[Figure], measured: &measured::Measured, report: &Report) -> Vec<Block> {
+    let of_section = |section: &str| {
+        let of = figures.iter().filter(move |figure| figure.section == section);
+        table(
+            &["key", "figure", "reason"],
+            of.map(|figure| vec![format!("`{}`", figure.key), digits(figure.value), figure.reason.clone()]),
+        )
+    };
+    let block = |name: &str, text: String| Block { name: name.into(), text };
+    let mut all: Vec<Block> =
+        ["size", "budget", "assumed"].map(|section| block(section, of_section(section))).into();
+    all.push(block("states", states(report)));
+    for of in Role::ALL {
+        let lines: Vec<&Line> = report.lines.iter().filter(|line| line.role == of).collect();
+        all.push(block(of.name(), role(&lines)));
+    }
+    all.push(block("missing", missing(report)));
+    all.push(block("order", order(report)));
+    all.push(block("studies", studies(measured)));
+    all
+}
+
+const BEGINS: &str = "<!-- generated: ";
+const ENDS: &str = "<!-- end -->";
+
+/// The page with each of its tables made anew. Errors say which marker is wrong, or not there.
+pub fn filled(page: &str, blocks: &[Block]) -> Result<String, String> {
+    let (mut out, mut rest, mut seen) = (String::new(), page, Vec::new());
+    while let Some(begins) = rest.find(BEGINS) {
+        let after = &rest[begins + BEGINS.len()..];
+        let name = after.split(" -->").next().unwrap_or_default();
+        let block = blocks.iter().find(|block| block.name == name);
+        let block = block.ok_or(format!("generated: there is no table {name}"))?;
+        let ends = after.find(ENDS).ok_or(format!("generated: {name} has no end"))?;
+        if after[..ends].contains(BEGINS) {
+            return Err(format!("generated: {name} has no end"));
+        }
+        if seen.contains(&name) {
+            return Err(format!("generated: {name} stands there twice"));
+        }
+        seen.push(name);
+        out += &rest[..begins];
+        out += &format!("{BEGINS}{name} -->\n\n{}\n{ENDS}", block.text);
+        rest = &after[ends + ENDS.len()..];
+    }
+    match blocks.iter().find(|block| !seen.contains(&block.name.as_str())) {
+        Some(block) => Err(format!("generated: {} is not on the page", block.name)),
+        None => Ok(out + rest),
+    }
+}
+
+/// The names of tables on the page that are not what the report gives; errors as in `filled`.
+pub fn differing(page: &str, blocks: &[Block]) -> Result<Vec<String>, String> {
+    let made = filled(page, blocks)?;
+    let of = |text: &str, name: &str| {
+        let begins = text.find(&format!("{BEGINS}{name} -->"))?;
+        let ends = text[begins..].find(ENDS)?;
+        Some(text[begins..begins + ends].to_string())
+    };
+    let differs = |block: &&Block| of(page, &block.name) != of(&made, &block.name);
+    Ok(blocks.iter().filter(differs).map(|block| block.name.clone()).collect())
+}
--- a/crates/hazelspur-lab/src/lib.rs
+++ b/crates/hazelspur-lab/src/lib.rs
@@ -7,8 +7,10 @@
 //! - `town`: many talkers over that network, stopped, killed and started by a script;
 //! - `drive`: the real `Logic` of many servers between `models` of cores, ledger, list and gateways;
 //! - `ways`: the ways of knowing who is here that are compared;
-//! - `studies`: what is measured, as tables.
+//! - `studies`: what is measured, as tables;
+//! - `capacity`: what was measured against budgets, for a size that a file names.
 
+pub mod capacity;
 pub mod drive;
 pub mod kernel;
 pub mod models;
--- a/crates/hazelspur-lab/src/main.rs
+++ b/crates/hazelspur-lab/src/main.rs
@@ -24,6 +24,8 @@
     WhoIsHere(WhoIsHere),
     /// The real decision modules of many servers, at several sizes.
     Together(Together),
+    /// What each role needs at the size in a file, beside its budgets: status 1 where one is passed.
+    Capacity(hazelspur_lab::capacity::command::Asked),
     /// The hard cases of choices that add up, under each way of choosing.
     Choices(Choices),
     /// Shares of one limit through troubles, without the servers' other work.
@@ -38,6 +40,12 @@
     Sums {
         #[arg(long, value_delimiter = ',', default_value = "1,10,100,300,1000")]
         sizes: Vec<usize>,
+        /// Writes what the capacity command reads of it.
+        #[arg(long, requires = "text")]
+        json: Option<std::path::PathBuf>,
+        /// The commit that this is made on.
+        #[arg(long)]
+        text: Option<String>,
     },
 }
 
@@ -113,9 +121,19 @@
     match Line::parse().command {
         Command::WhoIsHere(asked) => who_is_here(&asked),
         Command::Together(asked) => together(&asked),
+        Command::Capacity(asked) => std::process::exit(hazelspur_lab::capacity::command::run(&asked)),
         Command::Choices(asked) => choices(&asked),
         Command::Shares { sizes, seeds } => shares(&sizes, seeds),
-        Command::Sums { sizes } => sums(&sizes),
+        Command::Sums { sizes, json, text } => {
+            sums(&sizes);
+            if let Some((file, text)) = json.zip(text) {
+                let study = hazelspur_lab::studies::sums::study(&sizes, &text);
+                if let Err(why) = std::fs::write(&file, study) {
+                    eprintln!("{}: {why}", file.display());
+                    std::process::exit(1);
+                }
+            }
+        }
     }
 }
 
--- a/crates/hazelspur-lab/src/studies/sums.rs
+++ b/crates/hazelspur-lab/src/studies/sums.rs
@@ -155,3 +155,35 @@
     let mean = bins.iter().map(|n| f64::from(*n)).sum::<f64>() / bins.len() as f64;
     (f64::from(bins.iter().copied().max().unwrap_or(0)) / mean.max(1e-9), wait)
 }
+
+/// Seeds from 1 on that a study's points are of.
+const SEEDS: u64 = 3;
+
+/// What docs/CAPACITY.md rests on of this, as the text of a study's file: the most loaded server over the mean
+/// by subsets of four, and reports after a list that was gone.
+pub fn study(sizes: &[usize], text: &str) -> String {
+    let mut points = Vec::new();
+    for size in sizes {
+        for seed in 1..=SEEDS {
+            let mut point = |figure: &str, case: &str, value: f64| {
+                points.push(format!(
+                    "{{\"figure\":\"{figure}\",\"case\":\"{case}\",\"unit\":\"times\",\"by\":\"servers\",\
+                     \"size\":{size},\"seed\":{seed},\"value\":{value}}}"
+                ));
+            };
+            for way in Subsets::ALL {
+                point("subsets.most_over_mean", way.name(), subsets(*size, 4, way, seed).1);
+            }
+            for (how, case) in [(Reports::InStep, "in step"), (Reports::Spread, "spread")] {
+                point("list.most_over_mean", case, reports(*size, how, seed).0);
+            }
+        }
+    }
+    let sizes = sizes.iter().map(usize::to_string).collect::<Vec<_>>().join(",");
+    let command = format!("cargo run --release -p hazelspur-lab -- sums --sizes {sizes}");
+    let points = points.join(",\n");
+    format!(
+        "{{\"study\":\"sums\",\"command\":\"{command}\",\"text\":\"{text}\",\"machine\":\"simulated\",\"points\":[\n\
+         {points}\n]}}\n"
+    )
+}
