--- a/crates/hazelspur-lab/src/capacity/measured.rs
+++ b/crates/hazelspur-lab/src/capacity/measured.rs
@@ -36,9 +36,11 @@
     pub value: Option<f64>,
 }
 
-/// A figure in a case, by a dimension.
+/// A study's figure in a case, by a dimension. Two studies may have a figure of one name: virtual time and real
+/// processes are never one line.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Of {
+    pub study: String,
     pub figure: String,
     pub case: String,
     pub by: String,
@@ -48,8 +50,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Series {
     pub unit: String,
-    pub studies: Vec<String>,
-    pub commands: Vec<String>,
+    pub command: String,
     /// Size and value, as they came.
     pub points: Vec<(f64, f64)>,
 }
@@ -107,12 +108,9 @@
                     continue;
                 };
                 let Point { figure, case, by, unit, size, .. } = point.clone();
-                let of = series.entry(Of { figure, case, by }).or_default();
+                let of = series.entry(Of { study: study.study.clone(), figure, case, by }).or_default();
                 of.unit = unit;
-                if !of.studies.contains(&study.study) {
-                    of.studies.push(study.study.clone());
-                    of.commands.push(study.command.clone());
-                }
+                of.command = study.command.clone();
                 of.points.push((size, value));
             }
         }
@@ -120,19 +118,20 @@
     }
 
     /// The series of some figures by a dimension, as one, in the first of the cases there is; without cases
-    /// in any.
+    /// in any. A figure is `name` or `study/name`; without a study the first that has any of them counts.
     pub fn find(&self, figures: &[&str], cases: &[&str], by: &str) -> Option<Series> {
+        let names = |of: &Of, figure: &str| match figure.split_once('/') {
+            Some((study, name)) => of.study == study && of.figure == name,
+            None => of.figure == figure,
+        };
         let of_case = |case: Option<&str>| {
-            let fits = |of: &Of| {
-                figures.contains(&of.figure.as_str())
-                    && of.by == by
-                    && case.is_none_or(|case| case == of.case)
+            let fits = |of: &&Of| {
+                let figure = figures.iter().any(|figure| names(of, figure));
+                figure && of.by == by && case.is_none_or(|case| case == of.case)
             };
-            self.series
-                .iter()
-                .filter(|(of, _)| fits(of))
-                .map(|(_, series)| series.clone())
-                .reduce(Series::with)
+            let study = &self.series.keys().find(fits)?.study;
+            let of_study = self.series.iter().filter(|(of, _)| fits(of) && of.study == *study);
+            of_study.map(|(_, series)| series.clone()).reduce(Series::with)
         };
         if cases.is_empty() { of_case(None) } else { cases.iter().find_map(|case| of_case(Some(case))) }
     }
@@ -140,12 +139,6 @@
 
 impl Series {
     fn with(mut self, other: Self) -> Self {
-        for (study, command) in other.studies.into_iter().zip(other.commands) {
-            if !self.studies.contains(&study) {
-                self.studies.push(study);
-                self.commands.push(command);
-            }
-        }
         self.points.extend(other.points);
         self
     }
--- a/crates/hazelspur-lab/src/capacity/report.rs
+++ b/crates/hazelspur-lab/src/capacity/report.rs
@@ -153,7 +153,7 @@
                 let scaled = if *over_all { times * row.size } else { *times };
                 let seen = series.seen_at(row.size, *seeds).map(|seen| seen * scaled);
                 let fit = series.fit(*seeds);
-                let from = series.commands.join("; ");
+                let from = series.command.clone();
                 let Some(fit) = fit else {
                     // One size tells nothing of another.
                     let Some(seen) = seen else { continue };
--- a/crates/hazelspur-lab/src/capacity/rows.rs
+++ b/crates/hazelspur-lab/src/capacity/rows.rs
@@ -185,9 +185,10 @@
 }
 
 const FILE: &str = "docs/capacity/size.toml";
-const AGREE: [&str; 2] = ["members.agree_s", "members.not_agreed_within_s"];
+const AGREE: [&str; 2] = ["scale/members.agree_s", "scale/members.not_agreed_within_s"];
 const MEMBERS: &str = "crates/hazelspur-fleet/src/members/mod.rs Members";
 const JOINT: &str = "crates/hazelspur-fleet/src/joint.rs Joint";
+const TALK: &str = "crates/hazelspur-server/src/fleet/talk.rs Talk";
 const SHARES: &str = "crates/hazelspur-fleet/src/shares/mod.rs Shares";
 const DIVIDER: &str = "crates/hazelspur-fleet/src/shares/divide.rs Divider";
 const REPORT: &str = "crates/hazelspur-server/src/back/control.rs report";
@@ -303,6 +304,27 @@
             .sum_of(&["server.rest.cpu", "server.talk.cpu"])
             .within(b.control_cpu_share, CPU)
             .by_mechanism(JOINT),
+        row(
+            Server,
+            "server.real.cpu",
+            "CPU of a real server with nothing asked, on sockets",
+            "of a core",
+            servers,
+        )
+        .formula("a real process among hollow members, small tables")
+        .measured(&["members.real.cpu_share"], &["rest"])
+        .within(b.control_cpu_share, CPU)
+        .by_mechanism(TALK),
+        row(Server, "server.real.memory", "anonymous memory of the same", "B", servers)
+            .formula("a real process among hollow members, small tables")
+            .measured(&["members.real.anon_bytes"], &["rest"])
+            .within(b.control_memory_bytes, MEMORY)
+            .by_mechanism(TALK),
+        row(Server, "server.real.bytes", "bytes that the same sends to others", "B/s", servers)
+            .formula("by its datagrams' numbers and their mean length")
+            .measured(&["members.real.bytes_out_per_s"], &["rest"])
+            .within(b.control_bytes_per_s, BYTES)
+            .by_mechanism(TALK),
         row(Server, "server.talk.datagrams", "datagrams that the mean server sends", "1/s", servers)
             .formula("probes, answers, news, renewals of shares")
             .measured(&["joint.datagrams_out_per_s"], &["rest"])
@@ -520,10 +542,37 @@
         .rests_on(&["control.program"]),
         row(KeeperAndDivider, "divider.cpu", "CPU of the divider", "of a core", servers)
             .formula("as measured on a real process")
-            .measured(&["hollow.divider.cpu_share"], &[])
+            .measured(&["members.divider.cpu_share"], &[])
             .within(b.control_cpu_share, CPU)
             .by_mechanism(DIVIDER)
             .rests_on(&["control.program"]),
+        row(
+            KeeperAndDivider,
+            "divider.real.bytes",
+            "bytes that a real divider sends, one limit",
+            "B/s",
+            servers,
+        )
+        .formula("by its datagrams' numbers and their mean length")
+        .measured(&["members.divider.bytes_out_per_s"], &["rest"])
+        .within(b.control_bytes_per_s, BYTES)
+        .by_mechanism(DIVIDER)
+        .rests_on(&["control.program"]),
+        row(KeeperAndDivider, "divider.real.memory", "anonymous memory of the same", "B", servers)
+            .formula("a real process among hollow members")
+            .measured(&["members.divider.anon_bytes"], &["rest"])
+            .within(b.control_memory_bytes, MEMORY)
+            .by_mechanism(DIVIDER),
+        row(KeeperAndDivider, "keeper.cpu", "CPU of a keeper that does not divide", "of a core", servers)
+            .formula("a real process among hollow members")
+            .measured(&["members.keeper.cpu_share"], &["rest"])
+            .within(b.control_cpu_share, CPU)
+            .by_mechanism("crates/hazelspur-fleet/src/shares/vote.rs Keeper"),
+        row(KeeperAndDivider, "keeper.bytes", "bytes that the same sends", "B/s", servers)
+            .formula("by its datagrams' numbers and their mean length")
+            .measured(&["members.keeper.bytes_out_per_s"], &["rest"])
+            .within(b.control_bytes_per_s, BYTES)
+            .by_mechanism("crates/hazelspur-fleet/src/shares/vote.rs Keeper"),
         row(KeeperAndDivider, "divider.entries", "entries in the divider's table", "entries", servers)
             .formula("one for each server that asks")
             .computed(FILE.to_string() + " servers", 1.0, 0.0)
@@ -743,6 +792,11 @@
         requests("event.region_lost.requests", "the same, one region lost", region, "requests_per_s / servers of the regions that are left"),
         requests("event.rack_lost.requests", "the same, a rack gone", s.servers - a.servers_per_rack, "requests_per_s / (servers - servers_per_rack)"),
         agree("event.storm.agree", "all start within a second: one picture", &["storm"]),
+        row(Event, "event.storm.agree.real", "the same on real sockets, as real servers show it", "s", servers)
+            .formula("until the real servers show all as alive, worst seed")
+            .worst(&["hollow/members.agree_s"], &["storm"])
+            .within(b.in_force_s, IN_FORCE)
+            .by_mechanism(TALK),
         agree("event.zone_lost.agree", "a zone lost: one picture of those left", &["zone lost"]),
         agree("event.zone_back.agree", "a zone back cold: one picture", &["zone back"]),
         burst("event.zone_back.bytes", "a zone back cold: the busiest server's bytes", &["zone back"]),
--- a/crates/hazelspur-lab/tests/capacity.rs
+++ b/crates/hazelspur-lab/tests/capacity.rs
@@ -93,8 +93,11 @@
         let Some((file, name)) = row.mechanism.split_once(".rs ") else { continue };
         let file = format!("{}.rs", file.rsplit(' ').next().unwrap_or(file));
         let text = std::fs::read_to_string(root().join(&file)).unwrap_or_else(|e| panic!("{file}: {e}"));
-        let there = ["struct", "enum", "fn"].iter().any(|kind| text.contains(&format!("pub {kind} {name}")));
-        assert!(there || text.contains(&format!("pub async fn {name}")), "{}: no {name} in {file}", row.name);
+        let kinds = ["pub struct", "pub enum", "pub fn", "pub async fn"];
+        let there = kinds.iter().any(|kind| text.contains(&format!("{kind} {name}")));
+        // Names are made by a macro.
+        let made = text.lines().any(|line| line == format!("    {name}"));
+        assert!(there || made, "{}: no {name} in {file}", row.name);
     }
 }
 
@@ -207,7 +210,7 @@
             )
         })
         .into();
-    let study = format!(r#"{{"study":"s","command":"c","points":[{}]}}"#, points.join(","));
+    let study = format!(r#"{{"study":"scale","command":"c","points":[{}]}}"#, points.join(","));
     let size = Size::read(&size_text()).expect("the size");
     let report = report(&size, &studies(&[&study]), &Known::default());
     let line = report.lines.iter().find(|line| line.row == "event.storm.agree").expect("a row");
@@ -226,7 +229,7 @@
         missing field `lookup_ratio`
         size.servers: nothing fits a size of 0
         assumed.deploy_min: no number from 0 on
-        "#]]
+        budget.lookup_ratio: no comment above it gives a reason"#]]
     .assert_eq(
         &[
             refused("\nservers = ", "\nsevers = "),
