Capacity: an earlier text's studies stand beside the same rows now

Two files of one study were put into one line, so figures of two texts would have been averaged without a word. They are refused now with the file named; an earlier text's go to docs/capacity/before/ and to a table of their own.

--- a/crates/hazelspur-lab/src/capacity/command.rs
+++ b/crates/hazelspur-lab/src/capacity/command.rs
@@ -33,6 +33,8 @@
     pub size: Size,
     pub figures: Vec<super::size::Figure>,
     pub measured: Measured,
+    /// Of an earlier text, from the directory `before` beside the others.
+    pub before: Measured,
     pub known: Known,
 }
 
@@ -40,32 +42,47 @@
     std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// Errors name the file and the key.
-pub fn read_all(size: &Path, measured: &Path) -> Result<Told, String> {
+/// All studies of a directory, in the order of the files' names.
+fn read_studies(directory: &Path) -> Result<Measured, String> {
     let of = |path: &Path, why: String| format!("{}: {why}", path.display());
-    let text = read(size)?;
-    let known_at = measured.join("missing.toml");
-    let known = if known_at.exists() {
-        Known::read(&read(&known_at)?).map_err(|why| of(&known_at, why))?
-    } else {
-        Known::default()
-    };
-    let there = std::fs::read_dir(measured).map_err(|e| of(measured, e.to_string()))?;
+    let there = std::fs::read_dir(directory).map_err(|e| of(directory, e.to_string()))?;
     let mut files: Vec<PathBuf> = there.filter_map(|entry| entry.ok().map(|entry| entry.path())).collect();
     files.retain(|path| path.extension().is_some_and(|kind| kind == "json"));
     files.sort();
-    let mut studies = Vec::new();
+    let mut studies: Vec<Study> = Vec::new();
     for file in files {
         let study = Study::read(&read(&file)?).map_err(|why| of(&file, why))?;
+        if studies.iter().any(|other| other.study == study.study) {
+            // One line through two texts would be neither's.
+            let why =
+                format!("study: {} is in another file too; an earlier text's goes to before/", study.study);
+            return Err(of(&file, why));
+        }
         // A report of this command may have been left there.
         if study.study != "capacity" {
             studies.push(study);
         }
     }
+    Ok(Measured::of(studies))
+}
+
+/// Errors name the file and the key.
+pub fn read_all(size: &Path, measured: &Path) -> Result<Told, String> {
+    let of = |path: &Path, why: String| format!("{}: {why}", path.display());
+    let text = read(size)?;
+    let known_at = measured.join("missing.toml");
+    let known = if known_at.exists() {
+        Known::read(&read(&known_at)?).map_err(|why| of(&known_at, why))?
+    } else {
+        Known::default()
+    };
+    let before = measured.join("before");
+    let before = if before.is_dir() { read_studies(&before)? } else { Measured::default() };
     Ok(Told {
         size: Size::read(&text).map_err(|why| of(size, why))?,
         figures: figures(&text).map_err(|why| of(size, why))?,
-        measured: Measured::of(studies),
+        measured: read_studies(measured)?,
+        before,
         known,
     })
 }
@@ -121,7 +138,7 @@
     report.faults.iter().for_each(|fault| eprintln!("{fault}"));
     if let Some(file) = &asked.page {
         let text = read(file)?;
-        let blocks = page::blocks(&told.figures, &told.measured, &report);
+        let blocks = page::blocks(&told, &report);
         let of = |why: String| format!("{}: {why}", file.display());
         if asked.check {
             for name in page::differing(&text, &blocks).map_err(of)? {
--- a/crates/hazelspur-lab/src/capacity/page.rs
+++ b/crates/hazelspur-lab/src/capacity/page.rs
@@ -3,9 +3,9 @@
 //!     <!-- generated: NAME -->
 //!     <!-- end -->
 
-use super::report::{Line, Report, State, Stops};
+use super::command::Told;
+use super::report::{self, Known, Line, Report, State, Stops};
 use super::rows::Role;
-use super::size::Figure;
 use super::{digits, measured, with_unit};
 
 /// A table by its marker's name.
@@ -151,10 +151,29 @@
     table(&["study", "text", "machine", "points", "command"], rows)
 }
 
+/// Rows that an earlier text's studies measured, beside what they are now.
+fn before(told: &Told, report: &Report) -> String {
+    let then = report::report(&told.size, &told.before, &Known::default());
+    let texts: Vec<&str> = told.before.studies.iter().map(|study| study.text.as_str()).collect();
+    let measured = then.lines.iter().filter(|line| line.points.is_some());
+    let rows = measured.filter_map(|then| {
+        let now = report.lines.iter().find(|line| line.row == then.row)?;
+        let cells = [&at_target(then), &at_target(now), &or_none(now.budget, now.unit)];
+        let names = [format!("`{}`", now.row), now.what.to_string()];
+        Some(names.into_iter().chain(cells.into_iter().cloned()).collect())
+    });
+    let rows: Vec<Vec<String>> = rows.collect();
+    if rows.is_empty() {
+        return "No study of an earlier text is there.\n".into();
+    }
+    let head = format!("at the target, {}", texts.join(", "));
+    table(&["row", "what", &head, "now", "budget"], rows.into_iter())
+}
+
 /// All tables, in the order of the page.
-pub fn blocks(figures: &[Figure], measured: &measured::Measured, report: &Report) -> Vec<Block> {
+pub fn blocks(told: &Told, report: &Report) -> Vec<Block> {
     let of_section = |section: &str| {
-        let of = figures.iter().filter(move |figure| figure.section == section);
+        let of = told.figures.iter().filter(move |figure| figure.section == section);
         table(
             &["key", "figure", "reason"],
             of.map(|figure| vec![format!("`{}`", figure.key), digits(figure.value), figure.reason.clone()]),
@@ -170,7 +189,8 @@
     }
     all.push(block("missing", missing(report)));
     all.push(block("order", order(report)));
-    all.push(block("studies", studies(measured)));
+    all.push(block("before", before(told, report)));
+    all.push(block("studies", studies(&told.measured)));
     all
 }
 
--- a/crates/hazelspur-lab/src/capacity/rows.rs
+++ b/crates/hazelspur-lab/src/capacity/rows.rs
@@ -716,6 +716,11 @@
     let cross = 1.0 - 1.0 / s.regions;
     let talk = &["joint.bytes_out_per_s"];
     vec![
+        row(zones, "zones.datagrams", "datagrams of the talk between two zones, both ways", "1/s", servers)
+            .formula("servers x datagrams of a server x 2 / zones squared")
+            .measured_times(&["joint.datagrams_out_per_s"], &["rest"], pair, true)
+            .measured_times(&["members.datagrams_out_per_s"], &["rest"], pair, true)
+            .by_mechanism(MEMBERS),
         row(zones, "zones.bytes", "talk between two zones, both ways", "B/s", servers)
             .formula(
                 "servers x bytes of a server x 2 / zones squared: all are asked alike, wherever they stand",
@@ -730,6 +735,17 @@
             .measured_times(&["members.bytes_out_per_s"], &["rest"], cross, true)
             .within(a.region_link_bytes_per_s, "assumed.region_link_bytes_per_s")
             .by_mechanism(MEMBERS),
+        row(
+            regions,
+            "regions.datagrams",
+            "datagrams of the talk between the regions, both ways",
+            "1/s",
+            servers,
+        )
+        .formula("servers x datagrams of a server x (1 - 1 / regions)")
+        .measured_times(&["joint.datagrams_out_per_s"], &["rest"], cross, true)
+        .measured_times(&["members.datagrams_out_per_s"], &["rest"], cross, true)
+        .by_mechanism(MEMBERS),
         row(regions, "regions.bytes.storm", "the same while all start", "B/s", servers)
             .formula("the same, mean of the window after the storm began")
             .measured_times(talk, &["storm"], cross, true)
--- a/crates/hazelspur-lab/tests/capacity.rs
+++ b/crates/hazelspur-lab/tests/capacity.rs
@@ -33,6 +33,17 @@
     Measured::of(texts.iter().map(|text| Study::read(text).expect("a study")).collect())
 }
 
+/// The repository's size, with nothing known, and no study but these.
+fn with(measured: Measured) -> Told {
+    Told {
+        size: Size::read(&size_text()).expect("the size"),
+        figures: figures(&size_text()).expect("figures"),
+        measured,
+        before: Measured::default(),
+        known: Known::default(),
+    }
+}
+
 /// The command's exit status, and what it said on standard error.
 fn run(arguments: &[&Path]) -> (Option<i32>, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_hazelspur-lab"))
@@ -58,7 +69,7 @@
     let report = report(&told.size, &told.measured, &told.known);
     assert_eq!(report.faults, Vec::<String>::new());
     assert_eq!(report.unknown, Vec::<String>::new());
-    let blocks = blocks(&told.figures, &told.measured, &report);
+    let blocks = blocks(&told, &report);
     let differing = differing(&page_text(), &blocks).expect("all markers are there");
     assert_eq!(
         differing,
@@ -139,7 +150,7 @@
     let line = page.lines().find(|line| line.starts_with("| `list.reports` |")).expect("the row");
     let planted = page.replace(line, &line.replacen("1.25", "1.24", 1));
     assert_ne!(planted, page);
-    let blocks = blocks(&told.figures, &told.measured, &report);
+    let blocks = blocks(&told, &report);
     assert_eq!(differing(&planted, &blocks), Ok(vec!["list".to_string()]));
     assert_eq!(filled(&planted, &blocks).expect("all markers"), filled(&page, &blocks).expect("all markers"));
     std::fs::write(at.join("page.md"), planted).expect("written");
@@ -152,7 +163,7 @@
 fn markers_that_are_wrong_are_named() {
     let told = told();
     let report = report(&told.size, &told.measured, &told.known);
-    let blocks = blocks(&told.figures, &told.measured, &report);
+    let blocks = blocks(&told, &report);
     let page = page_text();
     let wrong = |from: &str, to: &str| filled(&page.replacen(from, to, 1), &blocks).err();
     assert_eq!(
@@ -175,7 +186,7 @@
     assert_eq!(line("server.talk.bytes").state, State::NotMeasured);
     assert_eq!(line("server.bytes").state, State::NotMeasured);
     assert_eq!(line("server.bytes").ratio, None);
-    let blocks = blocks(&figures(&size_text()).expect("figures"), &Measured::default(), &report);
+    let blocks = blocks(&with(Measured::default()), &report);
     let server = &blocks.iter().find(|block| block.name == "server").expect("a table").text;
     let starts =
         |name: &str| server.lines().find(|line| line.starts_with(&format!("| `{name}`"))).expect("a row");
@@ -260,6 +271,34 @@
     assert!(said.contains("scale.json: missing field `figure`"), "{said}");
 }
 
+#[test]
+fn an_earlier_texts_study_goes_to_a_table_of_its_own() {
+    let at = directory("before");
+    std::fs::write(at.join("size.toml"), size_text()).expect("written");
+    let study = |text: &str, value: u32| {
+        format!(
+            r#"{{"study":"server","text":"{text}","points":[{{"figure":"server.memory.anon_bytes","case":"any",
+            "unit":"B","by":"tenants","size":42000,"seed":1,"value":{value}}}]}}"#
+        )
+    };
+    std::fs::write(at.join("server.json"), study("new", 9_000_000)).expect("written");
+    std::fs::write(at.join("server-old.json"), study("old", 41_900_000)).expect("written");
+    let (status, said) = run(&["--size".as_ref(), &at.join("size.toml"), "--measured".as_ref(), &at]);
+    assert_eq!(status, Some(2));
+    assert!(said.contains("server.json: study: server is in another file too"), "{said}");
+    std::fs::create_dir(at.join("before")).expect("a directory");
+    std::fs::rename(at.join("server-old.json"), at.join("before/server.json")).expect("moved");
+    let told = read_all(&at.join("size.toml"), &at).expect("all can be read");
+    let report = report(&told.size, &told.measured, &told.known);
+    let blocks = blocks(&told, &report);
+    let before = &blocks.iter().find(|block| block.name == "before").expect("a table").text;
+    expect![[r#"
+        | row | what | at the target, old | now | budget |
+        | --- | --- | --- | --- | --- |
+        | `server.settings.memory` | settings held, memory | 41.9 MB | 9 MB | 16 MB |
+    "#]].assert_eq(before);
+}
+
 #[test]
 fn a_row_that_is_named_as_missing_and_fits_is_told() {
     let size = Size::read(&size_text()).expect("the size");
@@ -313,7 +352,7 @@
         ants: nothing carries it; not named as missing"#]]
     .assert_eq(&report.faults.join("\n"));
     assert_eq!(report.lines[0].stops_at, Stops::At(119.0));
-    let table = &blocks(&[], &studies(&[study]), &report)[4];
+    let table = &blocks(&with(studies(&[study])), &report)[4];
     expect![[r#"
         | row | what | by | slope | base | off by | at the target | at twice | budget | ratio | stops at | state |
         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
