--- a/crates/hazelspur-lab/src/lib.rs
+++ b/crates/hazelspur-lab/src/lib.rs
@@ -8,8 +8,10 @@
 //! - `drive`: the real `Logic` of many servers between `models` of cores, ledger, list and gateways;
 //! - `ways`: the ways of knowing who is here that are compared;
 //! - `studies`: what is measured, as tables;
-//! - `cpu`, `heap`: what a run cost the machine that played it.
+//! - `cpu`, `heap`: what a run cost the machine that played it;
+//! - `capacity`: what was measured against budgets, for a size that a file names.
 
+pub mod capacity;
 pub mod cpu;
 pub mod drive;
 pub mod heap;
