--- a/crates/hazelspur-fleetbed/src/bed.rs
+++ b/crates/hazelspur-fleetbed/src/bed.rs
@@ -379,7 +379,7 @@
 }
 
 /// The first net from a number on that no other run on this machine has.
-fn claim_net(from: u32) -> std::io::Result<(u8, TcpListener)> {
+pub(crate) fn claim_net(from: u32) -> std::io::Result<(u8, TcpListener)> {
     const NETS: u32 = 180;
     let net = |i: u32| 64 + (from.wrapping_add(i) % NETS) as u8;
     let claim = |net: u8| TcpListener::bind((Ipv4Addr::new(127, net, 250, 250), 7999)).map(|l| (net, l));
--- /dev/null
+++ b/crates/hazelspur-fleetbed/src/hollow/asking.rs
@@ -0,0 +1,145 @@
+//! What the real members say of the fleet, asked as an operator's command asks, all of them at once.
+
+use super::{INSTALLATION, KEY};
+use hazelspur::Moment;
+use hazelspur_fleet::talk::{self, Body, Datagram};
+use hazelspur_fleet::{
+    Claim, Condition, Generation, Installation, Key, MemberName, Says, SiteName, Size, Standing,
+};
+use hazelspur_standins::now_ms;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+/// What did not come is asked for again after so long.
+const AGAIN: Duration = Duration::from_millis(150);
+
+pub struct Asker {
+    socket: UdpSocket,
+    from: Claim,
+    key: Key,
+    installation: Installation,
+    number: u32,
+}
+
+impl Asker {
+    pub fn new() -> anyhow::Result<Self> {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        let name = |what| anyhow::anyhow!("{what}: no good name");
+        let from = Claim {
+            name: MemberName::new("watch").ok_or(name("watch"))?,
+            site: SiteName::new("watch").ok_or(name("watch"))?,
+            at: socket.local_addr()?,
+            generation: Generation(0),
+            incarnation: Default::default(),
+            says: Says::Alive,
+        };
+        Ok(Self {
+            socket,
+            from,
+            key: Key::from_text(KEY).map_err(anyhow::Error::msg)?,
+            installation: Installation::new(INSTALLATION).ok_or(name(INSTALLATION))?,
+            number: 0,
+        })
+    }
+
+    /// Condition and bounds of the size by each of them, where an answer came within that time.
+    pub fn sizes(&mut self, of: &[SocketAddr], within: Duration) -> Vec<Option<(Condition, Size)>> {
+        let mut said = vec![None; of.len()];
+        self.exchange(of, within, |i, body| {
+            let Some(Body::Shown { condition, fleet, .. }) = body else { return Some(show(None)) };
+            said[i] = Some((*condition, *fleet));
+            None
+        });
+        said
+    }
+
+    /// Names and standings of all others by each of them, where all of it came within that time.
+    pub fn pictures(
+        &mut self,
+        of: &[SocketAddr],
+        within: Duration,
+    ) -> Vec<Option<BTreeMap<MemberName, Standing>>> {
+        let mut rows_of = vec![BTreeMap::new(); of.len()];
+        let mut whole = vec![false; of.len()];
+        self.exchange(of, within, |i, body| {
+            let Some(Body::Shown { rows, next, .. }) = body else { return Some(show(None)) };
+            rows_of[i].extend(rows.iter().map(|row| (row.claim.name, row.standing)));
+            whole[i] = next.is_none();
+            next.map(|next| show(Some(next)))
+        });
+        rows_of.into_iter().zip(whole).map(|(rows, whole)| whole.then_some(rows)).collect()
+    }
+
+    /// Who divides what all share, by the first that knows.
+    pub fn divider(&mut self, of: &[SocketAddr], within: Duration) -> Option<MemberName> {
+        let mut divider = None;
+        self.exchange(of, within, |_, body| match body {
+            Some(Body::Choices { shown, .. }) => {
+                divider = divider.or(shown.divider);
+                None
+            }
+            _ => Some(Body::ShowChoices { number: 0 }),
+        });
+        divider
+    }
+
+    /// One question after the other to each: `next` makes the first from none and each further one from the
+    /// answer to the one before, until it makes none.
+    fn exchange(
+        &mut self,
+        of: &[SocketAddr],
+        within: Duration,
+        mut next: impl FnMut(usize, Option<&Body>) -> Option<Body>,
+    ) {
+        let until = Instant::now() + within;
+        // By the question's number: of whom, what, and when it is asked again.
+        let mut open: BTreeMap<u32, (usize, Body, Instant)> = BTreeMap::new();
+        for i in 0..of.len() {
+            if let Some(body) = next(i, None) {
+                self.number += 1;
+                open.insert(self.number, (i, numbered(body, self.number), Instant::now()));
+            }
+        }
+        let mut bytes = vec![0; talk::LONGEST + 1];
+        while !open.is_empty() && Instant::now() < until {
+            for (i, body, due) in open.values_mut().filter(|(_, _, due)| *due <= Instant::now()) {
+                *due = Instant::now() + AGAIN;
+                let question = Datagram {
+                    installation: self.installation,
+                    from: self.from,
+                    number: 1,
+                    sent_ms: now_ms(),
+                    body: body.clone(),
+                    word: None,
+                    claims: Vec::new(),
+                };
+                let _ = self.socket.send_to(&talk::seal(&self.key, &question), of[*i]);
+            }
+            let due = open.values().map(|(_, _, due)| *due).min().unwrap_or(until).min(until);
+            let left = due.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+            let _ = self.socket.set_read_timeout(Some(left));
+            let Ok((length, _)) = self.socket.recv_from(&mut bytes) else { continue };
+            let now = Moment::from_us(now_ms() * 1000);
+            let Ok(came) = talk::open(&self.key, &self.installation, now, &bytes[..length]) else { continue };
+            let (Body::Shown { number, .. } | Body::Choices { number, .. }) = came.body else { continue };
+            let Some((i, _, _)) = open.remove(&number) else { continue };
+            if let Some(body) = next(i, Some(&came.body)) {
+                self.number += 1;
+                open.insert(self.number, (i, numbered(body, self.number), Instant::now()));
+            }
+        }
+    }
+}
+
+fn show(after: Option<MemberName>) -> Body {
+    Body::Show { number: 0, after }
+}
+
+fn numbered(body: Body, number: u32) -> Body {
+    match body {
+        Body::Show { after, .. } => Body::Show { number, after },
+        Body::ShowChoices { .. } => Body::ShowChoices { number },
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-fleetbed/src/hollow/figures.rs
@@ -0,0 +1,364 @@
+//! What two readings of a run come to: traffic, CPU and memory of a member, by what it is.
+//!
+//! A hollow member counts its own datagrams. What a real member sends is told by the numbers that its own
+//! datagrams bear, and their mean length by those that hollow members got; what it gets, by what hollow
+//! members sent to it and an even part of what real ones sent to each other. So that both kinds may be
+//! compared, what hollow members got of either is counted alike, by the sender.
+
+use super::machine::Process;
+use super::member::{Counted, Heard, Traffic};
+use super::processes::Hollow;
+use super::{Fleet, Outcome};
+use comfy_table::{Table, presets};
+use hazelspur_fleet::MemberName;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Everything at one time.
+pub struct Reading {
+    pub at: Instant,
+    /// By process of hollow members.
+    pub counted: Vec<Counted>,
+    pub reals: Vec<Option<Process>>,
+    pub hollows: Vec<Option<Process>>,
+    /// Datagrams that the kernel dropped so far.
+    pub drops: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    /// Real, and divides what all share.
+    Divider,
+    /// Real, and votes on that.
+    Keeper,
+    Real,
+    Hollow,
+}
+
+impl Role {
+    pub const ALL: [Self; 4] = [Self::Real, Self::Hollow, Self::Keeper, Self::Divider];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Divider => "divider",
+            Self::Keeper => "keeper",
+            Self::Real => "real",
+            Self::Hollow => "hollow",
+        }
+    }
+}
+
+/// Of one member, a second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rates {
+    pub datagrams: f64,
+    pub bytes: f64,
+}
+
+impl Rates {
+    fn of(traffic: Traffic, seconds: f64) -> Self {
+        Self { datagrams: traffic.datagrams as f64 / seconds, bytes: traffic.bytes as f64 / seconds }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Member {
+    pub role: Role,
+    pub sent: Rates,
+    pub heard: Rates,
+    /// What hollow members got of it.
+    pub told: Rates,
+    /// Datagrams that it sent, by their numbers.
+    pub numbered: f64,
+    /// Part of a core; of a hollow one an even part of its process.
+    pub cpu_share: f64,
+    /// In bytes, likewise.
+    pub resident: f64,
+    pub anonymous: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Figures {
+    pub seconds: f64,
+    pub members: Vec<Member>,
+    pub drops: u64,
+    /// Datagrams that hollow members got and did not take, and that they could not send.
+    pub not_taken: u64,
+    pub unsent: u64,
+}
+
+impl Figures {
+    pub fn new(
+        fleet: &Fleet,
+        divider: Option<MemberName>,
+        hollows: &[Hollow],
+        before: &Reading,
+        after: &Reading,
+    ) -> Self {
+        let seconds = (after.at - before.at).as_secs_f64().max(f64::MIN_POSITIVE);
+        let (came_before, went_before) = (came(&before.counted), went(&before.counted));
+        let (came_after, went_after) = (came(&after.counted), went(&after.counted));
+        let told = |of: usize| {
+            let at = fleet.talks_at(of);
+            let (old, new) = (came_before.get(&at), came_after.get(&at));
+            let (old, new) = (old.copied().unwrap_or_default(), new.copied().unwrap_or_default());
+            (new.traffic.since(old.traffic), new.number.saturating_sub(old.number))
+        };
+        let went = |of: usize| {
+            let at = fleet.talks_at(of);
+            let find = |all: &BTreeMap<SocketAddr, Traffic>| all.get(&at).copied().unwrap_or_default();
+            find(&went_after).since(find(&went_before))
+        };
+        // Of a real member: datagrams by number, at the mean length of those that came to hollow ones.
+        let sent = |of: usize| {
+            let (told, numbered) = told(of);
+            let mean = if told.datagrams == 0 { 0.0 } else { told.bytes as f64 / told.datagrams as f64 };
+            Rates { datagrams: numbered as f64 / seconds, bytes: numbered as f64 * mean / seconds }
+        };
+        let among = (0..fleet.real).map(|of| {
+            let (sent, told) = (sent(of), Rates::of(told(of).0, seconds));
+            ((sent.datagrams - told.datagrams).max(0.0), (sent.bytes - told.bytes).max(0.0))
+        });
+        let among = among.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let of_each = (among.0 / fleet.real as f64, among.1 / fleet.real as f64);
+        let divider = divider.map(|name| name.to_string());
+        let real = |of: usize| {
+            let role = match () {
+                () if divider.as_deref() == Some(&fleet.name(of)) => Role::Divider,
+                () if of < fleet.keeping() => Role::Keeper,
+                () => Role::Real,
+            };
+            let came = Rates::of(went(of), seconds);
+            let heard = Rates { datagrams: came.datagrams + of_each.0, bytes: came.bytes + of_each.1 };
+            let (told, numbered) = told(of);
+            let told = Rates::of(told, seconds);
+            let numbered = numbered as f64 / seconds;
+            let (cpu_share, resident, anonymous) = taken(before.reals[of], after.reals[of], seconds, 1);
+            Member { role, sent: sent(of), heard, told, numbered, cpu_share, resident, anonymous }
+        };
+        let mut members: Vec<Member> = (0..fleet.real).map(real).collect();
+        let (mut not_taken, mut unsent) = (0, 0);
+        for (i, hollow) in hollows.iter().enumerate() {
+            let (cpu_share, resident, anonymous) =
+                taken(before.hollows[i], after.hollows[i], seconds, hollow.count);
+            for place in 0..hollow.count {
+                let (old, new) = (before.counted[i].members[place], after.counted[i].members[place]);
+                let (told, numbered) = told(hollow.first + place);
+                not_taken += new.dropped - old.dropped;
+                unsent += new.unsent - old.unsent;
+                members.push(Member {
+                    role: Role::Hollow,
+                    sent: Rates::of(new.sent.since(old.sent), seconds),
+                    heard: Rates::of(new.heard.since(old.heard), seconds),
+                    told: Rates::of(told, seconds),
+                    numbered: numbered as f64 / seconds,
+                    cpu_share,
+                    resident,
+                    anonymous,
+                });
+            }
+        }
+        Self { seconds, members, drops: after.drops.saturating_sub(before.drops), not_taken, unsent }
+    }
+
+    pub fn of(&self, role: Role) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(move |member| member.role == role)
+    }
+
+    /// None where there is no such member.
+    pub fn mean(&self, role: Role, figure: impl Fn(&Member) -> f64) -> Option<f64> {
+        let count = self.of(role).count();
+        (count > 0).then(|| self.of(role).map(figure).sum::<f64>() / count as f64)
+    }
+
+    pub fn most(&self, role: Role, figure: impl Fn(&Member) -> f64) -> Option<f64> {
+        self.of(role).map(figure).reduce(f64::max)
+    }
+
+    /// By how much a hollow member's datagrams and bytes differ from a real one's, both as hollow members
+    /// got them, to each of them that is not the sender, as parts of the real one's; none where all real
+    /// ones are keepers.
+    pub fn difference(&self) -> Option<(f64, f64)> {
+        let receivers = self.of(Role::Hollow).count() as f64;
+        let part = |figure: Of| {
+            let hollow = self.mean(Role::Hollow, figure)? / (receivers - 1.0);
+            let real = self.mean(Role::Real, figure)? / receivers;
+            (real > 0.0 && receivers > 1.0).then_some(hollow / real - 1.0)
+        };
+        Some((part(|member| member.told.datagrams)?, part(|member| member.told.bytes)?))
+    }
+}
+
+fn taken(before: Option<Process>, after: Option<Process>, seconds: f64, by: usize) -> (f64, f64, f64) {
+    let (Some(before), Some(after)) = (before, after) else { return (f64::NAN, f64::NAN, f64::NAN) };
+    let cpu = after.cpu.saturating_sub(before.cpu).as_secs_f64() / seconds;
+    let each = |n: f64| n / by as f64;
+    (each(cpu), each(after.resident as f64), each(after.anonymous as f64))
+}
+
+fn came(counted: &[Counted]) -> BTreeMap<SocketAddr, Heard> {
+    let mut all: BTreeMap<SocketAddr, Heard> = BTreeMap::new();
+    for (from, heard) in counted.iter().flat_map(|counted| &counted.came) {
+        let sum = all.entry(*from).or_default();
+        sum.traffic.add(heard.traffic.datagrams, heard.traffic.bytes);
+        sum.number = sum.number.max(heard.number);
+    }
+    all
+}
+
+fn went(counted: &[Counted]) -> BTreeMap<SocketAddr, Traffic> {
+    let mut all: BTreeMap<SocketAddr, Traffic> = BTreeMap::new();
+    for (to, traffic) in counted.iter().flat_map(|counted| &counted.went) {
+        all.entry(*to).or_default().add(traffic.datagrams, traffic.bytes);
+    }
+    all
+}
+
+type Of = fn(&Member) -> f64;
+
+/// Name in the points, and unit.
+const EACH: [(&str, &str, Of); 7] = [
+    ("cpu_share", "cores", |m| m.cpu_share),
+    ("resident_bytes", "B", |m| m.resident),
+    ("anon_bytes", "B", |m| m.anonymous),
+    ("datagrams_out_per_s", "1/s", |m| m.sent.datagrams),
+    ("bytes_out_per_s", "B/s", |m| m.sent.bytes),
+    ("datagrams_in_per_s", "1/s", |m| m.heard.datagrams),
+    ("bytes_in_per_s", "B/s", |m| m.heard.bytes),
+];
+
+/// For the JSON file of measured figures.
+pub fn points(outcome: &Outcome, seed: u64) -> Vec<Value> {
+    let mut points = Vec::new();
+    let agreed = outcome.agree.is_some();
+    let mut put = |figure: String, case: &str, unit: &str, value: Option<f64>| {
+        if let Some(value) = value.filter(|value| value.is_finite()) {
+            points.push(json!({"figure": figure, "case": case, "unit": unit, "by": "servers",
+                "size": outcome.members, "seed": seed, "value": rounded(value)}));
+        }
+    };
+    let agree = outcome.agree.map(|agree| agree.as_secs_f64());
+    put("members.agree_s".into(), "storm", "s", agree);
+    put("members.missing".into(), "storm", "members", Some(outcome.missing.len() as f64));
+    let Some(figures) = &outcome.figures else { return points };
+    let case = if agreed { "rest" } else { "not agreed" };
+    for role in Role::ALL {
+        let name = role.name();
+        for (figure, unit, of) in EACH {
+            put(format!("members.{name}.{figure}"), case, unit, figures.mean(role, of));
+            let even = role == Role::Hollow && !figure.contains("per_s");
+            if role != Role::Divider && !even {
+                put(format!("members.{name}.most_{figure}"), case, unit, figures.most(role, of));
+            }
+        }
+        let told = figures.mean(role, |m| m.told.bytes);
+        put(format!("members.{name}.bytes_as_heard_per_s"), case, "B/s", told);
+        let told = figures.mean(role, |m| m.told.datagrams);
+        put(format!("members.{name}.datagrams_as_heard_per_s"), case, "1/s", told);
+    }
+    let difference = figures.difference();
+    put("members.difference.datagrams".into(), case, "part", difference.map(|d| d.0));
+    put("members.difference.bytes".into(), case, "part", difference.map(|d| d.1));
+    put("members.kernel_drops".into(), case, "datagrams", Some(figures.drops as f64));
+    put("members.missing_at_end".into(), case, "members", Some(outcome.missing_at_end.len() as f64));
+    put("members.all_processes_bytes".into(), "most", "B", Some(outcome.most_memory as f64));
+    points
+}
+
+/// Six digits are more than any of these measures.
+fn rounded(value: f64) -> f64 {
+    format!("{value:.5e}").parse().unwrap_or(value)
+}
+
+/// One row for each role of each size.
+pub fn table(outcomes: &[Outcome]) -> String {
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "members",
+        "kind",
+        "how many",
+        "CPU, % of a core: mean, most",
+        "resident, KB",
+        "anonymous, KB",
+        "datagrams/s out: mean, most",
+        "bytes/s out: mean, most",
+        "datagrams/s in: mean, most",
+        "bytes/s in: mean, most",
+    ]);
+    for outcome in outcomes {
+        let Some(figures) = &outcome.figures else { continue };
+        for role in Role::ALL {
+            let both = |of: Of, times: f64, digits: usize| {
+                let (mean, most) = (figures.mean(role, of), figures.most(role, of));
+                let (mean, most) = (mean.unwrap_or(f64::NAN) * times, most.unwrap_or(f64::NAN) * times);
+                format!("{mean:.digits$}, {most:.digits$}")
+            };
+            let mean =
+                |of: Of, times: f64| format!("{:.0}", figures.mean(role, of).unwrap_or(f64::NAN) * times);
+            if figures.of(role).next().is_none() {
+                continue;
+            }
+            table.add_row([
+                outcome.members.to_string(),
+                role.name().to_string(),
+                figures.of(role).count().to_string(),
+                both(|m| m.cpu_share, 100.0, 2),
+                mean(|m| m.resident, 1.0 / 1024.0),
+                mean(|m| m.anonymous, 1.0 / 1024.0),
+                both(|m| m.sent.datagrams, 1.0, 2),
+                both(|m| m.sent.bytes, 1.0, 0),
+                both(|m| m.heard.datagrams, 1.0, 2),
+                both(|m| m.heard.bytes, 1.0, 0),
+            ]);
+        }
+    }
+    table.to_string()
+}
+
+/// What the table has no room for, a paragraph for one size.
+pub fn told(outcome: &Outcome) -> String {
+    const MOST_NAMED: usize = 10;
+    let named = |names: &std::collections::BTreeSet<String>| {
+        let first: Vec<&str> = names.iter().take(MOST_NAMED).map(String::as_str).collect();
+        let more = if names.len() > MOST_NAMED { ", ..." } else { "" };
+        format!("{}: {}{more}", names.len(), first.join(", "))
+    };
+    let mut text = format!(
+        "{} members, {} of them real, {} processes: ",
+        outcome.members, outcome.real, outcome.processes
+    );
+    text += &match outcome.agree {
+        Some(agree) => format!("all real ones show all as alive after {:.1} s", agree.as_secs_f64()),
+        None => format!("the real ones do not show all as alive; missing {}", named(&outcome.missing)),
+    };
+    text += &format!("; most memory of all processes {} MB", outcome.most_memory >> 20);
+    let Some(figures) = &outcome.figures else { return text };
+    text += &format!(
+        "; window {:.1} s: {} datagrams dropped by the kernel, {} not taken and {} not sent by hollow \
+         members",
+        figures.seconds, figures.drops, figures.not_taken, figures.unsent
+    );
+    if !outcome.missing_at_end.is_empty() {
+        text += &format!("; at its end missing {}", named(&outcome.missing_at_end));
+    }
+    text += &format!("; ops: {} acked of {} tries\n", outcome.ops.0, outcome.ops.1);
+    let mean = |role, of: Of| figures.mean(role, of).unwrap_or(f64::NAN);
+    let as_heard = |role| {
+        let (datagrams, bytes) = (mean(role, |m| m.told.datagrams), mean(role, |m| m.told.bytes));
+        format!("{datagrams:.2} datagrams and {bytes:.0} bytes a second")
+    };
+    text += &format!(
+        "as hollow members got them: of a real one {}, of a hollow one {}",
+        as_heard(Role::Real),
+        as_heard(Role::Hollow)
+    );
+    if let Some((datagrams, bytes)) = figures.difference() {
+        text +=
+            &format!("; the hollow one's differ by {:+.1}% and {:+.1}%", datagrams * 100.0, bytes * 100.0);
+    }
+    let (own, numbered) = (mean(Role::Hollow, |m| m.sent.datagrams), mean(Role::Hollow, |m| m.numbered));
+    text + &format!("; datagrams of a hollow one by its own count {own:.2}, by their numbers {numbered:.2}")
+}
--- /dev/null
+++ b/crates/hazelspur-fleetbed/src/hollow/member.rs
@@ -0,0 +1,260 @@
+//! One process of hollow members: hundreds of sockets on one loop, behind each the machine that a server has
+//! (`Joint` and its datagrams), driven as the server's own talk drives it, and no server around it. The
+//! binary starts itself for this; it is told what to do by lines of JSON on its input, and ends when that
+//! ends.
+
+use super::{Fleet, INSTALLATION, KEY};
+use hazelspur::pcg::Pcg;
+use hazelspur::{Moment, Span};
+use hazelspur_fleet::guidance::Guidance;
+use hazelspur_fleet::joint::Seen;
+use hazelspur_fleet::shares::LimitId;
+use hazelspur_fleet::{At, Generation, Installation, Joint, Key, talk};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+
+/// As the server's own talk has them.
+const IN_ONE_GO: usize = 64;
+const ROUND: Span = Span::from_ms(250);
+const LOOK: Span = Span::from_ms(200);
+/// A hollow member says that it makes a call each second, and that it takes so long.
+const CALL_EVERY: Span = Span::from_ms(1000);
+const CALL_SECS: f64 = 0.01;
+/// Lines of input that wait.
+const MOST_LINES: usize = 16;
+
+/// The first line.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Task {
+    pub fleet: Fleet,
+    /// Numbers of the fleet's members that live here.
+    pub first: usize,
+    pub count: usize,
+    /// It ends by itself after so long, whatever its input says.
+    pub life_s: u64,
+}
+
+/// Each further line.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub enum Order {
+    /// All members start, spread as the fleet says.
+    Go,
+    Count,
+}
+
+/// The answer to each line; nothing counted is the answer to the first one.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Counted {
+    pub members: Vec<Count>,
+    /// By sender: what all members here got of it, and the greatest number of its datagrams.
+    pub came: BTreeMap<SocketAddr, Heard>,
+    /// Datagrams by whom they went to.
+    pub went: BTreeMap<SocketAddr, Traffic>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Traffic {
+    pub datagrams: u64,
+    pub bytes: u64,
+}
+
+impl Traffic {
+    pub fn add(&mut self, datagrams: u64, bytes: u64) {
+        self.datagrams += datagrams;
+        self.bytes += bytes;
+    }
+
+    pub fn since(self, before: Self) -> Self {
+        Self { datagrams: self.datagrams - before.datagrams, bytes: self.bytes - before.bytes }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Heard {
+    pub traffic: Traffic,
+    pub number: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Count {
+    pub sent: Traffic,
+    pub heard: Traffic,
+    /// Datagrams that were not taken, for whatever reason.
+    pub dropped: u64,
+    /// Datagrams that could not be sent.
+    pub unsent: u64,
+}
+
+struct Clock {
+    began: Instant,
+    last: RefCell<Moment>,
+}
+
+impl Clock {
+    fn at(&self) -> At {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let wall = Moment::from_us(unix.as_micros() as u64).max(*self.last.borrow());
+        *self.last.borrow_mut() = wall;
+        let steady = Moment::from_us(1_000_000 + self.began.elapsed().as_micros() as u64);
+        At { wall, steady }
+    }
+}
+
+struct Member {
+    socket: UdpSocket,
+    key: Key,
+    installation: Installation,
+    joint: Joint,
+    guidance: Guidance,
+    clock: Clock,
+    looked: Moment,
+    called: Moment,
+    /// Its place among those of this process.
+    of: usize,
+    books: Rc<RefCell<Counted>>,
+}
+
+impl Member {
+    async fn run(mut self) {
+        let mut bytes = vec![0; talk::LONGEST + 1];
+        loop {
+            self.act();
+            let wait = self.joint.wait(self.clock.at()).min(ROUND);
+            tokio::select! {
+                came = self.socket.recv_from(&mut bytes) => {
+                    self.joint.tick(self.clock.at());
+                    if let Ok((length, from)) = came {
+                        self.hear(from, &bytes[..length]);
+                    }
+                    for _ in 1..IN_ONE_GO {
+                        let Ok((length, from)) = self.socket.try_recv_from(&mut bytes) else { break };
+                        self.hear(from, &bytes[..length]);
+                    }
+                    self.act();
+                    tokio::task::yield_now().await;
+                }
+                () = tokio::time::sleep(Duration::from_micros(wait.us())) => {}
+            }
+        }
+    }
+
+    fn hear(&mut self, from: SocketAddr, bytes: &[u8]) {
+        let at = self.clock.at();
+        let opened = talk::open(&self.key, &self.installation, at.wall, bytes);
+        let number = opened.as_ref().map_or(0, |datagram| datagram.number);
+        let taken = opened.and_then(|datagram| self.joint.heard(at, &datagram));
+        let mut books = self.books.borrow_mut();
+        let of = books.came.entry(from).or_default();
+        of.traffic.add(1, bytes.len() as u64);
+        of.number = of.number.max(number);
+        let mine = &mut books.members[self.of];
+        mine.heard.add(1, bytes.len() as u64);
+        mine.dropped += u64::from(taken.is_err());
+    }
+
+    fn act(&mut self) {
+        let at = self.clock.at();
+        if at.steady - self.called >= CALL_EVERY {
+            self.called = at.steady;
+            self.joint.call_ended(at, true);
+        }
+        if at.steady - self.looked >= LOOK {
+            self.looked = at.steady;
+            self.joint.saw(at, Seen { call_secs: Some(CALL_SECS), refused: 0.0 });
+            self.joint.want(super::CALLS, 1.0);
+        }
+        self.joint.tick(at);
+        while let Some((to, datagram)) = self.joint.next_out(at) {
+            let bytes = talk::seal(&self.key, &datagram);
+            let went = self.socket.try_send_to(&bytes, to);
+            let mut books = self.books.borrow_mut();
+            if went.is_ok() {
+                books.members[self.of].sent.add(1, bytes.len() as u64);
+                books.went.entry(to).or_default().add(1, bytes.len() as u64);
+            } else {
+                books.members[self.of].unsent += 1;
+            }
+        }
+        while self.joint.members.next_event().is_some() {}
+        let _ = self.guidance.next(at, &self.joint);
+    }
+}
+
+/// Until its input or its time ends. Errors say what could not be had.
+pub fn serve() -> anyhow::Result<()> {
+    let mut first = String::new();
+    std::io::stdin().lock().read_line(&mut first)?;
+    let task: Task = serde_json::from_str(&first)?;
+    let (order, orders) = mpsc::channel(MOST_LINES);
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lock().lines() {
+            let read = line.ok().and_then(|line| serde_json::from_str::<Order>(&line).ok());
+            let Some(read) = read else { break };
+            if order.blocking_send(read).is_err() {
+                break;
+            }
+        }
+    });
+    let life = Duration::from_secs(task.life_s);
+    let here = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let ended = here.block_on(&runtime, async { tokio::time::timeout(life, obey(task, orders)).await });
+    // The reader's thread may stand at its input for ever; the end of the process is its end.
+    ended.unwrap_or_else(|_| Err(anyhow::anyhow!("hollow members: their time is over")))
+}
+
+async fn obey(task: Task, mut orders: mpsc::Receiver<Order>) -> anyhow::Result<()> {
+    let (go, gone) = watch::channel(false);
+    let books = Rc::new(RefCell::new(Counted::default()));
+    books.borrow_mut().members = vec![Count::default(); task.count];
+    let key = Key::from_text(KEY).map_err(anyhow::Error::msg)?;
+    let installation = Installation::new(INSTALLATION).ok_or(anyhow::anyhow!("installation"))?;
+    for of in 0..task.count {
+        let (number, fleet) = (task.first + of, task.fleet.clone());
+        let at = fleet.talks_at(number);
+        let socket = UdpSocket::bind(at).await.map_err(|e| anyhow::anyhow!("{at}: {e}"))?;
+        let (books, key, mut gone) = (books.clone(), key.clone(), gone.clone());
+        tokio::task::spawn_local(async move {
+            if gone.wait_for(|gone| *gone).await.is_err() || fleet.is_silent(number) {
+                return std::future::pending().await;
+            }
+            tokio::time::sleep(fleet.starts_after(number)).await;
+            let clock = Clock { began: Instant::now(), last: RefCell::default() };
+            let now = clock.at();
+            let generation = Generation(now.wall.us() / 1000);
+            // Members that start in one microsecond must not draw the same chances.
+            let drawn = Pcg::new(fleet.seed.wrapping_mul(31) ^ number as u64).draw();
+            let seed = (u64::from(drawn) << 32) ^ now.wall.us();
+            let joint = Joint::new(fleet.terms(number), Some(fleet.share_terms()), generation, seed, now);
+            let guidance = Guidance::new(true, vec![(LimitId(0), "joint.calls_bound".into())]);
+            let (looked, called) = (Moment::default(), Moment::default());
+            let member =
+                Member { socket, key, installation, joint, guidance, clock, looked, called, of, books };
+            member.run().await
+        });
+    }
+    tell(&Counted::default())?;
+    while let Some(order) = orders.recv().await {
+        match order {
+            Order::Go => {
+                go.send_replace(true);
+                tell(&Counted::default())?;
+            }
+            Order::Count => tell(&books.borrow())?,
+        }
+    }
+    Ok(())
+}
+
+fn tell(counted: &Counted) -> anyhow::Result<()> {
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{}", serde_json::to_string(counted)?)?;
+    Ok(out.flush()?)
+}
--- /dev/null
+++ b/crates/hazelspur-fleetbed/src/hollow/processes.rs
@@ -0,0 +1,265 @@
+//! The processes of one run: real servers with their stand-ins, and those of hollow members. Whatever is
+//! started here ends with the value that holds it.
+
+use super::member::{Counted, Order, Task};
+use super::{CALLS, CORES, Fleet, INSTALLATION, KEY, LEASE_S, Plan, STOP_MS};
+use anyhow::Context;
+use hazelspur_standins::control::Control;
+use hazelspur_standins::gateway::{Answer, Gateway, Habits};
+use hazelspur_standins::ledger::Ledger;
+use hazelspur_standins::runtime::{Pace, Runtime};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::io::{BufRead, BufReader, Write};
+use std::path::PathBuf;
+use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::mpsc::{Receiver, sync_channel};
+use std::time::{Duration, Instant};
+
+const OP_TIMEOUT_MS: u64 = 3000;
+const CALL_MS: f64 = 10.0;
+const RUN_MS: u64 = 15;
+const CROWD_MULTIPLE: usize = 8;
+/// How often a process that was told to end is looked at.
+const STEP: Duration = Duration::from_millis(2);
+
+/// Real servers.
+pub struct Reals {
+    fleet: Fleet,
+    server_binary: PathBuf,
+    pub folder: PathBuf,
+    processes: Vec<Option<Child>>,
+    runtimes: Vec<Runtime>,
+    ledger: Ledger,
+    control: Control,
+    gateway: Option<Gateway>,
+}
+
+impl Reals {
+    /// All but the processes.
+    pub fn new(plan: &Plan, fleet: &Fleet, folder: PathBuf) -> anyhow::Result<Self> {
+        std::fs::write(folder.join("key"), KEY)?;
+        let pace = Pace { run_ms: RUN_MS, calls: true, fails: 0, cores: CORES, over_ms: OP_TIMEOUT_MS };
+        Ok(Self {
+            runtimes: (0..fleet.real).map(|_| Runtime::start("127.0.0.1:0", pace)).collect(),
+            ledger: Ledger::start("127.0.0.1:0", fleet.slots() as usize, CALL_MS),
+            control: Control::start("127.0.0.1:0"),
+            processes: (0..fleet.real).map(|_| None).collect(),
+            gateway: None,
+            fleet: fleet.clone(),
+            server_binary: plan.server_binary.clone(),
+            folder,
+        })
+    }
+
+    pub fn start(&mut self, of: usize) -> anyhow::Result<()> {
+        let (fleet, name) = (&self.fleet, self.fleet.name(of));
+        let file = |ending| self.folder.join(format!("{name}.{ending}"));
+        std::fs::write(file("json"), self.settings(of))?;
+        let contacts: Vec<String> = fleet.contacts().iter().map(ToString::to_string).collect();
+        let star = format!(
+            "fleet(\n    installation = {INSTALLATION:?},\n    site = {:?},\n    at = \"{}\",\n    \
+             contacts = {contacts:?},\n    key_file = {:?},\n    most = {},\n    together = True,\n    \
+             keepers = {:?},\n    lease_s = {LEASE_S},\n    \
+             shares = [{{\"limit\": \"{CALLS}\", \"total\": {}}}],\n)\n",
+            fleet.site(of),
+            fleet.talks_at(of),
+            self.folder.join("key"),
+            fleet.most(),
+            fleet.keepers(),
+            fleet.slots(),
+        );
+        std::fs::write(file("star"), star)?;
+        let log = std::fs::File::create(file("log"))?;
+        let mut command = Command::new(&self.server_binary);
+        command.env("ROUTER_CONFIG", file("json")).arg("--file").arg(file("star"));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        let child = command.spawn().with_context(|| format!("{:?}", self.server_binary))?;
+        self.processes[of] = Some(child);
+        Ok(())
+    }
+
+    fn settings(&self, of: usize) -> String {
+        let due_us = OP_TIMEOUT_MS * 1000;
+        let settings = serde_json::json!({
+            "family-info": {"n-cores": CORES, "mem-limit-kb": 100_000, "run-factor": 8, "stop-mode": "drop",
+                "meters": ["core_use", "on_cores"], "calls-out": 8.0, "calls-over-us": 5_000_000,
+                "passes-deadline": true},
+            "lanes": [
+                {"name": "view", "aim-us": 1_500_000, "deadline-us": due_us, "semantics": "safe",
+                    "importance": 1},
+                {"name": "set-qty", "aim-us": 1_500_000, "deadline-us": due_us, "semantics": "keyed",
+                    "memory-span-us": 60_000_000},
+                {"name": "book", "aim-us": 1_500_000, "deadline-us": due_us, "semantics": "unsafe"}],
+            "rules": {"fall-multiple": CROWD_MULTIPLE, "cold-share": 0.2, "cold-us": 5_000_000,
+                "drain-grace-us": 300_000},
+            "limits": {"retry-after": true, "max-retry-after-us": 1_000_000},
+            "servers": self.fleet.members,
+        });
+        serde_json::json!({
+            "name": self.fleet.name(of), "listen": self.fleet.serves_at(of).to_string(),
+            "runtime": self.runtimes[of].address.to_string(), "ledger": self.ledger.address.to_string(),
+            "control": self.control.address.to_string(),
+            "seed": format!("{:016x}", self.fleet.seed ^ of as u64),
+            "stop_ms": STOP_MS, "limits": {"sockets": 512}, "settings": settings,
+        })
+        .to_string()
+    }
+
+    /// Ops a second over all of them, round and round.
+    pub fn begin_ops(&mut self, rate: f64) {
+        if rate <= 0.0 {
+            return;
+        }
+        let habits = Habits {
+            by_subject: false,
+            retries: 1,
+            walk_on: true,
+            heed: true,
+            rate,
+            list_late_ms: 1000,
+            timeout_ms: OP_TIMEOUT_MS,
+        };
+        let (list, servers) = (self.control.list.clone(), self.fleet.real);
+        let lister = Box::new(move || {
+            let named = list.listed(habits.list_late_ms);
+            let numbers = named.iter().filter_map(|name| name.strip_prefix('n')?.parse().ok());
+            numbers.filter(|of| *of < servers).collect()
+        });
+        let servers = (0..servers).map(|of| self.fleet.serves_at(of)).collect();
+        self.gateway = Some(Gateway::start(0, habits, servers, lister, self.fleet.seed));
+    }
+
+    pub fn ids(&self) -> Vec<Option<u32>> {
+        self.processes.iter().map(|child| child.as_ref().map(Child::id)).collect()
+    }
+
+    /// Fails where one has ended by itself.
+    pub fn check(&mut self) -> anyhow::Result<()> {
+        for (of, child) in self.processes.iter_mut().enumerate() {
+            let Some(status) = child.as_mut().map(Child::try_wait).transpose()?.flatten() else { continue };
+            *child = None;
+            let name = self.fleet.name(of);
+            let log = std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default();
+            let last = log.lines().last().unwrap_or("it said nothing");
+            anyhow::bail!("{name} ended by itself, {status}: {last}");
+        }
+        Ok(())
+    }
+
+    /// All leave in good order; how many ops were acked and how many sent. Fails where one had to be killed
+    /// or ended badly.
+    pub fn end(&mut self) -> anyhow::Result<(usize, usize)> {
+        let tries = self.gateway.take().map(|mut gateway| gateway.end()).unwrap_or_default();
+        let acked = |t: &&hazelspur_standins::gateway::Try| t.answers.iter().any(|a| a.0 == Answer::Acked);
+        let ops = (tries.iter().filter(acked).count(), tries.len());
+        for child in self.processes.iter().flatten() {
+            // Not waited for yet, so the number is still its own.
+            let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM);
+        }
+        let until = Instant::now() + Duration::from_millis(STOP_MS + 8000);
+        let mut bad = Vec::new();
+        for (of, child) in self.processes.iter_mut().enumerate() {
+            let Some(mut child) = child.take() else { continue };
+            let status = loop {
+                match child.try_wait()? {
+                    Some(status) => break Some(status),
+                    None if Instant::now() >= until => break None,
+                    None => std::thread::sleep(STEP),
+                }
+            };
+            if status.is_none() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+            if !status.is_some_and(|status| status.success()) {
+                bad.push(format!("{} ended with {status:?}", self.fleet.name(of)));
+            }
+        }
+        anyhow::ensure!(bad.is_empty(), bad.join("; "));
+        Ok(ops)
+    }
+}
+
+impl Drop for Reals {
+    fn drop(&mut self) {
+        for child in self.processes.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// One process of hollow members.
+pub struct Hollow {
+    child: Child,
+    orders: Option<ChildStdin>,
+    answers: Receiver<String>,
+    pub first: usize,
+    pub count: usize,
+}
+
+impl Hollow {
+    /// Returns at once; the first answer says that all sockets are there.
+    pub fn start(plan: &Plan, task: &Task) -> anyhow::Result<Self> {
+        let mut command = Command::new(&plan.own_binary);
+        command.arg(super::line::HIDDEN).stdin(Stdio::piped()).stdout(Stdio::piped());
+        let mut child = command.spawn().with_context(|| format!("{:?}", plan.own_binary))?;
+        let (mut orders, out) = (child.stdin.take(), child.stdout.take().context("its output")?);
+        let (answer, answers) = sync_channel(1);
+        std::thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                if answer.send(line).is_err() {
+                    break;
+                }
+            }
+        });
+        let first = serde_json::to_string(task)?;
+        let sent = orders.as_mut().map(|orders| writeln!(orders, "{first}"));
+        let hollow = Self { child, orders, answers, first: task.first, count: task.count };
+        sent.context("its input")?.context("its input")?;
+        Ok(hollow)
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn order(&mut self, order: Order) -> anyhow::Result<()> {
+        let line = serde_json::to_string(&order)?;
+        writeln!(self.orders.as_mut().context("its input")?, "{line}").context("hollow members' input")
+    }
+
+    pub fn answer(&mut self, within: Duration) -> anyhow::Result<Counted> {
+        let line = self.answers.recv_timeout(within);
+        let line = line.with_context(|| format!("hollow members from {}: no answer", self.first))?;
+        Ok(serde_json::from_str(&line)?)
+    }
+
+    pub fn check(&mut self) -> anyhow::Result<()> {
+        let status = self.child.try_wait()?;
+        anyhow::ensure!(status.is_none(), "hollow members from {}: ended by itself, {status:?}", self.first);
+        Ok(())
+    }
+
+    /// Ends its input, and waits until it has ended.
+    pub fn end(&mut self, within: Duration) -> anyhow::Result<()> {
+        self.orders = None;
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait()? {
+                anyhow::ensure!(status.success(), "hollow members from {}: {status}", self.first);
+                return Ok(());
+            }
+            std::thread::sleep(STEP);
+        }
+        anyhow::bail!("hollow members from {}: did not end by themselves", self.first)
+    }
+}
+
+impl Drop for Hollow {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/hazelspur-fleetbed/src/lib.rs
+++ b/crates/hazelspur-fleetbed/src/lib.rs
@@ -8,10 +8,12 @@
 //! - `relay`: TCP and UDP between two parties, under that rule;
 //! - `bed`: the processes and stand-ins;
 //! - `watch`: what each server says of the fleet, while it runs;
-//! - `checker`: the four rules over all of it, and the pictures.
+//! - `checker`: the four rules over all of it, and the pictures;
+//! - `hollow`: a large fleet of a few real servers and many hollow members, and what a member costs.
 
 pub mod bed;
 pub mod checker;
+pub mod hollow;
 pub mod play;
 pub mod relay;
 pub mod script;
--- a/crates/hazelspur-fleetbed/src/main.rs
+++ b/crates/hazelspur-fleetbed/src/main.rs
@@ -3,6 +3,7 @@
 use anyhow::Context;
 use clap::{Parser, Subcommand};
 use hazelspur_fleetbed::bed::Plan;
+use hazelspur_fleetbed::hollow::line;
 use hazelspur_fleetbed::play::{Verdict, play, summary};
 use hazelspur_fleetbed::script::Script;
 use std::path::PathBuf;
@@ -51,6 +52,12 @@
         #[arg(long)]
         server: Option<PathBuf>,
     },
+    /// A fleet of a few real servers and many hollow members: what a member costs by size; exit status 1
+    /// where they did not agree.
+    Hollow(line::Line),
+    /// Serves hollow members by lines on its input; started by `hollow`.
+    #[command(name = line::HIDDEN, hide = true)]
+    HollowMembers,
 }
 
 /// What the one command of the README shows: a site cut off, a stop, a kill, a drain.
@@ -68,10 +75,15 @@
 }
 
 fn run() -> anyhow::Result<bool> {
-    let Line {
-        command:
-            Command::Run { servers, gateways, rate, script, seed, seeds, seconds, shrink, joint, quiet, server },
-    } = Line::parse();
+    let command = Line::parse().command;
+    if let Command::Hollow(line) = command {
+        return line.run();
+    }
+    let Command::Run { servers, gateways, rate, script, seed, seeds, seconds, shrink, joint, quiet, server } =
+        command
+    else {
+        return hazelspur_fleetbed::hollow::member::serve().map(|()| true);
+    };
     let beside = std::env::current_exe()?.with_file_name("hazelspur-server");
     let server_binary = server.unwrap_or(beside);
     anyhow::ensure!(
