--- a/crates/hazelspur-fleetbed/src/hollow/figures.rs
+++ b/crates/hazelspur-fleetbed/src/hollow/figures.rs
@@ -2,8 +2,9 @@
 //!
 //! A hollow member counts its own datagrams. What a real member sends is told by the numbers that its own
 //! datagrams bear, and their mean length by those that hollow members got; what it gets, by what hollow
-//! members sent to it and an even part of what real ones sent to each other. So that both kinds may be
-//! compared, what hollow members got of either is counted alike, by the sender.
+//! members sent to it, as if real ones sent it as much, but for the divider, which sends it what it sends to
+//! each hollow one. So that both kinds may be compared, what hollow members got of either is counted alike,
+//! by the sender.
 
 use super::machine::Process;
 use super::member::{Counted, Heard, Traffic};
@@ -117,21 +118,24 @@
             let mean = if told.datagrams == 0 { 0.0 } else { told.bytes as f64 / told.datagrams as f64 };
             Rates { datagrams: numbered as f64 / seconds, bytes: numbered as f64 * mean / seconds }
         };
-        let among = (0..fleet.real).map(|of| {
-            let (sent, told) = (sent(of), Rates::of(told(of).0, seconds));
-            ((sent.datagrams - told.datagrams).max(0.0), (sent.bytes - told.bytes).max(0.0))
-        });
-        let among = among.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-        let of_each = (among.0 / fleet.real as f64, among.1 / fleet.real as f64);
-        let divider = divider.map(|name| name.to_string());
+        let divides = divider.and_then(|name| (0..fleet.real).find(|of| fleet.name(*of) == name.as_str()));
+        let hollow = (fleet.members - fleet.real) as f64;
         let real = |of: usize| {
             let role = match () {
-                () if divider.as_deref() == Some(&fleet.name(of)) => Role::Divider,
+                () if divides == Some(of) => Role::Divider,
                 () if of < fleet.keeping() => Role::Keeper,
                 () => Role::Real,
             };
+            // Of the other real ones as of as many hollow ones, and of the divider what it sends to each.
             let came = Rates::of(went(of), seconds);
-            let heard = Rates { datagrams: came.datagrams + of_each.0, bytes: came.bytes + of_each.1 };
+            let grants =
+                divides.filter(|divides| *divides != of).map(|divides| Rates::of(told(divides).0, seconds));
+            let alike = (fleet.members - 1 - usize::from(grants.is_some())) as f64 / hollow;
+            let grants = grants.unwrap_or_default();
+            let heard = Rates {
+                datagrams: came.datagrams * alike + grants.datagrams / hollow,
+                bytes: came.bytes * alike + grants.bytes / hollow,
+            };
             let (told, numbered) = told(of);
             let told = Rates::of(told, seconds);
             let numbered = numbered as f64 / seconds;
@@ -356,8 +360,11 @@
         as_heard(Role::Hollow)
     );
     if let Some((datagrams, bytes)) = figures.difference() {
-        text +=
-            &format!("; the hollow one's differ by {:+.1}% and {:+.1}%", datagrams * 100.0, bytes * 100.0);
+        text += &format!(
+            "; by receiver, of which a hollow one has one fewer, its differ by {:+.1}% and {:+.1}%",
+            datagrams * 100.0,
+            bytes * 100.0
+        );
     }
     let (own, numbered) = (mean(Role::Hollow, |m| m.sent.datagrams), mean(Role::Hollow, |m| m.numbered));
     text + &format!("; datagrams of a hollow one by its own count {own:.2}, by their numbers {numbered:.2}")
--- a/crates/hazelspur-fleetbed/src/hollow/mod.rs
+++ b/crates/hazelspur-fleetbed/src/hollow/mod.rs
@@ -248,6 +248,8 @@
     /// From the start.
     pub at: Duration,
     pub said: Vec<Option<(Condition, Size)>>,
+    /// Processes that run: of hollow members, then real ones.
+    pub ids: Vec<u32>,
 }
 
 impl Look {
@@ -369,9 +371,8 @@
         for hollow in &mut self.hollows {
             hollow.answer(READY)?;
         }
-        let mut ids: BTreeSet<u32> = self.hollows.iter().map(Hollow::id).collect();
         let agree = self.come_together(began, look)?;
-        ids.extend(self.reals.ids().into_iter().flatten());
+        let ids = self.ids();
         let missing = self.missing();
         let (mut figures, mut missing_at_end) = (None, BTreeSet::new());
         if !plan.window.is_zero() {
@@ -399,7 +400,7 @@
             figures,
             most_memory: self.most_memory,
             ops,
-            ids: ids.into_iter().collect(),
+            ids,
         })
     }
 
@@ -432,13 +433,18 @@
         Ok(None)
     }
 
+    fn ids(&self) -> Vec<u32> {
+        let hollows = self.hollows.iter().map(Hollow::id);
+        hollows.chain(self.reals.ids().into_iter().flatten()).collect()
+    }
+
     fn addresses(&self) -> Vec<SocketAddr> {
         (0..self.plan.real).map(|of| self.fleet.talks_at(of)).collect()
     }
 
     fn look(&mut self, began: Instant) -> Look {
         let said = self.asker.sizes(&self.addresses(), ASKED_WITHIN);
-        Look { at: began.elapsed(), said }
+        Look { at: began.elapsed(), said, ids: self.ids() }
     }
 
     fn missing(&mut self) -> BTreeSet<String> {
@@ -462,8 +468,8 @@
             anyhow::ensure!(!self.plan.stop.load(Ordering::Relaxed), "stopped from outside");
             if Instant::now() >= self.memory_due {
                 self.memory_due = Instant::now() + LOOK_AT_MEMORY;
-                let ids = self.reals.ids().into_iter().flatten().chain(self.hollows.iter().map(Hollow::id));
-                let taken: u64 = ids.chain([std::process::id()]).filter_map(machine::taken).sum();
+                let ids = self.ids().into_iter().chain([std::process::id()]);
+                let taken: u64 = ids.filter_map(machine::taken).sum();
                 self.most_memory = self.most_memory.max(taken);
                 let may = self.may_take;
                 anyhow::ensure!(
