hazelspur-lab path: one server's own path and cost, by the size of its settings

Cause: the page on capacity needs what one server adds to an op and what its tables cost, as slopes. Ends all it started, by process id.

--- a/crates/hazelspur-lab/src/lib.rs
+++ b/crates/hazelspur-lab/src/lib.rs
@@ -7,12 +7,14 @@
 //! - `town`: many talkers over that network, stopped, killed and started by a script;
 //! - `drive`: the real `Logic` of many servers between `models` of cores, ledger, list and gateways;
 //! - `ways`: the ways of knowing who is here that are compared;
-//! - `studies`: what is measured, as tables.
+//! - `studies`: what is measured, as tables;
+//! - `path`: beside all that, one real server as a process, its own path and its cost.
 
 pub mod drive;
 pub mod kernel;
 pub mod models;
 pub mod network;
+pub mod path;
 pub mod studies;
 pub mod town;
 pub mod ways;
--- a/crates/hazelspur-lab/src/main.rs
+++ b/crates/hazelspur-lab/src/main.rs
@@ -39,6 +39,8 @@
         #[arg(long, value_delimiter = ',', default_value = "1,10,100,300,1000")]
         sizes: Vec<usize>,
     },
+    /// One real server's own path: what it adds to an op, and what it costs, by the size of its settings.
+    Path(hazelspur_lab::path::command::Asked),
 }
 
 #[derive(Args)]
@@ -116,6 +118,12 @@
         Command::Choices(asked) => choices(&asked),
         Command::Shares { sizes, seeds } => shares(&sizes, seeds),
         Command::Sums { sizes } => sums(&sizes),
+        Command::Path(asked) => {
+            if let Err(why) = hazelspur_lab::path::command::run(&asked) {
+                eprintln!("{why:#}");
+                std::process::exit(2);
+            }
+        }
     }
 }
 
--- /dev/null
+++ b/crates/hazelspur-lab/src/path/command.rs
@@ -0,0 +1,487 @@
+//! The command line of `path`, what is played when, and the tables.
+
+use crate::path::figures::{Point, Study, added, ms};
+use crate::path::load::{Played, Tally, Wire, histogram, play};
+use crate::path::plan::{Arrival, Met, TableSize, arrivals, distinct};
+use crate::path::process::{Memory, Server, runtime, watch};
+use crate::path::wires::{GatewayWire, RuntimeWire};
+use anyhow::{Context, ensure};
+use clap::Args;
+use comfy_table::{Table, presets};
+use hazelspur::Span;
+use hdrhistogram::Histogram;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long the last answers of a play are waited for: longer than any op's timeout.
+const PATIENCE: Duration = Duration::from_millis(3200);
+/// Played first and not counted, so that connections, code and allocator are warm.
+const WARM_UP: Span = Span::from_ms(1000);
+/// The longest play straight to the runtime.
+const STRAIGHT: Span = Span::from_ms(2000);
+/// After a start, before the rest is measured.
+const SETTLE: Duration = Duration::from_millis(700);
+const SMALL: TableSize = TableSize { op_types: 87, tenants: 420 };
+const LARGE: TableSize = TableSize { op_types: 8700, tenants: 42_000 };
+const MOST_ROUNDS: u32 = 20;
+const MOST_RATES: usize = 16;
+/// A figure of the issue: what one op costs may grow by so much with the tables.
+const LOOKUP_RATIO: f64 = 1.2;
+
+#[derive(Args, Clone, Debug)]
+pub struct Asked {
+    /// The server's program; otherwise the one beside this.
+    #[arg(long)]
+    pub server: Option<PathBuf>,
+    /// Op types of the large tables.
+    #[arg(long, default_value_t = LARGE.op_types)]
+    pub op_types: usize,
+    /// Tenants of the large tables.
+    #[arg(long, default_value_t = LARGE.tenants)]
+    pub tenants: usize,
+    /// The small tables beside the large ones.
+    #[arg(long, default_value_t = SMALL)]
+    pub small: TableSize,
+    /// Different op types that are met, spread over the whole table; all without it.
+    #[arg(long)]
+    pub met_op_types: Option<usize>,
+    /// Different tenants that are met.
+    #[arg(long)]
+    pub met_tenants: Option<usize>,
+    /// Ops a second: one server's part of 120,000 over 810 servers at 6, 5 and 3 zones.
+    #[arg(long, value_delimiter = ',', default_value = "148,178,296")]
+    pub rates: Vec<f64>,
+    /// How long each rate is played on each size of tables, over all rounds.
+    #[arg(long, default_value_t = 10.0)]
+    pub seconds: f64,
+    /// Small and large tables by turns, so often, each time with a fresh server.
+    #[arg(long, default_value_t = 2)]
+    pub rounds: u32,
+    /// Gateways' connections, each with at most 32 ops open.
+    #[arg(long, default_value_t = 8)]
+    pub connections: usize,
+    /// What the stand-in runtime takes for an op, in ms; 0 is at once.
+    #[arg(long, default_value_t = 0)]
+    pub run_ms: u64,
+    /// Bytes of an op's body.
+    #[arg(long, default_value_t = 201)]
+    pub body_bytes: usize,
+    /// Measures what a server costs that nothing is asked of, by the size of its tables.
+    #[arg(long)]
+    pub cost: bool,
+    /// Sizes for `--cost`.
+    #[arg(long, value_delimiter = ',', default_value = "87x420,870x4200,2000x10000,4000x20000,8700x42000")]
+    pub sizes: Vec<TableSize>,
+    /// How long a server's rest is measured.
+    #[arg(long, default_value_t = 3.0)]
+    pub rest_seconds: f64,
+    /// Servers of the fleet, by the settings.
+    #[arg(long, default_value_t = 810)]
+    pub servers: usize,
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// All is ended after so many seconds in any case.
+    #[arg(long, default_value_t = 170)]
+    pub limit_seconds: u64,
+    /// Points are put into this file; those of it that this run does not measure stay.
+    #[arg(long)]
+    pub json: Option<PathBuf>,
+    /// The text that the program was built from; otherwise this checkout's commit.
+    #[arg(long)]
+    pub text: Option<String>,
+}
+
+impl Asked {
+    fn program(&self) -> anyhow::Result<PathBuf> {
+        let beside = std::env::current_exe()?.with_file_name("hazelspur-server");
+        let program = self.server.clone().unwrap_or(beside);
+        ensure!(program.exists(), "{program:?} is not there: build it, or name it by --server");
+        Ok(program)
+    }
+
+    fn start(&self, size: TableSize) -> anyhow::Result<Server> {
+        Server::start(&self.program()?, size, self.servers, self.run_ms, self.seed)
+    }
+
+    fn plan(&self, size: TableSize, rate: f64, length: Span, part: u64) -> anyhow::Result<Vec<Arrival>> {
+        let met = Met { op_types: self.met_op_types, tenants: self.met_tenants };
+        let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(part);
+        arrivals(size, met, rate, length, seed).map_err(anyhow::Error::msg)
+    }
+
+    /// What one call of this takes at most as planned, so that a play is refused rather than cut short.
+    fn planned(&self) -> Duration {
+        let rest = self.rest_seconds + SETTLE.as_secs_f64();
+        let seconds = if self.cost {
+            self.sizes.len() as f64 * (rest + 1.0)
+        } else {
+            let straight = (self.seconds / f64::from(self.rounds)).min(STRAIGHT.secs());
+            let each = self.seconds + f64::from(self.rounds) * straight;
+            let turn = rest + WARM_UP.secs() + 1.0;
+            2.0 * (self.rates.len() as f64 * each + f64::from(self.rounds) * turn)
+        };
+        Duration::from_secs_f64(seconds.clamp(0.0, 1e6))
+    }
+
+    fn point(&self, figure: &str, case: &str, unit: &str, (by, size): (&str, f64), value: f64) -> Point {
+        let [figure, case, unit, by] = [figure, case, unit, by].map(str::to_string);
+        Point { figure, case, unit, by, size, seed: self.seed, value }
+    }
+
+    fn save(&self, points: Vec<Point>) -> anyhow::Result<()> {
+        let Some(file) = &self.json else { return Ok(()) };
+        // Without where the program and the file are, which are this machine's.
+        let mut words = vec!["hazelspur-lab path".to_string()];
+        let mut told = std::env::args().skip(2);
+        while let Some(word) = told.next() {
+            let key = word.split('=').next().unwrap_or_default();
+            if matches!(key, "--json" | "--server" | "--text") {
+                told.by_ref().take(usize::from(!word.contains('='))).for_each(drop);
+            } else {
+                words.push(word);
+            }
+        }
+        let command = words.join(" ");
+        let text = self.text.clone().unwrap_or_else(checkout);
+        let study = Study { study: "server".into(), command, text, machine: machine(), points };
+        study.save(file)
+    }
+}
+
+fn checkout() -> String {
+    let said = Command::new("git").args(["rev-parse", "--short", "HEAD"]).output();
+    let said = said.ok().filter(|said| said.status.success());
+    said.map_or("not known".into(), |said| String::from_utf8_lossy(&said.stdout).trim().to_string())
+}
+
+fn machine() -> String {
+    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+    let text = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let kb = text.lines().find_map(|line| line.strip_prefix("MemTotal:"));
+    let kb: f64 = kb.and_then(|kb| kb.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0.0);
+    format!("{cores} cores, {:.0} GiB; real process on loopback", kb / (1024.0 * 1024.0))
+}
+
+/// Plays what is asked for and prints it.
+///
+/// # Errors
+/// Where the program is missing or does not serve, or more is asked for than fits the time limit.
+pub fn run(asked: &Asked) -> anyhow::Result<()> {
+    ensure!((1..=MOST_ROUNDS).contains(&asked.rounds), "1 to {MOST_ROUNDS} rounds");
+    ensure!((1..=MOST_RATES).contains(&asked.rates.len()), "1 to {MOST_RATES} rates");
+    ensure!(asked.seconds > 0.0 && asked.rest_seconds > 0.0, "--seconds and --rest-seconds: over 0");
+    let (planned, limit) = (asked.planned(), Duration::from_secs(asked.limit_seconds));
+    ensure!(
+        planned + Duration::from_secs(5) <= limit,
+        "this takes {} s, more than --limit-seconds {}: fewer rates, rounds, seconds or sizes",
+        planned.as_secs(),
+        limit.as_secs()
+    );
+    asked.program()?;
+    watch(limit)?;
+    if asked.cost { cost(asked) } else { path(asked) }
+}
+
+/// One size of tables under one rate, over all rounds.
+struct Cell {
+    tally: Tally,
+    added_us: Histogram<u64>,
+    cpu: Duration,
+}
+
+impl Default for Cell {
+    fn default() -> Self {
+        Self { tally: Tally::default(), added_us: histogram(), cpu: Duration::ZERO }
+    }
+}
+
+impl Cell {
+    fn cpu_us_per_op(&self) -> f64 {
+        self.cpu.as_secs_f64() * 1e6 / self.tally.planned.max(1) as f64
+    }
+}
+
+/// One size of tables, over all rounds.
+struct Side {
+    /// "small" and "large" are the sizes that are asked for by default; others go by their figures.
+    case: String,
+    size: TableSize,
+    cells: Vec<Cell>,
+    rest: Vec<f64>,
+    memory: Memory,
+    /// CPU of the whole lives of its servers, by their clock and by `/proc/PID/stat`.
+    cpu: [Duration; 2],
+}
+
+impl Side {
+    fn new(size: TableSize, rates: usize) -> Self {
+        let cells = (0..rates).map(|_| Cell::default()).collect();
+        let case = match size {
+            SMALL => "small".into(),
+            LARGE => "large".into(),
+            other => other.to_string(),
+        };
+        Self { case, size, cells, rest: Vec::new(), memory: Memory::default(), cpu: Default::default() }
+    }
+
+    fn cpu_us_per_op(&self) -> f64 {
+        let cpu: Duration = self.cells.iter().map(|cell| cell.cpu).sum();
+        let ops: usize = self.cells.iter().map(|cell| cell.tally.planned).sum();
+        cpu.as_secs_f64() * 1e6 / ops.max(1) as f64
+    }
+}
+
+struct Straight {
+    latency_us: Histogram<u64>,
+    late_us: Histogram<u64>,
+}
+
+fn path(asked: &Asked) -> anyhow::Result<()> {
+    let large = TableSize { op_types: asked.op_types, tenants: asked.tenants };
+    let count = asked.rates.len();
+    let mut sides = [Side::new(asked.small, count), Side::new(large, count)];
+    let straight = || Straight { latency_us: histogram(), late_us: histogram() };
+    let mut straights: Vec<Straight> = asked.rates.iter().map(|_| straight()).collect();
+    for round in 0..asked.rounds {
+        for side in &mut sides {
+            turn(asked, side, &mut straights, round)
+                .with_context(|| format!("{} tables, round {}", side.size, round + 1))?;
+        }
+    }
+    println!("{}", path_tables(asked, &sides, &straights)?);
+    asked.save(path_points(asked, &sides))
+}
+
+/// A fresh server of one size under each of the rates.
+fn turn(asked: &Asked, side: &mut Side, straights: &mut [Straight], round: u32) -> anyhow::Result<()> {
+    let server = asked.start(side.size)?;
+    server.until_serving()?;
+    let mut plays = 0;
+    let mut next = || {
+        plays += 1;
+        plays
+    };
+    let through = |play_no: u32, plan: &[Arrival]| -> anyhow::Result<Played> {
+        let wire: Arc<dyn Wire> = Arc::new(GatewayWire::new(play_no, asked.body_bytes));
+        play(&wire, server.address, plan, asked.connections, PATIENCE)
+    };
+    let warm = asked.rates.iter().copied().fold(0.0, f64::max);
+    through(next(), &asked.plan(side.size, warm, WARM_UP, u64::MAX)?)?;
+    std::thread::sleep(SETTLE);
+    let rest = server.rest_share(Duration::from_secs_f64(asked.rest_seconds))?;
+    side.rest.push(rest);
+    for (i, rate) in asked.rates.iter().enumerate() {
+        let part = (u64::from(round) << 8) | i as u64;
+        let plan =
+            asked.plan(side.size, *rate, Span::from_secs(asked.seconds / f64::from(asked.rounds)), part)?;
+        let usual = straight(asked, side.size, *rate, part)?;
+        straights[i].latency_us.add(&usual.latency_us)?;
+        straights[i].late_us.add(&usual.late_us)?;
+        let from = server.cpu()?;
+        let played = through(next(), &plan)?;
+        let cpu = (server.cpu()? - from).as_secs_f64() - rest * played.took.as_secs_f64();
+        let cell = &mut side.cells[i];
+        cell.cpu += Duration::from_secs_f64(cpu.max(0.0));
+        cell.tally.add(&played.tally);
+        cell.added_us.add(added(&played.latency_us, &usual.latency_us))?;
+    }
+    side.memory = server.memory()?;
+    side.cpu[0] += server.cpu()?;
+    side.cpu[1] += server.cpu_by_stat()?;
+    Ok(())
+}
+
+/// The same arrivals, without a server between this tool and a stand-in runtime.
+fn straight(asked: &Asked, size: TableSize, rate: f64, part: u64) -> anyhow::Result<Played> {
+    let length = Span::from_secs((asked.seconds / f64::from(asked.rounds)).min(STRAIGHT.secs()));
+    let plan = asked.plan(size, rate, length, part)?;
+    let runtime = runtime(asked.run_ms);
+    let wire: Arc<dyn Wire> = Arc::new(RuntimeWire::new(1, asked.body_bytes));
+    play(&wire, runtime.address, &plan, 1, PATIENCE)
+}
+
+fn table(head: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    table.set_header(head);
+    table
+}
+
+fn path_tables(asked: &Asked, sides: &[Side; 2], straights: &[Straight]) -> anyhow::Result<String> {
+    let mut out = String::new();
+    let mut rows = table(&[
+        "ops/s",
+        "tables",
+        "ops",
+        "added p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+        "CPU us/op",
+        "refused",
+        "unknown",
+        "failed",
+        "broken",
+        "unanswered",
+        "unsent",
+    ]);
+    for (i, rate) in asked.rates.iter().enumerate() {
+        for side in sides {
+            let Cell { tally, added_us, .. } = &side.cells[i];
+            let mut row = vec![rate.to_string(), side.size.to_string(), tally.planned.to_string()];
+            row.extend([0.5, 0.99, 0.999].map(|quantile| format!("{:.3}", ms(added_us, quantile))));
+            row.push(format!("{:.1}", side.cells[i].cpu_us_per_op()));
+            let counts = [tally.refused, tally.unknown, tally.failed, tally.broken];
+            let counts = counts.into_iter().chain([tally.unanswered, tally.unsent]);
+            row.extend(counts.map(|count| format!("{:.4}", tally.share(count))));
+            rows.add_row(row);
+        }
+    }
+    out += &format!("Through one server, less the middle of those straight to the runtime:\n{rows}\n\n");
+    let mut rows = table(&["ops/s", "straight p50 ms", "p99 ms", "p99.9 ms", "sent late p50 ms", "p99 ms"]);
+    for (rate, Straight { latency_us, late_us }) in asked.rates.iter().zip(straights) {
+        let mut row = vec![rate.to_string()];
+        row.extend([0.5, 0.99, 0.999].map(|quantile| format!("{:.3}", ms(latency_us, quantile))));
+        row.extend([0.5, 0.99].map(|quantile| format!("{:.3}", ms(late_us, quantile))));
+        rows.add_row(row);
+    }
+    out += &format!("Straight to the runtime, what this tool takes among it:\n{rows}\n\n");
+    let mut rows = table(&[
+        "tables",
+        "op types met",
+        "tenants met",
+        "CPU us/op",
+        "rest, share of a core",
+        "anon MB after",
+        "peak MB",
+        "CPU s by clock",
+        "by stat",
+    ]);
+    for side in sides {
+        let mut met = Vec::new();
+        for (round, i) in (0..asked.rounds).flat_map(|r| (0..asked.rates.len()).map(move |i| (r, i))) {
+            let length = Span::from_secs(asked.seconds / f64::from(asked.rounds));
+            met.extend(asked.plan(side.size, asked.rates[i], length, (u64::from(round) << 8) | i as u64)?);
+        }
+        let (op_types, tenants) = distinct(&met);
+        let rest = side.rest.iter().sum::<f64>() / side.rest.len().max(1) as f64;
+        rows.add_row([
+            side.size.to_string(),
+            op_types.to_string(),
+            tenants.to_string(),
+            format!("{:.1}", side.cpu_us_per_op()),
+            format!("{rest:.4}"),
+            format!("{:.1}", side.memory.anon_bytes as f64 / 1e6),
+            format!("{:.1}", side.memory.peak_bytes as f64 / 1e6),
+            format!("{:.2}", side.cpu[0].as_secs_f64()),
+            format!("{:.2}", side.cpu[1].as_secs_f64()),
+        ]);
+    }
+    out += &format!("All rates together:\n{rows}\n\n");
+    let mut rows = table(&["ops/s", "CPU of an op", "p50", "p99", "p99.9"]);
+    let [small, large] = sides;
+    for (i, rate) in asked.rates.iter().enumerate() {
+        let (s, l) = (&small.cells[i], &large.cells[i]);
+        let mut row = vec![rate.to_string(), format!("{:.2}", l.cpu_us_per_op() / s.cpu_us_per_op())];
+        let ratio = |quantile| ms(&l.added_us, quantile) / ms(&s.added_us, quantile);
+        row.extend([0.5, 0.99, 0.999].map(|quantile| format!("{:.2}", ratio(quantile))));
+        rows.add_row(row);
+    }
+    let whole = large.cpu_us_per_op() / small.cpu_us_per_op();
+    let verdict = if whole <= LOOKUP_RATIO { "within" } else { "OVER" };
+    out += &format!("Large over small:\n{rows}\nCPU of an op over all rates: {whole:.2}, {verdict} ");
+    out += &format!("{LOOKUP_RATIO}");
+    Ok(out)
+}
+
+fn path_points(asked: &Asked, sides: &[Side; 2]) -> Vec<Point> {
+    let mut points = Vec::new();
+    for side in sides {
+        let tenants = ("tenants", side.size.tenants as f64);
+        for (cell, rate) in side.cells.iter().zip(&asked.rates) {
+            let at = ("rate_per_s", *rate);
+            let quantiles = [("p50_ms", 0.5), ("p99_ms", 0.99), ("p999_ms", 0.999)];
+            for (name, quantile) in quantiles {
+                let value = ms(&cell.added_us, quantile);
+                points.push(asked.point(&format!("path.added.{name}"), &side.case, "ms", at, value));
+            }
+            points.push(asked.point("path.ops", &side.case, "ops", at, cell.tally.planned as f64));
+            let Tally { refused, unknown, failed, broken, unanswered, unsent, .. } = cell.tally;
+            for (name, count) in [
+                ("refused", refused),
+                ("unknown", unknown),
+                ("failed", failed + broken),
+                ("unanswered", unanswered + unsent),
+            ] {
+                let share = cell.tally.share(count);
+                points.push(asked.point(&format!("path.{name}.share"), &side.case, "share", at, share));
+            }
+            points.push(asked.point("path.rate.cpu_us_per_op", &side.case, "us", at, cell.cpu_us_per_op()));
+        }
+        let size = side.size.to_string();
+        points.push(asked.point("path.cpu_us_per_op", &size, "us", tenants, side.cpu_us_per_op()));
+        let anon = side.memory.anon_bytes as f64;
+        points.push(asked.point("path.memory.anon_bytes", &size, "B", tenants, anon));
+    }
+    let [small, large] = sides;
+    let tenants = ("tenants", large.size.tenants as f64);
+    let whole = large.cpu_us_per_op() / small.cpu_us_per_op();
+    points.push(asked.point("path.lookup_ratio", "cpu", "ratio", tenants, whole));
+    for (i, rate) in asked.rates.iter().enumerate() {
+        for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+            let ratio = ms(&large.cells[i].added_us, quantile) / ms(&small.cells[i].added_us, quantile);
+            let case = format!("{name} at {rate}/s");
+            points.push(asked.point("path.lookup_ratio", &case, "ratio", tenants, ratio));
+        }
+    }
+    points
+}
+
+fn cost(asked: &Asked) -> anyhow::Result<()> {
+    let mut rows = table(&[
+        "op types x tenants",
+        "file MB",
+        "serving after s",
+        "CPU of the start s",
+        "anon MB",
+        "resident MB",
+        "peak MB",
+        "rest, share of a core",
+        "last op type",
+        "last tenant",
+        "both",
+    ]);
+    let mut points = Vec::new();
+    for size in &asked.sizes {
+        let server = asked.start(*size)?;
+        let (after, cpu) = server.until_serving().with_context(|| format!("{size} tables"))?;
+        std::thread::sleep(SETTLE);
+        let rest = server.rest_share(Duration::from_secs_f64(asked.rest_seconds))?;
+        let memory = server.memory()?;
+        let (op_type, tenant) = (size.op_types - 1, size.tenants - 1);
+        let probes = [(op_type, 0), (0, tenant), (op_type, tenant)];
+        let answers = probes.map(|(op_type, tenant)| server.probe(op_type, tenant));
+        let mb = |bytes: u64| format!("{:.2}", bytes as f64 / 1e6);
+        let mut row = vec![size.to_string(), mb(server.file_bytes), format!("{:.3}", after.as_secs_f64())];
+        row.push(format!("{:.3}", cpu.as_secs_f64()));
+        row.extend([memory.anon_bytes, memory.resident_bytes, memory.peak_bytes].map(mb));
+        row.push(format!("{rest:.4}"));
+        row.extend(answers);
+        rows.add_row(row);
+        let (case, by) = (size.to_string(), ("tenants", size.tenants as f64));
+        for (figure, unit, value) in [
+            ("server.memory.anon_bytes", "B", memory.anon_bytes as f64),
+            ("server.memory.resident_bytes", "B", memory.resident_bytes as f64),
+            ("server.memory.peak_bytes", "B", memory.peak_bytes as f64),
+            ("server.start.cpu_s", "s", cpu.as_secs_f64()),
+            ("server.start.s", "s", after.as_secs_f64()),
+            ("server.rest.cpu_share", "share", rest),
+            ("server.file_bytes", "B", server.file_bytes as f64),
+        ] {
+            points.push(asked.point(figure, &case, unit, by, value));
+        }
+    }
+    println!("One server that nothing is asked of, beside runtime and control plane:\n{rows}");
+    asked.save(points)
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/path/figures.rs
@@ -0,0 +1,95 @@
+//! What was added beside the runtime's own time, and the file of measured points that `docs/capacity` keeps.
+
+use anyhow::Context;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// One measured figure: `value` in `unit`, at `size` of what `by` counts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Point {
+    pub figure: String,
+    pub case: String,
+    pub unit: String,
+    pub by: String,
+    pub size: f64,
+    pub seed: u64,
+    pub value: f64,
+}
+
+impl Point {
+    fn place(&self) -> (&str, &str, &str, u64, u64) {
+        (&self.figure, &self.case, &self.by, self.size.to_bits(), self.seed)
+    }
+}
+
+/// A file of points, and what made them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Study {
+    pub study: String,
+    pub command: String,
+    pub text: String,
+    pub machine: String,
+    pub points: Vec<Point>,
+}
+
+impl Study {
+    /// Takes the place of those points that this one measured too; a file of another text or machine is
+    /// replaced whole.
+    pub fn joined(mut self, before: Option<Self>) -> Self {
+        let same =
+            |old: &Self| old.study == self.study && old.text == self.text && old.machine == self.machine;
+        let Some(old) = before.filter(same) else { return self };
+        let measured = |point: &Point| self.points.iter().any(|new| new.place() == point.place());
+        let mut points: Vec<Point> = old.points.into_iter().filter(|point| !measured(point)).collect();
+        points.append(&mut self.points);
+        let told = old.command.split("; ").any(|command| command == self.command);
+        self.command = if told { old.command } else { format!("{}; {}", old.command, self.command) };
+        Self { points, ..self }
+    }
+
+    /// Writes the file, with those points of it that were not measured again.
+    ///
+    /// # Errors
+    /// Where the file or its folder can't be made, or is there and not of this form.
+    pub fn save(self, file: &Path) -> anyhow::Result<()> {
+        let before = if file.exists() {
+            let text = std::fs::read(file).with_context(|| format!("{file:?}"))?;
+            Some(serde_json::from_slice(&text).with_context(|| format!("{file:?}"))?)
+        } else {
+            None
+        };
+        let joined = self.joined(before);
+        let mut out = String::from("{");
+        for (key, text) in [
+            ("study", &joined.study),
+            ("command", &joined.command),
+            ("text", &joined.text),
+            ("machine", &joined.machine),
+        ] {
+            out += &format!("\"{key}\":{},\n ", serde_json::to_string(text)?);
+        }
+        // A point a line, so that differences between two runs can be read.
+        let lines: Vec<String> = joined.points.iter().map(serde_json::to_string).collect::<Result<_, _>>()?;
+        out += &format!("\"points\":[\n  {}\n]}}\n", lines.join(",\n  "));
+        if let Some(folder) = file.parent() {
+            std::fs::create_dir_all(folder).with_context(|| format!("{folder:?}"))?;
+        }
+        std::fs::write(file, out).with_context(|| format!("{file:?}"))
+    }
+}
+
+/// Each latency less the middle one of ops that went straight to the same runtime, so that what the runtime
+/// and this tool take at all times is taken out, and whatever is beside that stays in.
+pub fn added(through_us: &Histogram<u64>, straight_us: &Histogram<u64>) -> Histogram<u64> {
+    let usual = straight_us.value_at_quantile(0.5);
+    let mut added = super::load::histogram();
+    for step in through_us.iter_recorded() {
+        added.saturating_record_n(step.value_iterated_to().saturating_sub(usual), step.count_at_value());
+    }
+    added
+}
+
+pub fn ms(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1000.0
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/path/process.rs
@@ -0,0 +1,272 @@
+//! One real server as a process beside its stand-ins, and what the system says it took. All processes of this
+//! tool are in one register, so that they end with it: by process id, also when a play fails, at a signal to
+//! the tool, and when its time is over.
+
+use crate::path::load::{Message, Wire};
+use crate::path::plan::{Around, Arrival, TableSize, configuration};
+use crate::path::wires::GatewayWire;
+use anyhow::{Context, bail, ensure};
+use hazelspur_standins::control::Control;
+use hazelspur_standins::runtime::{Pace, Runtime};
+use nix::sys::signal::{Signal, kill};
+use nix::time::ClockId;
+use nix::unistd::Pid;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// Within this a server has to be serving, and to end.
+const START: Duration = Duration::from_secs(20);
+const END: Duration = Duration::from_secs(4);
+const LOOK: Duration = Duration::from_millis(5);
+const ANSWER: Duration = Duration::from_secs(3);
+/// Lines of a server's log that are shown where it failed.
+const LAST_LINES: usize = 5;
+/// Notices looked through for a probe's answer.
+const MOST_LINES: usize = 16;
+const HEALTH: &[u8] = b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n";
+
+static LIVE: Mutex<BTreeMap<u32, (Child, PathBuf)>> = Mutex::new(BTreeMap::new());
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
+fn live() -> MutexGuard<'static, BTreeMap<u32, (Child, PathBuf)>> {
+    LIVE.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Kills what is left and removes its files.
+fn end_all() {
+    for (_, (mut child, folder)) in std::mem::take(&mut *live()) {
+        let _ = child.kill();
+        let _ = child.wait();
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
+
+/// From now on all servers end with a signal to this tool, and after `limit` in any case; the tool ends with
+/// status 3 then.
+///
+/// # Errors
+/// Where signals can't be listened for.
+pub fn watch(limit: Duration) -> std::io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let entered = runtime.enter();
+    let (mut interrupt, mut term) = (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?);
+    drop(entered);
+    spawn(move || {
+        let why = runtime.block_on(async {
+            tokio::select! {
+                _ = interrupt.recv() => "interrupted",
+                _ = term.recv() => "told to end",
+                () = tokio::time::sleep(limit) => "the time limit is over",
+            }
+        });
+        eprintln!("{why}: what was started is ended");
+        end_all();
+        std::process::exit(3);
+    });
+    Ok(())
+}
+
+/// What a process holds now, and the most it held.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Memory {
+    pub anon_bytes: u64,
+    pub resident_bytes: u64,
+    pub peak_bytes: u64,
+}
+
+/// A server that runs, and what it is connected to.
+pub struct Server {
+    id: u32,
+    pub address: SocketAddr,
+    pub file_bytes: u64,
+    began: Instant,
+    _runtime: Runtime,
+    _control: Control,
+}
+
+/// A stand-in runtime that answers after so many milliseconds, at once for 0.
+pub fn runtime(run_ms: u64) -> Runtime {
+    let pace = Pace { run_ms, calls: false, fails: 0, cores: 64, over_ms: 0 };
+    let runtime = Runtime::start("127.0.0.1:0", pace);
+    runtime.town().forgetful = true;
+    runtime
+}
+
+impl Server {
+    /// Starts the program with settings of this size, in files of its own.
+    ///
+    /// # Errors
+    /// Where the files or the process can't be made.
+    pub fn start(
+        program: &Path,
+        size: TableSize,
+        servers: usize,
+        run_ms: u64,
+        seed: u64,
+    ) -> anyhow::Result<Self> {
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("hazelspur-path-{}-{run}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let (runtime, control) = (runtime(run_ms), Control::start("127.0.0.1:0"));
+        // Free a moment ago; a server waits for an address that is held.
+        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let around = Around { listen: address, runtime: runtime.address, control: control.address };
+        let text = configuration(size, around, servers, seed);
+        let file = folder.join("n1.json");
+        std::fs::write(&file, &text)?;
+        let mut command = Command::new(program);
+        command.env("ROUTER_CONFIG", &file).env_remove("HAZELSPUR_FILE").env_remove("HAZELSPUR_LOG");
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(File::create(folder.join("log"))?);
+        let began = Instant::now();
+        let child = command.spawn().with_context(|| format!("{program:?}"))?;
+        let (id, file_bytes) = (child.id(), text.len() as u64);
+        live().insert(id, (child, folder));
+        Ok(Self { id, address, file_bytes, began, _runtime: runtime, _control: control })
+    }
+
+    /// Waits until a health check says that it is serving; gives the time and the CPU time from the start.
+    ///
+    /// # Errors
+    /// Where it ends, or is not serving within 20 s; the last lines of its log are in the message.
+    pub fn until_serving(&self) -> anyhow::Result<(Duration, Duration)> {
+        while self.began.elapsed() < START {
+            ensure!(self.runs(), "the server ended: {}", self.last_words());
+            if self.serving().unwrap_or(false) {
+                return Ok((self.began.elapsed(), self.cpu()?));
+            }
+            sleep(LOOK);
+        }
+        bail!("not serving within {} s: {}", START.as_secs(), self.last_words())
+    }
+
+    fn serving(&self) -> anyhow::Result<bool> {
+        let mut stream = TcpStream::connect(self.address)?;
+        stream.set_read_timeout(Some(ANSWER))?;
+        stream.write_all(HEALTH)?;
+        let mut line = String::new();
+        BufReader::new(&stream).read_line(&mut line)?;
+        let message: serde_json::Value = serde_json::from_str(&line)?;
+        Ok(message["result"]["ready"] == true)
+    }
+
+    /// Asks for one op by places in the tables; says what was answered, "unknown" among that.
+    pub fn probe(&self, op_type: usize, tenant: usize) -> String {
+        self.ask(op_type, tenant).unwrap_or_else(|why| format!("no answer ({why})"))
+    }
+
+    fn ask(&self, op_type: usize, tenant: usize) -> anyhow::Result<String> {
+        let wire = GatewayWire::new(RUNS.fetch_add(1, Ordering::Relaxed) | 0x8000_0000, 30);
+        let mut stream = TcpStream::connect(self.address)?;
+        stream.set_read_timeout(Some(ANSWER))?;
+        let arrival = Arrival { at: hazelspur::Span::ZERO, op_type, tenant };
+        stream.write_all(&wire.op(0, &arrival))?;
+        let mut reader = BufReader::new(&stream);
+        for _ in 0..MOST_LINES {
+            let mut line = Vec::new();
+            ensure!(reader.read_until(b'\n', &mut line)? > 0, "closed");
+            if let Some((_, Message::Answer(0, _))) = wire.message(&line) {
+                return Ok(GatewayWire::describe(&line));
+            }
+        }
+        bail!("none of {MOST_LINES} lines answers it")
+    }
+
+    /// CPU time of the whole process, user and system, by its CPU clock: the sum that `/proc/PID/stat` shows,
+    /// without that file's steps of 10 ms.
+    ///
+    /// # Errors
+    /// Where the process is gone.
+    pub fn cpu(&self) -> anyhow::Result<Duration> {
+        let clock = ClockId::pid_cpu_clock_id(Pid::from_raw(self.id as i32))?;
+        Ok(clock.now()?.into())
+    }
+
+    /// The same by `/proc/PID/stat`.
+    ///
+    /// # Errors
+    /// Where the process is gone.
+    pub fn cpu_by_stat(&self) -> anyhow::Result<Duration> {
+        let ticks = nix::unistd::sysconf(nix::unistd::SysconfVar::CLK_TCK)?.unwrap_or(100) as f64;
+        let text = std::fs::read_to_string(self.proc("stat"))?;
+        // Past the name, which may hold anything: state is field 3, user and system time are 14 and 15.
+        let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let of = |field: usize| fields.get(field - 3).and_then(|n| n.parse::<f64>().ok()).context("stat");
+        Ok(Duration::from_secs_f64((of(14)? + of(15)?) / ticks))
+    }
+
+    /// CPU time a second while nothing is asked of it, over so long.
+    ///
+    /// # Errors
+    /// Where the process is gone.
+    pub fn rest_share(&self, length: Duration) -> anyhow::Result<f64> {
+        let (from, began) = (self.cpu()?, Instant::now());
+        sleep(length);
+        Ok((self.cpu()? - from).as_secs_f64() / began.elapsed().as_secs_f64())
+    }
+
+    /// # Errors
+    /// Where the process is gone.
+    pub fn memory(&self) -> anyhow::Result<Memory> {
+        let kb = |file: &str, key: &str| -> anyhow::Result<u64> {
+            let text = std::fs::read_to_string(self.proc(file))?;
+            let line = text.lines().find_map(|line| line.strip_prefix(key)).context("no such line")?;
+            Ok(line.trim().trim_end_matches(" kB").parse::<u64>()? * 1024)
+        };
+        Ok(Memory {
+            anon_bytes: kb("smaps_rollup", "Anonymous:")?,
+            resident_bytes: kb("smaps_rollup", "Rss:")?,
+            peak_bytes: kb("status", "VmHWM:")?,
+        })
+    }
+
+    fn proc(&self, file: &str) -> PathBuf {
+        Path::new("/proc").join(self.id.to_string()).join(file)
+    }
+
+    fn runs(&self) -> bool {
+        live().get_mut(&self.id).is_some_and(|(child, _)| matches!(child.try_wait(), Ok(None)))
+    }
+
+    fn last_words(&self) -> String {
+        let folder = live().get(&self.id).map(|(_, folder)| folder.clone());
+        let text = folder.and_then(|folder| std::fs::read_to_string(folder.join("log")).ok());
+        let text = text.unwrap_or_default();
+        let last: Vec<&str> = text.lines().rev().take(LAST_LINES).collect();
+        last.into_iter().rev().collect::<Vec<_>>().join(" / ")
+    }
+
+    /// Tells it to leave and waits; one that does not is killed.
+    fn leave(&self) {
+        if self.runs() {
+            // Not waited for yet, so the number is still its own.
+            let _ = kill(Pid::from_raw(self.id as i32), Signal::SIGTERM);
+        }
+        let until = Instant::now() + END;
+        while self.runs() && Instant::now() < until {
+            sleep(LOOK);
+        }
+        if let Some((mut child, folder)) = live().remove(&self.id) {
+            if child.try_wait().ok().flatten().is_none() {
+                eprintln!("server {} did not leave within {} s and is killed", self.id, END.as_secs());
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+            let _ = std::fs::remove_dir_all(folder);
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-lab/src/path/wires.rs
@@ -0,0 +1,128 @@
+//! How an op is said and its answer read: as a gateway says it to a server, and as a server says it to a
+//! runtime. The second one tells what the stand-in runtime and this tool take by themselves.
+
+use crate::path::load::{Answer, Message, Wire};
+use crate::path::plan::{Arrival, op_type_name, tenant_name};
+use serde_json::{Value, json};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// How long a gateway waits, and what it says an op takes of memory.
+const TIMEOUT_MS: u64 = 2000;
+const NEED_KB: f64 = 24.5;
+/// Different callers that the ops are said to be from.
+const CALLERS: usize = 64;
+
+const NACKED: i64 = -32011;
+const NO_METHOD: i64 = -32601;
+const BAD_PARAMS: i64 = -32602;
+const OWNER_UNKNOWN: &str = "owner is not known";
+
+/// JSON-RPC lines to a server. Op ids carry `play`, so that those of two plays differ.
+#[derive(Clone, Debug)]
+pub struct GatewayWire {
+    play: u32,
+    /// The body of all ops, base64.
+    data: String,
+}
+
+impl GatewayWire {
+    /// Bodies of `body_bytes`, rounded down to whole threes.
+    pub fn new(play: u32, body_bytes: usize) -> Self {
+        Self { play, data: "aGF6".repeat(body_bytes / 3) }
+    }
+
+    /// What an answer says, shown to people.
+    pub fn describe(line: &[u8]) -> String {
+        let message: Value = serde_json::from_slice(line).unwrap_or(Value::Null);
+        let (code, text) = (message["error"]["code"].as_i64(), message["error"]["message"].as_str());
+        match (answer(&message), code) {
+            (Answer::Acked, _) => "answered".into(),
+            (kind, code) => format!("{kind:?} ({} {})", code.unwrap_or(0), text.unwrap_or("")).to_lowercase(),
+        }
+    }
+}
+
+fn answer(message: &Value) -> Answer {
+    let error = &message["error"];
+    match error["code"].as_i64() {
+        None if message["result"].is_object() => Answer::Acked,
+        Some(NACKED) => Answer::Refused,
+        Some(NO_METHOD) => Answer::Unknown,
+        Some(BAD_PARAMS) if error["message"].as_str() == Some(OWNER_UNKNOWN) => Answer::Unknown,
+        _ => Answer::Failed,
+    }
+}
+
+impl Wire for GatewayWire {
+    fn greeting(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn op(&self, number: usize, arrival: &Arrival) -> Vec<u8> {
+        let ts = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let line = json!({"jsonrpc": "2.0", "id": number + 1, "method": op_type_name(arrival.op_type),
+            "params": {"req": format!("{:08x}{number:08x}", self.play), "ts": ts, "via": number % CALLERS,
+                "timeout": TIMEOUT_MS, "need": NEED_KB, "level": 0.5, "owner": tenant_name(arrival.tenant),
+                "data": self.data}});
+        format!("{line}\n").into_bytes()
+    }
+
+    fn message(&self, unread: &[u8]) -> Option<(usize, Message)> {
+        let end = unread.iter().position(|b| *b == b'\n')? + 1;
+        let line: Value = serde_json::from_slice(&unread[..end]).unwrap_or(Value::Null);
+        let meant = match line["id"].as_u64().filter(|id| *id > 0) {
+            Some(id) => {
+                let told = answer(&line);
+                let spoilt = told == Answer::Acked && line["result"]["data"].as_str() != Some(&self.data);
+                Message::Answer(id as usize - 1, if spoilt { Answer::Failed } else { told })
+            }
+            // A farewell, or an error about the connection itself: it closes.
+            None => Message::Closing,
+        };
+        Some((end, meant))
+    }
+}
+
+/// The runtime's lines, as a server says them.
+#[derive(Clone, Debug)]
+pub struct RuntimeWire {
+    play: u32,
+    body: Vec<u8>,
+}
+
+impl RuntimeWire {
+    pub fn new(play: u32, body_bytes: usize) -> Self {
+        Self { play, body: b"haz".repeat(body_bytes / 3) }
+    }
+}
+
+impl Wire for RuntimeWire {
+    fn greeting(&self) -> Vec<u8> {
+        b"sync 0\r\n".to_vec()
+    }
+
+    fn op(&self, number: usize, arrival: &Arrival) -> Vec<u8> {
+        let (name, length) = (op_type_name(arrival.op_type), self.body.len());
+        let mut out = format!("start {:08x}{number:08x} {name} {length}\r\n", self.play).into_bytes();
+        out.extend_from_slice(&self.body);
+        out.extend_from_slice(b"\r\n");
+        out
+    }
+
+    fn message(&self, unread: &[u8]) -> Option<(usize, Message)> {
+        let end = unread.iter().position(|b| *b == b'\n')? + 1;
+        let line = String::from_utf8_lossy(&unread[..end]);
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let ["end", _, id, how, _, length] = words[..] else { return Some((end, Message::Other)) };
+        let whole = end + length.parse::<usize>().unwrap_or(0) + 2;
+        if unread.len() < whole {
+            return None;
+        }
+        let id = u64::from_str_radix(id, 16).unwrap_or(u64::MAX);
+        if (id >> 32) as u32 != self.play {
+            return Some((whole, Message::Other));
+        }
+        let told = if how == "complete" { Answer::Acked } else { Answer::Failed };
+        Some((whole, Message::Answer((id & 0xffff_ffff) as usize, told)))
+    }
+}
