--- a/crates/hazelspur-lab/src/lib.rs
+++ b/crates/hazelspur-lab/src/lib.rs
@@ -9,7 +9,8 @@
 //! - `ways`: the ways of knowing who is here that are compared;
 //! - `studies`: what is measured, as tables;
 //! - `cpu`, `heap`: what a run cost the machine that played it;
-//! - `capacity`: what was measured against budgets, for a size that a file names.
+//! - `capacity`: what was measured against budgets, for a size that a file names;
+//! - `path`: beside all that, one real server as a process, its own path and its cost.
 
 pub mod capacity;
 pub mod cpu;
@@ -18,6 +19,7 @@
 pub mod kernel;
 pub mod models;
 pub mod network;
+pub mod path;
 pub mod studies;
 pub mod town;
 pub mod ways;
--- a/crates/hazelspur-lab/src/main.rs
+++ b/crates/hazelspur-lab/src/main.rs
@@ -54,6 +54,8 @@
         #[arg(long)]
         text: Option<String>,
     },
+    /// One real server's own path: what it adds to an op, and what it costs, by the size of its settings.
+    Path(hazelspur_lab::path::command::Asked),
 }
 
 #[derive(Args)]
@@ -188,6 +190,12 @@
                 }
             }
         }
+        Command::Path(asked) => {
+            if let Err(why) = hazelspur_lab::path::command::run(&asked) {
+                eprintln!("{why:#}");
+                std::process::exit(2);
+            }
+        }
     }
 }
 
