A killed member is forgotten by all; pages on settings that change in place

Members::told passed the lost on for as long as they were in the table.

Change: the lost are passed on for half of remember.

--- a/crates/hazelspur-fleet/src/members/mod.rs
+++ b/crates/hazelspur-fleet/src/members/mod.rs
@@ -63,6 +63,8 @@
 const READ_EVERY: u64 = 3;
 /// `Left` is passed on for so many periods.
 const LEFT_TOLD: u64 = 60;
+/// The lost are passed on for this part of the time for which they are remembered.
+const LOST_TOLD: f64 = 0.5;
 /// What was heard itself within this many periods outweighs an accusation.
 const FRESH: u64 = 2;
 
--- a/crates/hazelspur-fleet/src/members/telling.rs
+++ b/crates/hazelspur-fleet/src/members/telling.rs
@@ -4,11 +4,15 @@
 use crate::talk::MOST_SITES;
 
 impl Members {
-    /// What is passed on about a member; the lost go as suspected, so that they can speak up.
+    /// What is passed on about a member; the lost go as suspected, so that they can speak up. Not for as long as
+    /// they are remembered: each forgets them at a moment of its own, and would meet them anew from the next.
     pub(super) fn told(&self, entry: &Entry) -> Option<Claim> {
-        let old = entry.standing == Standing::Left
-            && self.next_period - entry.since > self.terms.period.scaled(LEFT_TOLD as f64);
-        (!old).then_some(entry.claim)
+        let told_for = match entry.standing {
+            Standing::Left => self.terms.period.scaled(LEFT_TOLD as f64),
+            Standing::Lost => self.terms.remember.scaled(LOST_TOLD),
+            _ => return Some(entry.claim),
+        };
+        (self.next_period - entry.since <= told_for).then_some(entry.claim)
     }
 
     /// First what the addressee has to refute, then news, then a page of the list.
--- a/deploy/hazelspur.star
+++ b/deploy/hazelspur.star
@@ -17,6 +17,10 @@
 #     outcomes = {"expired": "reject"},
 # )
 #
+# docs/settings.md: op types, tenants and some figures of the platform's settings change on SIGHUP:
+#
+# reload(settings = True)
+#
 # docs/fleet-operators.md lists the keys of the talk among servers:
 #
 # fleet(
