--- a/crates/hazelspur-lab/src/capacity/constants.rs
+++ b/crates/hazelspur-lab/src/capacity/constants.rs
@@ -16,6 +16,7 @@
     Constant { file, name, text, value }
 }
 
+const CATALOG: &str = "src/catalog.rs";
 const CONTROL: &str = "crates/hazelspur-server/src/back/control.rs";
 const DESCRIPTORS: &str = "crates/hazelspur-server/src/start/descriptors.rs";
 const GATE: &str = "crates/hazelspur-fleet/src/gate.rs";
@@ -45,16 +46,22 @@
     constant("crates/hazelspur-server/src/back/ledger.rs", "MOST_IDLE", "const MOST_IDLE: usize = 16;", 16.0);
 /// Callers and users that the decision module remembers.
 pub const SEEN: Constant = constant("src/book.rs", "SEEN_KEPT", "pub const SEEN_KEPT: usize = 4096;", 4096.0);
-/// Op types that are read at the start.
-pub const OP_TYPES: Constant = constant(
+/// Op types that are held.
+pub const OP_TYPES: Constant =
+    constant(CATALOG, "MOST_OP_TYPES", "pub const MOST_OP_TYPES: usize = 17_400;", 17_400.0);
+/// Tenants that are held.
+pub const TENANTS: Constant =
+    constant(CATALOG, "MOST_TENANTS", "pub const MOST_TENANTS: usize = 84_000;", 84_000.0);
+/// Tenants, and op types, of which something learned is kept.
+pub const LEARNED: Constant =
+    constant("src/book.rs", "LEARNED_KEPT", "pub const LEARNED_KEPT: usize = 4096;", 4096.0);
+/// The longest configuration that is read, in bytes.
+pub const LONGEST_FILE: Constant = constant(
     "crates/hazelspur-server/src/start/startup.rs",
-    "names, (0..4096)",
-    "(0..4096).map(name).take_while",
-    4096.0,
+    "LONGEST_FILE",
+    "pub const LONGEST_FILE: u64 = 8 * 1024 * 1024;",
+    8_388_608.0,
 );
-/// Tenants that the decision module reads.
-pub const TENANTS: Constant =
-    constant("src/logic.rs", "Logic::new, (0..4096)", "(0..4096).take_while(|i| facts.has(", 4096.0);
 /// The greatest `most` of the operator's file.
 pub const MOST: Constant =
     constant(KEYS, "Fleet.most", "#[garde(range(min = 1, max = 4096))]\n    pub most: usize,", 4096.0);
@@ -85,7 +92,7 @@
     constant("crates/hazelspur-fleet/src/news.rs", "TIMES", "const TIMES: u32 = 4;", 4.0);
 
 /// All of them.
-pub const ALL: [Constant; 19] = [
+pub const ALL: [Constant; 21] = [
     REPORT_EVERY,
     REPORT_AGAIN,
     OWN,
@@ -96,6 +103,8 @@
     SEEN,
     OP_TYPES,
     TENANTS,
+    LEARNED,
+    LONGEST_FILE,
     MOST,
     FLOOR,
     LEASE,
--- a/crates/hazelspur-lab/src/path/command.rs
+++ b/crates/hazelspur-lab/src/path/command.rs
@@ -76,6 +76,10 @@
     /// Sizes for `--cost`.
     #[arg(long, value_delimiter = ',', default_value = "87x420,870x4200,2000x10000,4000x20000,8700x42000")]
     pub sizes: Vec<TableSize>,
+    /// With `--cost`: another server of each size has one tenant's quota changed in its file and is told to read it
+    /// again, so often. Not for a program that knows no `reload(...)` in the operator's file.
+    #[arg(long, default_value_t = 0)]
+    pub reloads: u32,
     /// How long a server's rest is measured.
     #[arg(long, default_value_t = 3.0)]
     pub rest_seconds: f64,
@@ -104,7 +108,13 @@
     }
 
     fn start(&self, size: TableSize) -> anyhow::Result<Server> {
-        Server::start(&self.program()?, size, self.servers, self.run_ms, self.seed)
+        Server::start(&self.program()?, size, self.servers, self.run_ms, self.seed, None)
+    }
+
+    /// One whose settings change while it runs.
+    fn start_changing(&self, size: TableSize) -> anyhow::Result<Server> {
+        let word = Some("reload(settings = True)\n");
+        Server::start(&self.program()?, size, self.servers, self.run_ms, self.seed, word)
     }
 
     fn plan(&self, size: TableSize, rate: f64, length: Span, part: u64) -> anyhow::Result<Vec<Arrival>> {
@@ -485,6 +495,8 @@
         "last tenant",
         "both",
     ]);
+    let mut reloads =
+        table(&["op types x tenants", "CPU of a reload s", "longest until it holds s", "peak MB"]);
     let mut points = Vec::new();
     for size in &asked.sizes {
         let server = asked.start(*size)?;
@@ -514,6 +526,30 @@
         ] {
             points.push(asked.point(figure, &case, unit, by, value));
         }
+        drop(server);
+        if asked.reloads > 0 {
+            let server = asked.start_changing(*size)?;
+            server.until_serving().with_context(|| format!("{size} tables"))?;
+            let (mut took, mut cpu) = (Duration::ZERO, Duration::ZERO);
+            for n in 0..asked.reloads {
+                let (each, its_cpu) = server.reload(n)?;
+                (took, cpu) = (took.max(each), cpu + its_cpu);
+            }
+            let (each, took) = (cpu.as_secs_f64() / f64::from(asked.reloads), took.as_secs_f64());
+            let memory = server.memory()?;
+            reloads.add_row([
+                case.clone(),
+                format!("{each:.3}"),
+                format!("{took:.3}"),
+                mb(memory.peak_bytes),
+            ]);
+            points.push(asked.point("server.reload.cpu_s", &case, "s", by, each));
+            points.push(asked.point("server.reload.s", &case, "s", by, took));
+            points.push(asked.point("server.reload.peak_bytes", &case, "B", by, memory.peak_bytes as f64));
+        }
+    }
+    if asked.reloads > 0 {
+        println!("One server whose file changes by one tenant, {} times:\n{reloads}", asked.reloads);
     }
     println!("One server that nothing is asked of, beside runtime and control plane:\n{rows}");
     asked.save(points)
--- a/crates/hazelspur-lab/src/path/process.rs
+++ b/crates/hazelspur-lab/src/path/process.rs
@@ -102,7 +102,8 @@
 }
 
 impl Server {
-    /// Starts the program with settings of this size, in files of its own.
+    /// Starts the program with settings of this size, and with an operator's file if one is given, in files of its
+    /// own.
     ///
     /// # Errors
     /// Where the files or the process can't be made.
@@ -112,6 +113,7 @@
         servers: usize,
         run_ms: u64,
         seed: u64,
+        operator: Option<&str>,
     ) -> anyhow::Result<Self> {
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("hazelspur-path-{}-{run}", std::process::id()));
@@ -125,6 +127,10 @@
         std::fs::write(&file, &text)?;
         let mut command = Command::new(program);
         command.env("ROUTER_CONFIG", &file).env_remove("HAZELSPUR_FILE").env_remove("HAZELSPUR_LOG");
+        if let Some(text) = operator {
+            std::fs::write(folder.join("operator.star"), text)?;
+            command.env("HAZELSPUR_FILE", folder.join("operator.star"));
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(File::create(folder.join("log"))?);
         let began = Instant::now();
         let child = command.spawn().with_context(|| format!("{program:?}"))?;
@@ -148,6 +154,30 @@
         bail!("not serving within {} s: {}", START.as_secs(), self.last_words())
     }
 
+    /// Gives the last tenant another quota in the file, `n` times more than one, and has the server read it again: how
+    /// long until its log says that it holds, in steps of 5 ms, and the CPU time of that.
+    ///
+    /// # Errors
+    /// Where the server does not say so within 20 s.
+    pub fn reload(&self, n: u32) -> anyhow::Result<(Duration, Duration)> {
+        let folder = live().get(&self.id).map(|(_, folder)| folder.clone()).context("it has ended")?;
+        let mut file: serde_json::Value = serde_json::from_slice(&std::fs::read(folder.join("n1.json"))?)?;
+        let tenants = file["settings"]["orgs"].as_array_mut().context("there are no tenants")?;
+        tenants.last_mut().context("there are no tenants")?["quota-rps"] = (n + 1).into();
+        std::fs::write(folder.join("new.json"), file.to_string())?;
+        std::fs::rename(folder.join("new.json"), folder.join("n1.json"))?;
+        let said = || -> anyhow::Result<usize> {
+            Ok(std::fs::read_to_string(folder.join("log"))?.matches("settings changed").count())
+        };
+        let (before, cpu, began) = (said()?, self.cpu()?, Instant::now());
+        kill(Pid::from_raw(self.id as i32), Signal::SIGHUP)?;
+        while said()? == before {
+            ensure!(self.runs() && began.elapsed() < START, "no change in force: {}", self.last_words());
+            sleep(LOOK);
+        }
+        Ok((began.elapsed(), self.cpu()? - cpu))
+    }
+
     fn serving(&self) -> anyhow::Result<bool> {
         let mut stream = TcpStream::connect(self.address)?;
         stream.set_read_timeout(Some(ANSWER))?;
