--- a/crates/hazelspur-lab/src/capacity/constants.rs
+++ b/crates/hazelspur-lab/src/capacity/constants.rs
@@ -1,5 +1,5 @@
 //! Figures that the code itself sets, from which rows are computed where nothing needs to be measured. Those
-//! that other packages don't show stand here with the line that says so; `tests/capacity.rs` looks the line up.
+//! that other packages don't show stand here with the line that says so; `tests/capacity.rs` looks it up.
 
 /// A figure of the code.
 #[derive(Clone, Copy, Debug)]
--- a/crates/hazelspur-lab/src/capacity/measured.rs
+++ b/crates/hazelspur-lab/src/capacity/measured.rs
@@ -36,7 +36,7 @@
     pub value: Option<f64>,
 }
 
-/// A study's figure in a case, by a dimension. Two studies may have a figure of one name: virtual time and real
+/// A study's figure in a case, by a dimension. Two studies may have one name for theirs: virtual time and real
 /// processes are never one line.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Of {
--- a/crates/hazelspur-lab/src/capacity/rows.rs
+++ b/crates/hazelspur-lab/src/capacity/rows.rs
@@ -769,9 +769,9 @@
     let (s, b, a) = (&size.size, &size.budget, &size.assumed);
     let servers = ("servers", s.servers);
     let rate = ("requests_per_s", s.requests_per_s);
-    let requests = |name, what, left: f64, formula: &str| {
+    let requests = |name, what, left: f64, by: &str| {
         row(Event, name, what, "1/s", rate)
-            .formula(formula)
+            .formula(format!("requests_per_s / {by}"))
             .computed(FILE, 1.0 / left, 0.0)
             .by_mechanism("none of ours: gateways choose")
     };
@@ -801,49 +801,102 @@
     let out = a.out_at_once_share * s.servers;
     let keepers = shares::MOST_KEEPERS as f64;
     let region = s.servers * (s.regions - 1.0) / s.regions;
+    let zone = s.servers * (s.zones - 1.0) / s.zones;
+    let mean = s.servers * a.busiest_minute_over_mean;
     vec![
-        requests("event.mean.requests", "requests at a server, the day's mean", s.servers * a.busiest_minute_over_mean, "requests_per_s / busiest_minute_over_mean / servers"),
-        requests("event.minute.requests", "the busiest minute, all zones", s.servers, "requests_per_s / servers"),
-        requests("event.zone_lost.requests", "the same, one zone lost", s.servers * (s.zones - 1.0) / s.zones, "requests_per_s / servers of the zones that are left"),
-        requests("event.region_lost.requests", "the same, one region lost", region, "requests_per_s / servers of the regions that are left"),
-        requests("event.rack_lost.requests", "the same, a rack gone", s.servers - a.servers_per_rack, "requests_per_s / (servers - servers_per_rack)"),
+        requests(
+            "event.mean.requests",
+            "requests at a server, the day's mean",
+            mean,
+            "(busiest_minute_over_mean x servers)",
+        ),
+        requests("event.minute.requests", "the busiest minute, all zones", s.servers, "servers"),
+        requests("event.zone_lost.requests", "the same, one zone lost", zone, "servers of the zones left"),
+        requests(
+            "event.region_lost.requests",
+            "the same, one region lost",
+            region,
+            "servers of the regions left",
+        ),
+        requests(
+            "event.rack_lost.requests",
+            "the same, a rack gone",
+            s.servers - a.servers_per_rack,
+            "(servers - servers_per_rack)",
+        ),
         agree("event.storm.agree", "all start within a second: one picture", &["storm"]),
-        row(Event, "event.storm.agree.real", "the same on real sockets, as real servers show it", "s", servers)
-            .formula("until the real servers show all as alive, worst seed")
-            .worst(&["hollow/members.agree_s"], &["storm"])
-            .within(b.in_force_s, IN_FORCE)
-            .by_mechanism(TALK),
+        row(
+            Event,
+            "event.storm.agree.real",
+            "the same on real sockets, as real servers show it",
+            "s",
+            servers,
+        )
+        .formula("until the real servers show all as alive, worst seed")
+        .worst(&["hollow/members.agree_s"], &["storm"])
+        .within(b.in_force_s, IN_FORCE)
+        .by_mechanism(TALK),
         agree("event.zone_lost.agree", "a zone lost: one picture of those left", &["zone lost"]),
         agree("event.zone_back.agree", "a zone back cold: one picture", &["zone back"]),
         burst("event.zone_back.bytes", "a zone back cold: the busiest server's bytes", &["zone back"]),
-        agree("event.regions_healed.agree", "regions apart for a minute, healed: one picture", &["regions healed"]),
-        burst("event.regions_healed.bytes", "regions healed: the busiest server's bytes", &["regions healed"]),
+        agree(
+            "event.regions_healed.agree",
+            "regions apart for a minute, healed: one picture",
+            &["regions healed"],
+        ),
+        burst(
+            "event.regions_healed.bytes",
+            "regions healed: the busiest server's bytes",
+            &["regions healed"],
+        ),
         shares("event.regions_healed.shares", "regions healed: shares settled", &["regions apart for 60 s"]),
-        agree("event.deploy.agree", "restarts in a bunch: one picture after the last", &["bunched restarts, after the last"]),
-        row(Event, "event.deploy.out", "servers out at once in a deploy", "servers", ("restarts", a.restarts_per_deploy))
-            .formula("restarts_per_deploy x restart_out_s / deploy_min")
-            .computed(FILE, a.restart_out_s / (a.deploy_min * 60.0), 0.0)
-            .within(out, "assumed.out_at_once_share")
-            .by_mechanism("crates/hazelspur-server/src/start/phases.rs Phases"),
+        agree(
+            "event.deploy.agree",
+            "restarts in a bunch: one picture after the last",
+            &["bunched restarts, after the last"],
+        ),
+        row(
+            Event,
+            "event.deploy.out",
+            "servers out at once in a deploy",
+            "servers",
+            ("restarts", a.restarts_per_deploy),
+        )
+        .formula("restarts_per_deploy x restart_out_s / deploy_min")
+        .computed(FILE, a.restart_out_s / (a.deploy_min * 60.0), 0.0)
+        .within(out, "assumed.out_at_once_share")
+        .by_mechanism("crates/hazelspur-server/src/start/phases.rs Phases"),
         row(Event, "event.rack_lost.noticed", "a rack gone: noticed, 99 in 100", "s", servers)
             .formula("until a server holds one of them for lost")
             .worst(&["members.noticed_p99_s"], &[])
             .within(b.in_force_s, IN_FORCE)
             .by_mechanism(MEMBERS),
         shares("event.divider_ends.shares", "the divider dies: shares settled", &["divider ends"]),
-        row(Event, "event.keeper_dies.votes", "a keeper dies: keepers lost, of those that may be", "keepers", ("keepers", 1.0))
-            .formula("one at a time; a minority of 9 may go")
-            .computed("crates/hazelspur-fleet/src/shares/mod.rs MOST_KEEPERS", 1.0, 0.0)
-            .within((keepers - 1.0) / 2.0, "a minority of MOST_KEEPERS")
-            .by_mechanism("crates/hazelspur-fleet/src/shares/vote.rs Keeper"),
-        row(Event, "event.changes.cpu", "30 changes in a minute, each the whole file read again", "of a core", ("tenants", s.tenants))
-            .formula("changes_in_busiest_minute / 60 x CPU of a reload; of a start where no reload was measured")
-            .measured_times(&["server.reload.cpu_s"], &[], per_minute, false)
-            .measured_times(&["server.start.cpu_s"], &[], per_minute, false)
-            .within(b.control_cpu_share, CPU)
-            .by_mechanism(RELOAD),
+        row(
+            Event,
+            "event.keeper_dies.votes",
+            "a keeper dies: keepers lost, of those that may be",
+            "keepers",
+            ("keepers", 1.0),
+        )
+        .formula("one at a time; a minority of 9 may go")
+        .computed("crates/hazelspur-fleet/src/shares/mod.rs MOST_KEEPERS", 1.0, 0.0)
+        .within((keepers - 1.0) / 2.0, "a minority of MOST_KEEPERS")
+        .by_mechanism("crates/hazelspur-fleet/src/shares/vote.rs Keeper"),
+        row(
+            Event,
+            "event.changes.cpu",
+            "30 changes in a minute, each a file read again",
+            "of a core",
+            ("tenants", s.tenants),
+        )
+        .formula("changes_in_busiest_minute / 60 s x CPU of a reload, else of a start")
+        .measured_times(&["server.reload.cpu_s"], &[], per_minute, false)
+        .measured_times(&["server.start.cpu_s"], &[], per_minute, false)
+        .within(b.control_cpu_share, CPU)
+        .by_mechanism(RELOAD),
         row(Event, "event.changes.restarts", "30 changes in a minute: restarts in it", "1/min", servers)
-            .formula("changes_in_busiest_minute x changes_that_need_a_restart x servers, of those that may be out at once")
+            .formula("changes_in_busiest_minute x changes_that_need_a_restart x servers")
             .computed(
                 FILE.to_string() + " changes_that_need_a_restart",
                 a.changes_in_busiest_minute * a.changes_that_need_a_restart,
--- a/crates/hazelspur-lab/src/capacity/size.rs
+++ b/crates/hazelspur-lab/src/capacity/size.rs
@@ -1,5 +1,5 @@
 //! The size from a small file: what the design is to fit, what it may cost, and what is assumed where the
-//! list of the size says nothing. An unknown key, a missing one and a figure that can't be are refused by name.
+//! list of the size says nothing. An unknown key, a missing one and an absurd figure are refused by name.
 
 use serde::Deserialize;
 
--- a/crates/hazelspur-lab/tests/capacity.rs
+++ b/crates/hazelspur-lab/tests/capacity.rs
@@ -296,7 +296,8 @@
         | row | what | at the target, old | now | budget |
         | --- | --- | --- | --- | --- |
         | `server.settings.memory` | settings held, memory | 41.9 MB | 9 MB | 16 MB |
-    "#]].assert_eq(before);
+    "#]]
+    .assert_eq(before);
 }
 
 #[test]
