A late accuser is no standstill: a lost zone is agreed on in a large fleet

Ruled out: doubt by unanswered probes (11 of 167, condition whole), accusers that begin a suspicion anew (its beginning did not move), entries that fell out of the set of suspects (Members::check holds).

Cause: Members::set_end put the end of a suspicion into the past where an accuser came later than it would have ended with him; tick then took the distance for a standstill of this process (Doubt::ran) and put off all other suspicions by as much.

Change: an end is not before now. Trace: without the change the member doubts itself for 2 s and loses the other suspect at 23.3 s, with it at 15.3 s, with no doubt.

--- a/crates/hazelspur-fleet/src/members/hearing.rs
+++ b/crates/hazelspur-fleet/src/members/hearing.rs
@@ -74,7 +74,7 @@
                 // This accusation is what is news, and passed on.
                 entry.claim.says = claim.says;
                 self.news.add(claim.name);
-                self.set_end(claim.name);
+                self.set_end(now, claim.name);
             }
             Standing::Alive if !fresh && accuser != self.me.name => {
                 self.suspect(now, claim.name, accuser);
--- a/crates/hazelspur-fleet/src/members/mod.rs
+++ b/crates/hazelspur-fleet/src/members/mod.rs
@@ -489,12 +489,13 @@
         entry.accusers = vec![accuser];
         entry.called = false;
         self.suspects.insert((entry.until, name));
-        self.set_end(name);
+        self.set_end(now, name);
         self.tell(Event::Suspected(name, accuser));
     }
 
-    /// When a suspicion ends, by how many have the same: Lifeguard's formula.
-    fn set_end(&mut self, name: MemberName) {
+    /// When a suspicion ends, by how many have the same: Lifeguard's formula. Not before now, though a late accuser may
+    /// make it shorter than it has lasted: a time that was never waited for is no standstill of this process.
+    fn set_end(&mut self, now: Moment, name: MemberName) {
         let known = self.table.len();
         let fleet = known as f64 + 1.0;
         let Some(entry) = self.table.get_mut(&name) else { return };
@@ -507,7 +508,8 @@
         let periods = if alone { shortest } else { (longest - (longest - shortest) * part).max(shortest) };
         self.suspects.remove(&(entry.until, name));
         let end = entry.since + self.terms.period.scaled(periods);
-        entry.until = if entry.called { end.min(entry.until) } else { end.back(self.terms.period) };
+        let until = if entry.called { end.min(entry.until) } else { end.back(self.terms.period) };
+        entry.until = until.max(now);
         self.suspects.insert((entry.until, name));
     }
 
--- a/crates/hazelspur-fleet/src/members/rounds.rs
+++ b/crates/hazelspur-fleet/src/members/rounds.rs
@@ -90,7 +90,7 @@
                     entry.accusers.push(me);
                     entry.claim.says = Says::Suspected(me);
                     self.news.add(of);
-                    self.set_end(of);
+                    self.set_end(now, of);
                 }
             }
             // It said that it goes, and has.
--- a/crates/hazelspur-fleet/tests/traces.rs
+++ b/crates/hazelspur-fleet/tests/traces.rs
@@ -343,3 +343,81 @@
     assert_eq!(town.lost(), 0, "{:?}", town.said);
     assert!(town.agree(), "{}", town.seen_by(0));
 }
+
+/// One member, and others that are played by hand: some answer its probes, some are dead.
+struct Alone {
+    member: Members,
+    now: Moment,
+    numbers: u64,
+    said: String,
+}
+
+impl Alone {
+    const ALIVE: std::ops::Range<usize> = 1..8;
+    const DEAD: std::ops::Range<usize> = 8..10;
+
+    fn claim(of: usize, says: Says) -> Claim {
+        let terms = terms(of, 64);
+        let (generation, incarnation) = (Generation(START.us() / 1000), Incarnation(0));
+        Claim { name: terms.name, site: terms.site, at: terms.at, generation, incarnation, says }
+    }
+
+    fn hears(&mut self, from: usize, body: Body, claims: Vec<Claim>) {
+        self.numbers += 1;
+        let datagram = Datagram {
+            installation: terms(0, 64).installation,
+            from: Self::claim(from, Says::Alive),
+            number: self.numbers,
+            sent_ms: self.now.us() / 1000,
+            body,
+            word: None,
+            claims,
+        };
+        self.member.heard(self.now, &datagram).expect("a sound datagram");
+    }
+
+    /// Until so many ms from the start; who is alive answers at once.
+    fn until(&mut self, ms: u64) {
+        while self.now < START + Span::from_ms(ms) {
+            self.member.tick(self.now);
+            while let Some((to, datagram)) = self.member.next_out(self.now) {
+                if let Body::Ping { number: asked, .. } = datagram.body
+                    && Self::ALIVE.contains(&number(to))
+                {
+                    self.hears(number(to), Body::Ack { number: asked }, Vec::new());
+                }
+            }
+            while let Some(event) = self.member.next_event() {
+                if matches!(event, Event::Lost(_) | Event::Condition(..)) {
+                    self.said += &format!("{} {event:?}\n", (self.now - START).us() / 1000);
+                }
+            }
+            self.member.check().expect("sound");
+            self.now = self.member.next_tick().max(self.now + Span::from_ms(1));
+        }
+    }
+}
+
+#[test]
+fn an_accuser_that_comes_late_is_no_standstill_and_puts_no_other_suspicion_off() {
+    let member = Members::new(terms(0, 64), Generation(START.us() / 1000), 7, START);
+    let mut alone = Alone { member, now: START, numbers: 0, said: String::new() };
+    let all = Alone::ALIVE.chain(Alone::DEAD).map(|of| Alone::claim(of, Says::Alive)).collect();
+    alone.hears(1, Body::Page { next: None }, all);
+    alone.until(1000);
+    let suspected =
+        |by| Alone::DEAD.map(|of| Alone::claim(of, Says::Suspected(name(by)))).collect::<Vec<_>>();
+    alone.hears(1, Body::Gossip, suspected(1));
+    alone.until(12_000);
+    // Of the first of them the rest speak only now, when its suspicion has lasted longer than they would have left it.
+    for by in 2..5 {
+        alone.hears(by, Body::Gossip, suspected(by)[..1].to_vec());
+    }
+    alone.until(40_000);
+    expect![[r#"
+        0 Condition(Joining, Whole)
+        13296 Lost(n8)
+        15296 Lost(n9)
+    "#]]
+    .assert_eq(&alone.said);
+}
