--- a/crates/hazelspur-lab/src/capacity/page.rs
+++ b/crates/hazelspur-lab/src/capacity/page.rs
@@ -1,7 +1,9 @@
 //! A report as tables, and a page whose tables stand between markers:
 //!
-//!     <!-- generated: NAME -->
-//!     <!-- end -->
+//! ```text
+//! <!-- generated: NAME -->
+//! <!-- end -->
+//! ```
 
 use super::command::Told;
 use super::report::{self, Known, Line, Report, State, Stops};
--- a/crates/hazelspur-lab/src/capacity/rows.rs
+++ b/crates/hazelspur-lab/src/capacity/rows.rs
@@ -914,6 +914,17 @@
         .measured_times(&["server.start.cpu_s"], &[], per_minute, false)
         .within(b.control_cpu_share, CPU)
         .by_mechanism(RELOAD),
+        row(
+            Event,
+            "event.changes.stall",
+            "the same: part of a minute in which nothing else is done",
+            "of the time",
+            ("tenants", s.tenants),
+        )
+        .formula("changes_in_busiest_minute / 60 s x the longest reload; 1 in 100 requests may wait")
+        .measured_times(&["server.reload.s"], &[], per_minute, false)
+        .within(0.01, "99 in 100")
+        .by_mechanism(RELOAD),
         row(Event, "event.changes.restarts", "30 changes in a minute: restarts in it", "1/min", servers)
             .formula("changes_in_busiest_minute x changes_that_need_a_restart x servers")
             .computed(
