A file whose settings may change is read on a thread of its own

Change: with reload(settings = True) the file is read and checked on a thread that hands over typed entries; the server's own thread only compares them with those in force. The end of the process does not wait for it. Without the word it is read as before. Names of op types and tenants are Arc<str> for that. The cost study asks for health checks all through a reload.

--- a/crates/hazelspur-lab/src/capacity/rows.rs
+++ b/crates/hazelspur-lab/src/capacity/rows.rs
@@ -921,8 +921,8 @@
             "of the time",
             ("tenants", s.tenants),
         )
-        .formula("changes_in_busiest_minute / 60 s x the longest reload; 1 in 100 requests may wait")
-        .measured_times(&["server.reload.s"], &[], per_minute, false)
+        .formula("changes_in_busiest_minute / 60 s x the longest health check in a reload; 1 in 100 may wait")
+        .measured_times(&["server.reload.stall_s"], &[], per_minute, false)
         .within(0.01, "99 in 100")
         .by_mechanism(RELOAD),
         row(Event, "event.changes.restarts", "30 changes in a minute: restarts in it", "1/min", servers)
--- a/crates/hazelspur-lab/src/path/command.rs
+++ b/crates/hazelspur-lab/src/path/command.rs
@@ -495,8 +495,14 @@
         "last tenant",
         "both",
     ]);
-    let mut reloads =
-        table(&["op types x tenants", "CPU of a reload s", "longest until it holds s", "peak MB"]);
+    let mut reloads = table(&[
+        "op types x tenants",
+        "CPU of a reload s",
+        "longest until it holds s",
+        "longest health check meanwhile s",
+        "anon MB after",
+        "peak MB",
+    ]);
     let mut points = Vec::new();
     for size in &asked.sizes {
         let server = asked.start(*size)?;
@@ -530,19 +536,19 @@
         if asked.reloads > 0 {
             let server = asked.start_changing(*size)?;
             server.until_serving().with_context(|| format!("{size} tables"))?;
-            let (mut took, mut cpu) = (Duration::ZERO, Duration::ZERO);
+            let (mut took, mut cpu, mut stall) = (Duration::ZERO, Duration::ZERO, Duration::ZERO);
             for n in 0..asked.reloads {
-                let (each, its_cpu) = server.reload(n)?;
-                (took, cpu) = (took.max(each), cpu + its_cpu);
+                let (each, its_cpu, its_stall) = server.reload(n)?;
+                (took, cpu, stall) = (took.max(each), cpu + its_cpu, stall.max(its_stall));
             }
             let (each, took) = (cpu.as_secs_f64() / f64::from(asked.reloads), took.as_secs_f64());
+            let stall = stall.as_secs_f64();
             let memory = server.memory()?;
-            reloads.add_row([
-                case.clone(),
-                format!("{each:.3}"),
-                format!("{took:.3}"),
-                mb(memory.peak_bytes),
-            ]);
+            let times = [each, took, stall].map(|secs| format!("{secs:.4}"));
+            let memories = [memory.anon_bytes, memory.peak_bytes].map(mb);
+            reloads.add_row([vec![case.clone()], times.to_vec(), memories.to_vec()].concat());
+            points.push(asked.point("server.reload.stall_s", &case, "s", by, stall));
+            points.push(asked.point("server.reload.anon_bytes", &case, "B", by, memory.anon_bytes as f64));
             points.push(asked.point("server.reload.cpu_s", &case, "s", by, each));
             points.push(asked.point("server.reload.s", &case, "s", by, took));
             points.push(asked.point("server.reload.peak_bytes", &case, "B", by, memory.peak_bytes as f64));
--- a/crates/hazelspur-lab/src/path/process.rs
+++ b/crates/hazelspur-lab/src/path/process.rs
@@ -155,11 +155,11 @@
     }
 
     /// Gives the last tenant another quota in the file, `n` times more than one, and has the server read it again: how
-    /// long until its log says that it holds, in steps of 5 ms, and the CPU time of that.
+    /// long until its log says that it holds, the CPU time of that, and the longest that a health check took meanwhile.
     ///
     /// # Errors
     /// Where the server does not say so within 20 s.
-    pub fn reload(&self, n: u32) -> anyhow::Result<(Duration, Duration)> {
+    pub fn reload(&self, n: u32) -> anyhow::Result<(Duration, Duration, Duration)> {
         let folder = live().get(&self.id).map(|(_, folder)| folder.clone()).context("it has ended")?;
         let mut file: serde_json::Value = serde_json::from_slice(&std::fs::read(folder.join("n1.json"))?)?;
         let tenants = file["settings"]["orgs"].as_array_mut().context("there are no tenants")?;
@@ -170,12 +170,15 @@
             Ok(std::fs::read_to_string(folder.join("log"))?.matches("settings changed").count())
         };
         let (before, cpu, began) = (said()?, self.cpu()?, Instant::now());
+        let mut stall = Duration::ZERO;
         kill(Pid::from_raw(self.id as i32), Signal::SIGHUP)?;
         while said()? == before {
             ensure!(self.runs() && began.elapsed() < START, "no change in force: {}", self.last_words());
-            sleep(LOOK);
+            let asked = Instant::now();
+            ensure!(self.serving()?, "not serving");
+            stall = stall.max(asked.elapsed());
         }
-        Ok((began.elapsed(), self.cpu()? - cpu))
+        Ok((began.elapsed(), self.cpu()? - cpu, stall))
     }
 
     fn serving(&self) -> anyhow::Result<bool> {
--- a/crates/hazelspur-server/src/back/runtime.rs
+++ b/crates/hazelspur-server/src/back/runtime.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -33,7 +34,7 @@
 
 /// A run, and the commands on it that no notice has answered yet.
 struct Run {
-    class: Rc<str>,
+    class: Arc<str>,
     body: Rc<[u8]>,
     started: bool,
     /// Whether its start has gone out on any link.
@@ -103,7 +104,7 @@
         }
     }
 
-    pub fn start(&self, op: OpId, class: Rc<str>, body: Rc<[u8]>) {
+    pub fn start(&self, op: OpId, class: Arc<str>, body: Rc<[u8]>) {
         self.send(|out| runtime::start(out, &op.to_string(), &class, &body));
         let run = Run { class, body, started: true, sent: self.up.get(), given: None, stopped: false };
         self.runs.borrow_mut().insert(op, run);
--- a/crates/hazelspur-server/src/ops/deduplication.rs
+++ b/crates/hazelspur-server/src/ops/deduplication.rs
@@ -4,6 +4,7 @@
 use hazelspur::{Moment, OpId, OpType, OpTypeId, Outcome, Repeats, Span, TenantId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// What an entry takes beside its texts.
 const ENTRY: usize = 256;
@@ -20,15 +21,20 @@
 /// repeat is known though its op type or tenant went and came back meanwhile.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
-    pub tenant: Rc<str>,
-    pub op_type: Rc<str>,
+    pub tenant: Arc<str>,
+    pub op_type: Arc<str>,
     pub scope: Scope,
     pub text: Rc<str>,
 }
 
 impl Key {
     /// What a repeat of this op would name: its op key, or as a read what it is about.
-    pub fn of(terms: &OpType, tenant: &Rc<str>, op_key: Option<&str>, subject: Option<&str>) -> Option<Self> {
+    pub fn of(
+        terms: &OpType,
+        tenant: &Arc<str>,
+        op_key: Option<&str>,
+        subject: Option<&str>,
+    ) -> Option<Self> {
         let (scope, text) = match terms.repeats {
             Repeats::Keyed => (Scope::Keyed, op_key?),
             Repeats::Retryable => (Scope::Read, subject?),
--- a/crates/hazelspur-server/src/start/reload.rs
+++ b/crates/hazelspur-server/src/start/reload.rs
@@ -14,6 +14,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
+use tokio::sync::oneshot;
 
 /// What a reload compares with and changes.
 pub struct Reloader {
@@ -70,15 +71,28 @@
 pub async fn on_hangup(hangup: Rc<RefCell<Signal>>, reloader: Rc<Reloader>) {
     // Nobody else borrows it: one task listens, or the next after that one failed.
     while std::future::poll_fn(|context| hangup.borrow_mut().poll_recv(context)).await.is_some() {
-        reloader.platform();
+        reloader.platform().await;
         reloader.operator();
     }
 }
 
+/// Done on a thread of its own, for which the end of the process does not wait.
+async fn aside<T: Send + 'static>(
+    work: impl FnOnce() -> Result<T, String> + Send + 'static,
+) -> Result<T, String> {
+    let (to, from) = oneshot::channel();
+    let thread = std::thread::Builder::new().name("reload".into());
+    thread.spawn(move || drop(to.send(work()))).map_err(|e| format!("no thread to read it: {e}"))?;
+    from.await.unwrap_or_else(|_| Err("reading it failed".into()))
+}
+
 impl Reloader {
-    fn platform(&self) {
-        let read = startup::reread(|name| std::env::var(name).ok(), &self.catalog.borrow());
-        let taken = read.and_then(|(new, change)| self.take(&new, &change));
+    async fn platform(&self) {
+        let read = || startup::reread(|name| std::env::var(name).ok());
+        // Settings that may change may be large ones: ops are answered while they are read.
+        let read = if self.changes { aside(read).await } else { read() };
+        let compared = read.and_then(|read| read.against(&self.catalog.borrow()));
+        let taken = compared.and_then(|(new, change)| self.take(&new, &change));
         if let Err(why) = taken {
             log::error!(why; "reload refused, the old configuration stays");
         }
--- a/crates/hazelspur-server/src/start/startup.rs
+++ b/crates/hazelspur-server/src/start/startup.rs
@@ -4,7 +4,7 @@
 use crate::back::peers::Addresses;
 use crate::fronts::requests::{LONG_PAST, TIMEOUT_SLACK};
 use crate::ops::deduplication::Deduplication;
-use hazelspur::catalog::Entries;
+use hazelspur::catalog::{Entries, Gathered};
 use hazelspur::change::Difference;
 use hazelspur::{Catalog, Change, Facts, Span};
 use hazelspur_parsers::{Json, settings};
@@ -71,15 +71,26 @@
     Ok((startup, catalog.complete(facts).map_err(settings_at)?))
 }
 
-/// Reads it again: what it says of this server, and what its settings change of those in force.
-pub fn reread(
-    variable: impl Fn(&str) -> Option<String>,
-    in_force: &Catalog,
-) -> Result<(Startup, Change), String> {
+/// A file that was read again, on whatever thread.
+pub struct Reread {
+    startup: Startup,
+    entries: Gathered,
+    facts: Facts,
+}
+
+pub fn reread(variable: impl Fn(&str) -> Option<String>) -> Result<Reread, String> {
     let text = text(&variable)?;
-    let mut difference = Difference::new(in_force);
-    let (startup, facts) = check(&text, variable, &mut difference)?;
-    Ok((startup, difference.complete(&facts).map_err(settings_at)?))
+    let mut entries = Gathered::default();
+    let (startup, facts) = check(&text, variable, &mut entries)?;
+    Ok(Reread { startup, entries, facts })
+}
+
+impl Reread {
+    /// What it says of this server, and what its settings change of those in force.
+    pub fn against(self, in_force: &Catalog) -> Result<(Startup, Change), String> {
+        let change = Difference::of(in_force, self.entries, &self.facts).map_err(settings_at)?;
+        Ok((self.startup, change))
+    }
 }
 
 /// The whole file, or none of it.
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{BuildHasherDefault, DefaultHasher, Hash};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Twice the 8,700 routes that the fleet is to have in two years.
 pub const MOST_OP_TYPES: usize = 17_400;
@@ -31,7 +32,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct OpType {
     /// Empty where the platform names its op types by number.
-    pub name: Rc<str>,
+    pub name: Arc<str>,
     pub target_latency: Span,
     /// Seconds more for each second of cost that is told.
     pub target_stretch: f64,
@@ -65,7 +66,7 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tenant {
-    pub name: Rc<str>,
+    pub name: Arc<str>,
     /// Ops a second of the whole fleet; none where nothing is said of it.
     pub quota_per_s: Option<f64>,
 }
@@ -97,7 +98,7 @@
     wrong.then(|| format!("setting {key} is absurd: {n}"))
 }
 
-fn name(of: &Facts, at: &str) -> Result<Rc<str>, String> {
+fn name(of: &Facts, at: &str) -> Result<Arc<str>, String> {
     let name = of.text("name");
     if name.len() > LONGEST_NAME {
         return Err(format!("setting {at}.name has {} bytes, {LONGEST_NAME} at most", name.len()));
@@ -158,7 +159,7 @@
 /// Names to ids to entries. An id is given once and never again, so that what was kept for one entry does not
 /// pass to another that comes under its name.
 #[derive(Clone, Debug)]
-pub struct Table<T, K = Rc<str>> {
+pub struct Table<T, K = Arc<str>> {
     ids: HashMap<K, usize, BuildHasherDefault<DefaultHasher>>,
     entries: HashMap<usize, T, BuildHasherDefault<DefaultHasher>>,
     next: usize,
@@ -230,6 +231,33 @@
     fn other_key(&mut self, key: &str) -> Result<(), String>;
 }
 
+/// Entries as they were read, to be compared later; their number is bounded by `EntryOf::fits`.
+#[derive(Clone, Debug, Default)]
+pub struct Gathered {
+    pub(crate) op_types: Vec<OpType>,
+    pub(crate) tenants: Vec<Tenant>,
+    pub(crate) other_keys: BTreeSet<String>,
+}
+
+impl Entries for Gathered {
+    fn op_type(&mut self, terms: OpType) -> Result<(), String> {
+        self.op_types.push(terms);
+        EntryOf::OpTypes.fits(self.op_types.len())
+    }
+
+    fn tenant(&mut self, terms: Tenant) -> Result<(), String> {
+        self.tenants.push(terms);
+        EntryOf::Tenants.fits(self.tenants.len())
+    }
+
+    fn other_key(&mut self, key: &str) -> Result<(), String> {
+        if self.other_keys.len() < MOST_KEYS {
+            self.other_keys.insert(key.to_string());
+        }
+        Ok(())
+    }
+}
+
 /// A keyed op type that was taken away: until then keys of its ops may be asked for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Gone {
@@ -248,7 +276,7 @@
     pub(crate) other_keys: BTreeSet<String>,
     /// The longest op timeout of the start: results are kept long enough for that.
     pub(crate) longest_timeout: Span,
-    pub(crate) gone: BTreeMap<Rc<str>, Gone>,
+    pub(crate) gone: BTreeMap<Arc<str>, Gone>,
 }
 
 impl Entries for Catalog {
@@ -275,7 +303,7 @@
     }
 }
 
-fn free_name<T>(table: &Table<T>, name: &Rc<str>, of: &str) -> Result<Option<Rc<str>>, String> {
+fn free_name<T>(table: &Table<T>, name: &Arc<str>, of: &str) -> Result<Option<Arc<str>>, String> {
     match name {
         name if name.is_empty() => Ok(None),
         name if table.find(&**name).is_some() => Err(format!("settings.{of}: {name}: named twice")),
@@ -380,7 +408,7 @@
     }
 
     /// With its name; no owner is the first tenant, and where there are none they all are one.
-    pub fn find_tenant(&self, owner: Option<&str>) -> Option<(TenantId, Rc<str>)> {
+    pub fn find_tenant(&self, owner: Option<&str>) -> Option<(TenantId, Arc<str>)> {
         let id = match owner {
             Some(owner) => TenantId(self.tenants.find(owner)?),
             None => self.first_tenant,
--- a/src/change.rs
+++ b/src/change.rs
@@ -3,11 +3,12 @@
 //! the next start.
 
 use crate::catalog::{
-    Catalog, Entries, EntryOf, Gone, LONGEST_NAME, OpType, Repeats, Table, Tenant, check_facts,
+    Catalog, Entries, EntryOf, Gathered, Gone, LONGEST_NAME, OpType, Repeats, Table, Tenant, check_facts,
 };
 use crate::{Fact, Facts, Moment, OpTypeId, TenantId};
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Entries and figures that one change adds, alters or takes away; more is another file, not a change of this one.
 pub const MOST_EDITS: usize = 4096;
@@ -29,7 +30,7 @@
 pub enum Edit<T> {
     /// New, or in the place of the one of its name.
     Put(T),
-    Remove(Rc<str>),
+    Remove(Arc<str>),
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -39,7 +40,7 @@
     /// What each is from now on; none where it is not said any more.
     pub facts: Vec<(String, Option<Fact>)>,
     /// Whose ops those are that name no tenant, if that is another one.
-    pub first_tenant: Option<Rc<str>>,
+    pub first_tenant: Option<Arc<str>>,
 }
 
 /// What became of a change: how many op types and tenants came, were altered and went, and how many figures.
@@ -68,7 +69,7 @@
     read: [usize; 2],
     /// Ids of those in force that the newer file has too; names of those that it has anew.
     kept: [BTreeSet<usize>; 2],
-    new: [BTreeSet<Rc<str>>; 2],
+    new: [BTreeSet<Arc<str>>; 2],
 }
 
 impl Entries for Difference<'_> {
@@ -120,7 +121,7 @@
         Self { in_force, change: Change::default(), read: [0, 0], kept, new }
     }
 
-    fn note(&mut self, table: usize, id: Option<usize>, name: &Rc<str>, of: &str) -> Result<(), String> {
+    fn note(&mut self, table: usize, id: Option<usize>, name: &Arc<str>, of: &str) -> Result<(), String> {
         self.read[table] += 1;
         let first = match id {
             Some(id) => self.kept[table].insert(id),
@@ -138,6 +139,15 @@
         }
     }
 
+    /// Of a file that was gathered elsewhere.
+    pub fn of(in_force: &'a Catalog, read: Gathered, facts: &Facts) -> Result<Change, String> {
+        let mut difference = Self::new(in_force);
+        read.other_keys.iter().try_for_each(|key| difference.other_key(key))?;
+        read.op_types.into_iter().try_for_each(|terms| difference.op_type(terms))?;
+        read.tenants.into_iter().try_for_each(|terms| difference.tenant(terms))?;
+        difference.complete(facts)
+    }
+
     /// With what the newer file says beside its entries.
     pub fn complete(mut self, facts: &Facts) -> Result<Change, String> {
         check_facts(facts)?;
@@ -198,7 +208,7 @@
                 }
             }
         }
-        let there = |name: &Rc<str>| {
+        let there = |name: &Arc<str>| {
             let comes = |edit: &Edit<Tenant>| matches!(edit, Edit::Put(terms) if terms.name == *name);
             let goes = change.tenants.contains(&Edit::Remove(name.clone()));
             self.tenants.find(&**name).is_some() && !goes || change.tenants.iter().any(comes)
@@ -285,7 +295,7 @@
 }
 
 /// Entries without a name are found by their place, as long as none of them differs.
-fn nameless<T>(table: &Table<T>, at: usize, of: impl Fn(&T) -> &Rc<str>, name: &Rc<str>) -> Option<usize> {
+fn nameless<T>(table: &Table<T>, at: usize, of: impl Fn(&T) -> &Arc<str>, name: &Arc<str>) -> Option<usize> {
     table.get(at).filter(|old| name.is_empty() && of(old).is_empty()).map(|_| at)
 }
 
@@ -294,7 +304,7 @@
 }
 
 /// 0 where it is new, 1 where another one stood there.
-fn put<T>(table: &mut Table<T>, name: &Rc<str>, entry: T) -> usize {
+fn put<T>(table: &mut Table<T>, name: &Arc<str>, entry: T) -> usize {
     match table.find(&**name) {
         Some(id) => {
             table.replace(id, entry);
@@ -312,7 +322,7 @@
     of: &str,
     table: &Table<E>,
     edits: &[Edit<T>],
-    name: impl Fn(&T) -> &Rc<str>,
+    name: impl Fn(&T) -> &Arc<str>,
     entries: EntryOf,
 ) -> Result<(), String> {
     let (mut seen, mut comes, mut goes) = (BTreeSet::new(), 0, 0);
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -9,20 +9,20 @@
 use hazelspur::{Fact, Facts};
 use std::cell::Cell;
 use std::hash::{Hash, Hasher};
-use std::rc::Rc;
+use std::sync::Arc;
 
-fn named<T>(table: &str, count: usize, add: impl Fn(&mut Catalog, Rc<str>) -> Result<T, String>) -> Catalog {
+fn named<T>(table: &str, count: usize, add: impl Fn(&mut Catalog, Arc<str>) -> Result<T, String>) -> Catalog {
     let mut catalog = Catalog::default();
     (0..count)
         .for_each(|i| drop(add(&mut catalog, format!("{table}-{i}").into()).expect("within its bound")));
     catalog
 }
 
-fn op_type(catalog: &mut Catalog, name: Rc<str>) -> Result<(), String> {
+fn op_type(catalog: &mut Catalog, name: Arc<str>) -> Result<(), String> {
     catalog.op_type(OpType { name, ..OpType::default() })
 }
 
-fn tenant(catalog: &mut Catalog, name: Rc<str>) -> Result<(), String> {
+fn tenant(catalog: &mut Catalog, name: Arc<str>) -> Result<(), String> {
     catalog.tenant(Tenant { name, quota_per_s: Some(1.0) })
 }
 
