--- a/crates/hazelspur-lab/tests/slopes.rs
+++ b/crates/hazelspur-lab/tests/slopes.rs
@@ -268,8 +268,9 @@
     check_line(&planted, DIVIDER.0, DIVIDER.1).unwrap_err();
 }
 
-/// Of all servers that a zone is gone; seed 2 takes 150 s.
-const NOTICED: Span = Span::from_ms(180_000);
+/// Of all servers that a zone is gone: the longest suspicion of so many (50 s), and as long again at most until the last
+/// of the zone is probed and suspected.
+const NOTICED: Span = Span::from_ms(90_000);
 
 #[test]
 fn a_zone_that_starts_cold_finds_all_and_is_found() {
