Tests reserve a server's address with a socket that never listens

Seen: start_waits_for_an_address_still_in_use failed in 2 of 4 whole runs, AddrInUse at its own bind (shutdown.rs:208). No caller of a server was hit.

Cause: prepare() found a port by closing a listening socket. A child that another thread has forked holds a copy of it until exec, and the copy goes on listening.

Change: ReservedAddress in the test doubles (bound, never listening, SO_REUSEADDR, held).

--- a/crates/hazelspur-server/tests/gateway_input.rs
+++ b/crates/hazelspur-server/tests/gateway_input.rs
@@ -3,9 +3,10 @@
 mod harness;
 
 use harness::*;
+use hazelspur_test_doubles::reserved_address::ReservedAddress;
 use std::fmt::Write as _;
 use std::io::{Read as _, Write as _};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -228,10 +229,11 @@
 fn idle_clients_leave_the_descriptors_that_serving_needs() {
     let mut seen = String::new();
     for limit in [64usize, 96, 128, 256, 512] {
-        let (control, at) = listener();
+        // Reports are refused until a listener is there.
+        let reserved = ReservedAddress::on(Ipv4Addr::LOCALHOST).expect("a free port");
+        let at = reserved.address().to_string();
         let silent = format!("limits\":{{\"sockets\":{limit}}},\"settings");
         let edit = |config: String| with_registry(&config, &at).replace("settings", &silent);
-        drop(control); // from now on reports are refused
         let (mut server, mut link) =
             ServerHarness::new_with(&format!("filled{limit}"), &format!("ulimit -n {limit};"), edit);
         let mut gateway = server.connect_gateway();
--- a/crates/hazelspur-server/tests/harness/mod.rs
+++ b/crates/hazelspur-server/tests/harness/mod.rs
@@ -2,11 +2,13 @@
 //! step; what they receive is recorded in a trace.
 #![allow(dead_code)] // each test file uses its part
 
+use hazelspur_test_doubles::reserved_address::ReservedAddress;
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -17,7 +19,9 @@
  "rules":{"fall-multiple":8,"cold-share":0.2,"cold-us":10000000,"drain-grace-us":300000},
  "limits":{"retry-after":true,"max-retry-after-us":1000000},"servers":1}"#;
 
-pub(crate) static NEXT_ADDRESS: AtomicUsize = AtomicUsize::new(0);
+static NEXT_ADDRESS: AtomicUsize = AtomicUsize::new(0);
+/// Held until the test binary ends: a server may come back to its address.
+static RESERVED: Mutex<Vec<ReservedAddress>> = Mutex::new(Vec::new());
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The test's end of a connection to the server.
@@ -41,6 +45,16 @@
     (listener, address)
 }
 
+/// An IP address and port that no other test of this process gets.
+fn reserve_address() -> String {
+    let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+    let ip = Ipv4Addr::new(127, 77, (std::process::id() % 250) as u8, 1 + number as u8);
+    let reserved = ReservedAddress::on(ip).expect("a free port");
+    let address = reserved.address().to_string();
+    RESERVED.lock().expect("no panic before").push(reserved);
+    address
+}
+
 /// The next connection, or a failed test.
 pub(crate) fn accept(listener: &TcpListener) -> TcpStream {
     let until = Instant::now() + TIMEOUT;
@@ -109,10 +123,7 @@
 
     /// An address for a server, its upstream endpoints, and the configuration that names them.
     pub(crate) fn prepare() -> (String, TcpListener, TcpListener, String) {
-        // An IP address for each test: a port that is free now could be another test's a moment later.
-        let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
-        let free = TcpListener::bind(format!("127.77.{}.{}:0", std::process::id() % 250, 1 + number));
-        let listen = free.and_then(|free| free.local_addr()).expect("a free port").to_string();
+        let listen = reserve_address();
         let (runtime, ledger, config) = Self::listen_for_peers(&listen);
         (listen, runtime, ledger, config)
     }
@@ -171,6 +182,15 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
+    /// Shows what the server logged, once it has ended.
+    fn print_log(&mut self) {
+        let mut log = String::new();
+        if let Some(stderr) = &mut self.server.stderr {
+            let _ = stderr.read_to_string(&mut log);
+        }
+        eprintln!("log of the server at {}:\n{log}", self.listen);
+    }
+
     pub(crate) fn wait_for_exit(&mut self) {
         let status = self.server.wait().expect("the server ends");
         let _ = writeln!(self.trace, "exit {:?}", status.code());
@@ -181,6 +201,9 @@
     fn drop(&mut self) {
         let _ = self.server.kill();
         let _ = self.server.wait();
+        if std::thread::panicking() {
+            self.print_log();
+        }
     }
 }
 
--- a/crates/hazelspur-server/tests/helpers/mod.rs
+++ b/crates/hazelspur-server/tests/helpers/mod.rs
@@ -7,9 +7,11 @@
 use hazelspur_test_doubles::checker::Expected;
 use hazelspur_test_doubles::http::Http;
 use hazelspur_test_doubles::now_ms;
+use hazelspur_test_doubles::reserved_address::ReservedAddress;
 use hazelspur_test_doubles::runtime::{Pace, Runtime};
 use std::collections::BTreeMap;
 use std::io::Read;
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -35,6 +37,7 @@
     server: Option<Child>,
     pub listen: String,
     files: [PathBuf; 2],
+    _reserved: ReservedAddress,
     queues: String,
     pub spread_s: f64,
     brokers: Vec<String>,
@@ -64,11 +67,10 @@
     /// With the queues that this part of an operator's file names, declared at the broker beforehand.
     pub(crate) fn new(queues: &str, pace: Pace) -> Self {
         let number = SHOPS.fetch_add(1, Ordering::Relaxed);
-        let ip = format!("127.78.{}.{}", std::process::id() % 250, 1 + number % 250);
-        // The broker first: nobody else takes ports of this address before the server does.
-        let broker = Broker::at(format!("{ip}:0").parse().expect("an address"));
-        let free = std::net::TcpListener::bind(format!("{ip}:0")).and_then(|free| free.local_addr());
-        let listen = free.expect("a free port").to_string();
+        let ip = Ipv4Addr::new(127, 78, (std::process::id() % 250) as u8, 1 + (number % 250) as u8);
+        let broker = Broker::at((ip, 0).into());
+        let reserved = ReservedAddress::on(ip).expect("a free port");
+        let listen = reserved.address().to_string();
         let file = |end: &str| {
             std::env::temp_dir().join(format!("hazelspur-shop-{}-{number}.{end}", std::process::id()))
         };
@@ -81,6 +83,7 @@
             expected: BTreeMap::new(),
             server: None,
             listen,
+            _reserved: reserved,
             files: [file("json"), file("star")],
             queues: queues.into(),
             spread_s: 0.03,
--- a/crates/hazelspur-simulator/src/path/process.rs
+++ b/crates/hazelspur-simulator/src/path/process.rs
@@ -7,6 +7,7 @@
 use crate::path::wires::GatewayWire;
 use anyhow::{Context, bail, ensure};
 use hazelspur_test_doubles::control::Control;
+use hazelspur_test_doubles::reserved_address::ReservedAddress;
 use hazelspur_test_doubles::runtime::{Pace, Runtime};
 use nix::sys::signal::{Signal, kill};
 use nix::time::ClockId;
@@ -14,7 +15,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -112,6 +113,7 @@
     began: Instant,
     _runtime: Runtime,
     _control: Control,
+    _reserved: ReservedAddress,
 }
 
 /// A stand-in runtime that answers after so many milliseconds, at once for 0.
@@ -134,8 +136,8 @@
         let folder = std::env::temp_dir().join(format!("hazelspur-path-{}-{run}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let (runtime, control) = (runtime(run_ms), Control::start("127.0.0.1:0"));
-        // Free a moment ago; a server waits for an address that is held.
-        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let reserved = ReservedAddress::on(Ipv4Addr::LOCALHOST)?;
+        let address = reserved.address();
         let around = Around { listen: address, runtime: runtime.address, control: control.address };
         let text = configuration(size, around, servers, seed);
         let file = folder.join("n1.json");
@@ -151,7 +153,7 @@
         let child = command.spawn().with_context(|| format!("{program:?}"))?;
         let (id, file_bytes) = (child.id(), text.len() as u64);
         live().insert(id, (child, folder));
-        Ok(Self { id, address, file_bytes, began, _runtime: runtime, _control: control })
+        Ok(Self { id, address, file_bytes, began, _runtime: runtime, _control: control, _reserved: reserved })
     }
 
     /// Waits until a health check says that it is serving; gives the time and the CPU time from the start.
--- a/crates/hazelspur-simulator/tests/path.rs
+++ b/crates/hazelspur-simulator/tests/path.rs
@@ -6,9 +6,10 @@
 use hazelspur_simulator::path::load::{MAX_OPEN, Message, Played, Tally, Wire, histogram, play};
 use hazelspur_simulator::path::plan::{Around, Arrival, Met, TableSize, arrivals, configuration, distinct};
 use hazelspur_simulator::path::wires::{GatewayWire, RuntimeWire};
+use hazelspur_test_doubles::reserved_address::ReservedAddress;
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::spawn;
@@ -273,7 +274,8 @@
 
 #[test]
 fn nobody_there_is_an_error_and_no_play() {
-    let gone = TcpListener::bind("127.0.0.1:0").expect("a place").local_addr().expect("an address");
+    let reserved = ReservedAddress::on(Ipv4Addr::LOCALHOST).expect("a free port");
+    let gone = reserved.address();
     let wire: Arc<dyn Wire> = Arc::new(GatewayWire::new(1, 30));
     assert!(play(&wire, gone, &plan(SIZE, 50.0, 0.1, 1), 1, StdDuration::from_millis(50)).is_err());
 }
--- a/crates/hazelspur-test-doubles/src/lib.rs
+++ b/crates/hazelspur-test-doubles/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod gateway;
 pub mod http;
 pub mod ledger;
+pub mod reserved_address;
 pub mod runtime;
 pub mod script;
 
