A request chosen while the worker link is down is promised to nobody

Callers saw: a message whose waiting time ended while the worker link was down ran after it; a gateway's request was answered failed at its deadline, though it had not run, and ran once the link was back.

Cause: start_if_permitted asked the ingress (which acknowledges what must run once) and put the start into the table of runs, from where it goes out with the next link however late.

Change: State::AwaitingWorker. Expiry, a client that leaves and the decision at the deadline find the request unstarted: rejected, key free, never sent. A run that was preempted before is still failed.

--- a/crates/hazelspur-server/src/request/lifecycle.rs
+++ b/crates/hazelspur-server/src/request/lifecycle.rs
@@ -75,6 +75,9 @@
     Queued,
     /// The response of the original attempt will be this request's too.
     AwaitingOriginal,
+    /// The controller has chosen it to run, and the worker link is down: nothing is promised to the ingress and
+    /// nothing sent, so that it can still be rejected or expire.
+    AwaitingWorker,
     /// The worker runs it.
     Running(Run),
     /// Nothing is left to do.
@@ -131,6 +134,7 @@
         loop {
             state = match state {
                 State::Queued | State::AwaitingOriginal => self.advance_queued(state).await,
+                State::AwaitingWorker => self.advance_awaiting_worker().await,
                 State::Running(run) => self.advance_running(run).await,
                 State::Finished => return,
             };
@@ -153,6 +157,32 @@
         }
     }
 
+    async fn advance_awaiting_worker(&mut self) -> State {
+        let event = tokio::select! {
+            biased;
+            event = self.events.recv() => event,
+            () = self.services.worker.synchronized() => return self.start_if_permitted().await,
+        };
+        match event {
+            None => State::Finished,
+            Some(RequestEvent::ClientGone) => self.client_gone_while_queued(),
+            Some(RequestEvent::Decided(_)) => self.give_up_unstarted(),
+            Some(_) => State::AwaitingWorker,
+        }
+    }
+
+    /// Ends a request that the controller counts as running. Unless an earlier run of it was preempted, it is
+    /// known not to have run.
+    fn give_up_unstarted(&mut self) -> State {
+        self.report_run_finished(Outcome::NeverStarted);
+        if self.may_have_run {
+            self.responder.failed();
+        } else {
+            self.responder.rejected(Duration::ZERO, false);
+        }
+        State::Finished
+    }
+
     async fn advance_running(&mut self, mut run: Run) -> State {
         let event = tokio::select! {
             biased;
@@ -180,6 +210,9 @@
 
     /// Starts the run once the ingress permits it; without permission it never runs.
     async fn start_if_permitted(&mut self) -> State {
+        if !self.services.worker.is_synchronized() {
+            return State::AwaitingWorker;
+        }
         if let RunPermission::Awaiting(permitted) = self.responder.run_permission()
             && !permitted.await.unwrap_or(false)
         {
--- a/crates/hazelspur-server/src/upstream/worker/link.rs
+++ b/crates/hazelspur-server/src/upstream/worker/link.rs
@@ -64,6 +64,7 @@
     gauge_names: Vec<String>,
     /// Whether the connection's replay has ended and commands go out.
     is_synchronized: Cell<bool>,
+    synchronized_notification: Notify,
     out: RefCell<Vec<u8>>,
     out_notification: Notify,
 }
@@ -80,6 +81,7 @@
             endpoints,
             gauge_names,
             is_synchronized: Cell::new(false),
+            synchronized_notification: Notify::new(),
             out: RefCell::default(),
             out_notification: Notify::new(),
         }
@@ -90,6 +92,19 @@
         self.state.ready().await
     }
 
+    /// Whether a command that is sent now goes out at once.
+    pub fn is_synchronized(&self) -> bool {
+        self.is_synchronized.get()
+    }
+
+    /// Completes once commands go out at once.
+    pub async fn synchronized(&self) {
+        // Single-threaded: the link can't be synchronized between the check and the wait.
+        while !self.is_synchronized.get() {
+            self.synchronized_notification.notified().await;
+        }
+    }
+
     /// Starts a run.
     pub fn start(&self, request: RequestId, class: Arc<str>, body: Rc<[u8]>) {
         self.send(|out| runtime::start(out, &request.to_string(), &class, &body));
@@ -211,6 +226,7 @@
         replay.await.map_err(|_| LinkError::ReplayTimedOut)?;
         self.resend(&mut out);
         self.is_synchronized.set(true);
+        self.synchronized_notification.notify_waiters();
         loop {
             write.write_all(&out).await?;
             out.clear();
--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -181,6 +181,39 @@
     assert!(!said.text.contains("mode rate_limited"), "expired messages were taken for load:\n{}", said.text);
 }
 
+/// Guards against a run that begins after its time because its start waited for the worker link.
+#[test]
+fn a_message_that_expires_while_the_worker_link_is_down_never_runs_and_is_dead_lettered() {
+    for settle in ["before", "after"] {
+        let queue = format!("queue(name = \"orders\", window = \"fixed\", most = 8, settle = {settle:?})\n");
+        let mut shop = Shop::consuming(&queue, Pace::default(), "orders");
+        {
+            let mut town = shop.runtime.town();
+            town.refuses_links = true;
+            town.break_link();
+        }
+        let short = Sent { sent_ms: Some(now_ms()), waits_ms: Some(500), ..Sent::default() };
+        shop.publish("orders", "view", "short view", short);
+        shop.publish("orders", "book", "short book", short);
+        let long = Sent { sent_ms: Some(now_ms()), waits_ms: Some(60_000), ..Sent::default() };
+        shop.publish("orders", "book", "long book", long);
+        let times_are_over = short.sent_ms.zip(short.waits_ms).map(|(sent, waits)| sent + waits + 50);
+        shop.broker.until(SOON, |_| Some(now_ms()) >= times_are_over);
+        shop.runtime.town().refuses_links = false;
+        assert!(shop.settled(&["orders"]));
+        assert!(shop.broker.until(SOON, |_| !shop.runtime.town().runs.is_empty()), "nothing ran");
+        let said = shop.leave();
+        assert_eq!(shop.breaches(0), Vec::<String>::new(), "{settle}\n{}", said.text);
+        let seen = (shop.runs(), shop.waiting("dead"), said.errors());
+        assert_eq!(
+            seen,
+            ("long book 1".into(), "short book, short view".into(), 0),
+            "{settle}\n{}",
+            said.text
+        );
+    }
+}
+
 #[test]
 fn a_connection_lost_while_draining_loses_no_reply_and_repeats_no_run() {
     let mut shop = Shop::new(ORDERS, Pace { run_ms: 300, cores: 4, ..Pace::default() });
--- a/crates/hazelspur-server/tests/worker_link.rs
+++ b/crates/hazelspur-server/tests/worker_link.rs
@@ -3,6 +3,7 @@
 mod harness;
 
 use harness::*;
+use std::fmt::Write as _;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -118,6 +119,39 @@
     .assert_eq(&server.trace);
 }
 
+/// Guards against a run after its request was failed, since its start waited for the link: one of each kind.
+#[test]
+fn request_that_expires_while_the_link_is_down_is_rejected_and_never_starts() {
+    let edit = |config| with_tenants(config, 5000);
+    let (mut server, link) = ServerHarness::new_with("down", "", edit);
+    let mut gateway = server.connect_gateway();
+    drop(link);
+    let mut link = server.accept_worker_link();
+    for (id, class) in [(1, "view"), (2, "book"), (3, "pay")] {
+        let expiring = request(id, id, class, ",\"owner\":\"a\",\"opkey\":\"k\"");
+        gateway.send(&format!("{}\n", expiring.replace("\"timeout\":4000", "\"timeout\":2000")));
+    }
+    let mut answers: Vec<String> = (0..3).map(|_| gateway.record_next(&mut String::new())).collect();
+    answers.sort();
+    for answer in answers {
+        let _ = writeln!(server.trace, "{}", &answer[..answer.len().min(46)]);
+    }
+    link.send("ready hot 2000\r\n");
+    link.record_next(&mut server.trace);
+    // Its key is free: the retry runs.
+    let retry = request(4, 4, "book", ",\"owner\":\"a\",\"opkey\":\"k\"");
+    server.start_run(&mut gateway, &mut link, &retry);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < sync 0
+        {"jsonrpc":"2.0","id":1,"error":{"code":-32011
+        {"jsonrpc":"2.0","id":2,"error":{"code":-32011
+        {"jsonrpc":"2.0","id":3,"error":{"code":-32011
+        runtime < start 0000000000000004 book 5 hello
+    "#]]
+    .assert_eq(&server.trace);
+}
+
 #[test]
 fn link_that_is_silent_before_ready_is_replaced() {
     let mut server = ServerHarness::started("quiet", "");
