Reconnects to a worker that closes each link wait ever longer

Cause: the pause between reconnects began anew at every accept. It begins anew only after a link over which commands went out: 20 ms, doubled up to 500 ms. Test: link_that_is_closed_at_once_is_made_anew_after_growing_pauses.

--- a/crates/hazelspur-server/src/upstream/worker/link.rs
+++ b/crates/hazelspur-server/src/upstream/worker/link.rs
@@ -151,9 +151,11 @@
         loop {
             match timeout(to_std(connect_timeout), TcpStream::connect(address)).await {
                 Ok(Ok(stream)) => {
-                    pause = RECONNECT_PAUSE;
                     let why = self.serve(stream).await;
-                    self.is_synchronized.set(false);
+                    // A worker that accepts and closes at once is as good as one that refuses.
+                    if self.is_synchronized.replace(false) {
+                        pause = RECONNECT_PAUSE;
+                    }
                     log::warn!(last = self.state.last_notice(), why:%; "worker link broke");
                 }
                 Ok(Err(_)) => log::debug!("worker link refused"),
--- a/crates/hazelspur-server/tests/worker_link.rs
+++ b/crates/hazelspur-server/tests/worker_link.rs
@@ -152,6 +152,21 @@
     .assert_eq(&server.trace);
 }
 
+/// Guards against a dial and a log line every 25 ms while the worker closes each link.
+#[test]
+fn link_that_is_closed_at_once_is_made_anew_after_growing_pauses() {
+    let (server, link) = ServerHarness::new("closing", "");
+    drop(link);
+    let since = Instant::now();
+    let mut links = 0;
+    while since.elapsed() < Duration::from_millis(1500) {
+        drop(accept(&server.runtime));
+        links += 1;
+    }
+    // 20 ms, doubled up to 500.
+    assert!((3..=8).contains(&links), "{links} links in 1.5 s");
+}
+
 #[test]
 fn link_that_is_silent_before_ready_is_replaced() {
     let mut server = ServerHarness::started("quiet", "");
