The server logs at its end how many requests each rule has rejected or failed

Need: a request that got -32000 in a drain could not be told from one that a rule rejected: the controller counts its reasons, and nothing showed them.

--- a/crates/hazelspur-server/src/process/shutdown.rs
+++ b/crates/hazelspur-server/src/process/shutdown.rs
@@ -33,6 +33,7 @@
     if let Some(transport) = &server.gossip {
         transport.announce_left();
     }
+    dispatcher.log_rejections();
     server.phases.enter(Phase::Over, gateways.counts());
 }
 
--- a/crates/hazelspur-server/src/request/dispatcher.rs
+++ b/crates/hazelspur-server/src/request/dispatcher.rs
@@ -147,6 +147,16 @@
         self.controller.borrow().as_ref().map_or(0.0, |controller| controller.tenant_rate(now, tenant))
     }
 
+    /// Logs how many requests each rule of the controller has rejected or failed, if any has.
+    pub fn log_rejections(&self) {
+        let controller = self.controller.borrow();
+        let Some(counts) = controller.as_ref().map(AdmissionController::rejection_counts) else { return };
+        if !counts.is_empty() {
+            let counts: String = counts.iter().map(|(reason, count)| format!(" {reason}={count}")).collect();
+            log::info!("requests rejected or failed by rule{counts}");
+        }
+    }
+
     /// Counts a final response.
     pub fn count_response(&self, response: Response) {
         let mut counts = self.response_counts.get();
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -5,6 +5,7 @@
 use crate::rejection::RejectionReason;
 use crate::statistics::mean;
 use crate::{TenantId, Timestamp};
+use std::collections::BTreeMap;
 
 impl AdmissionController {
     /// How many requests in hand could still succeed within their objectives.
@@ -36,6 +37,11 @@
         self.tenants.rate_per_s(now, tenant)
     }
 
+    /// How many requests each rule has rejected or failed since the start; rules with none are left out.
+    pub fn rejection_counts(&self) -> &BTreeMap<RejectionReason, u64> {
+        self.rejections.counts()
+    }
+
     /// How many requests a rule has rejected or failed since the start.
     pub fn rejection_count(&self, reason: RejectionReason) -> u64 {
         self.rejections.count_of(reason)
--- a/src/rejection.rs
+++ b/src/rejection.rs
@@ -6,6 +6,7 @@
 use crate::RequestId;
 use crate::statistics::SampleWindow;
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// Requests whose outcome is remembered for the rejected share.
 pub(crate) const RECENT_REQUESTS: usize = 64;
@@ -37,6 +38,24 @@
     WorkLost,
 }
 
+impl fmt::Display for RejectionReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::UnknownClass => "unknown_class",
+            Self::DeadlineReached => "deadline_reached",
+            Self::ServerStops => "server_stops",
+            Self::ObjectiveReached => "objective_reached",
+            Self::MemoryLimit => "memory_limit",
+            Self::KeyMemoryLimit => "key_memory_limit",
+            Self::CallAttemptsExhausted => "call_attempts_exhausted",
+            Self::AdmissionRate => "admission_rate",
+            Self::ArrivedWhileDraining => "arrived_while_draining",
+            Self::WouldBeLate => "would_be_late",
+            Self::WorkLost => "work_lost",
+        })
+    }
+}
+
 /// A request to reject or fail, and the rule that says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Rejection {
@@ -76,6 +95,11 @@
         self.recent.iter().sum::<f64>() / RECENT_REQUESTS as f64
     }
 
+    /// How many requests each rule has rejected since the start; rules that rejected none are left out.
+    pub(crate) fn counts(&self) -> &BTreeMap<RejectionReason, u64> {
+        &self.counts
+    }
+
     /// How many requests a rule has rejected since the start.
     pub(crate) fn count_of(&self, reason: RejectionReason) -> u64 {
         self.counts.get(&reason).copied().unwrap_or(0)
--- a/tests/rejections.rs
+++ b/tests/rejections.rs
@@ -77,6 +77,16 @@
     assert_eq!(counted(&stopping), [(RejectionReason::ServerStops, 1)]);
 }
 
+#[test]
+fn the_counts_by_rule_leave_out_rules_that_rejected_none_and_are_shown_by_name() {
+    let mut harness = Harness::new("");
+    harness.receive("odd", RequestSpec { request_class: 9, ..RequestSpec::default() });
+    harness.receive("long", RequestSpec { cost_ms: Some(3000), ..RequestSpec::default() }).decide();
+    let counts = harness.controller.rejection_counts();
+    let shown: Vec<String> = counts.iter().map(|(reason, count)| format!("{reason}={count}")).collect();
+    assert_eq!(shown, ["unknown_class=1", "would_be_late=1"]);
+}
+
 #[test]
 fn a_request_that_would_be_late_and_a_run_whose_work_is_lost_have_different_reasons() {
     let mut late = Harness::new("");
