A request received after the grace period is rejected whenever it was stamped

Callers saw -32000 (may have run) for a request whose last byte came 300 ms past the grace period of a drain; it had been started (rule 3).

Cause: late_rejection.rs compared the client's stamp with the end of the grace period. The protocol counts a request from its last byte.

The test of the controller failed before: counted [] where [(ArrivedWhileDraining, 1)] is due.

Change: a request keeps when all of it was received; that decides.

--- a/crates/hazelspur-server/tests/shutdown.rs
+++ b/crates/hazelspur-server/tests/shutdown.rs
@@ -118,6 +118,33 @@
     .assert_eq(&server.trace);
 }
 
+/// Guards against a run past the grace period: its client stamped the request before, its last byte came after.
+#[test]
+fn request_completed_after_the_grace_period_is_rejected_whenever_it_was_stamped() {
+    let (mut server, mut link) = ServerHarness::new("stamped", "");
+    let mut gateway = server.connect_gateway();
+    let begun = Instant::now();
+    server.signal("-TERM");
+    wait_until(begun, 150);
+    let line = request(2, 2, "view", "");
+    gateway.send(&line[..50]);
+    wait_until(begun, 500);
+    gateway.send(&format!("{}\n", &line[50..]));
+    gateway.record_next(&mut server.trace);
+    let answer = gateway.record_next(&mut String::new());
+    let _ = writeln!(server.trace, "{}, {}", &answer[..answer.len().min(46)], gateway.read_line());
+    link.record_next(&mut server.trace);
+    server.wait_for_exit();
+    expect_test::expect![[r#"
+        runtime < sync 0
+        gateway < {"jsonrpc":"2.0","method":"farewell"}
+        {"jsonrpc":"2.0","id":2,"error":{"code":-32011, (closed)
+        runtime < (closed)
+        exit Some(0)
+    "#]]
+    .assert_eq(&server.trace);
+}
+
 #[test]
 fn shutdown_before_the_worker_is_up_drops_no_request() {
     let mut server = ServerHarness::started("unready", "");
--- a/src/controller/inputs.rs
+++ b/src/controller/inputs.rs
@@ -65,6 +65,7 @@
             session: new.session,
             client: new.client,
             arrived,
+            received: now,
             deadline,
             objective_at,
             size_kb: new.size_kb,
--- a/src/request.rs
+++ b/src/request.rs
@@ -105,8 +105,10 @@
     pub(crate) session: Option<SessionKey>,
     /// The client that sent it.
     pub(crate) client: ClientId,
-    /// When it arrived.
+    /// When it arrived at the machine, as its client stamped it.
     pub(crate) arrived: Timestamp,
+    /// When this server had received all of it.
+    pub(crate) received: Timestamp,
     /// When the client needs the response.
     pub(crate) deadline: Timestamp,
     /// When its latency objective ends.
--- a/src/scheduling/late_rejection.rs
+++ b/src/scheduling/late_rejection.rs
@@ -98,7 +98,7 @@
 
     fn reason(&self, request: &Request, wait_s: f64) -> Option<RejectionReason> {
         let grace = self.drain_grace_period;
-        if self.shutdown.is_some_and(|shutdown| shutdown.rejects_arrival(request.arrived, grace)) {
+        if self.shutdown.is_some_and(|shutdown| shutdown.rejects_arrival(request.received, grace)) {
             return Some(RejectionReason::ArrivedWhileDraining);
         }
         let last = if request.allows_late_response() { request.deadline } else { request.objective_at };
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -20,8 +20,8 @@
         now >= self.stops_at.back(RESPONSE_MARGIN)
     }
 
-    /// Whether a request that arrived at this time is too late to be served.
-    pub(crate) fn rejects_arrival(self, arrived: Timestamp, grace_period: Duration) -> bool {
-        arrived > self.notified_at + grace_period
+    /// Whether a request is too late to be served that was received at this time, whenever its client sent it.
+    pub(crate) fn rejects_arrival(self, received: Timestamp, grace_period: Duration) -> bool {
+        received > self.notified_at + grace_period
     }
 }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -51,6 +51,8 @@
     pub remaining_wait_ms: u64,
     pub cost_ms: Option<u64>,
     pub size_kb: f64,
+    /// How long before its receipt the client sent it, in ms.
+    pub age_ms: u64,
     pub retry_of: Option<&'a str>,
 }
 
@@ -64,6 +66,7 @@
             remaining_wait_ms: 4000,
             cost_ms: None,
             size_kb: 10.0,
+            age_ms: 0,
             retry_of: None,
         }
     }
@@ -143,7 +146,7 @@
             deadline: Some(self.now + Duration::from_ms(spec.remaining_wait_ms)),
             cost: spec.cost_ms.map(Duration::from_ms),
             size_kb: spec.size_kb,
-            age: Duration::ZERO,
+            age: Duration::from_ms(spec.age_ms),
             is_write: false,
             retry_of: spec.retry_of.map(id),
         };
--- a/tests/rejections.rs
+++ b/tests/rejections.rs
@@ -77,6 +77,17 @@
     assert_eq!(counted(&stopping), [(RejectionReason::ServerStops, 1)]);
 }
 
+/// Guards against a run past the grace period, of a request that was on its way for long.
+#[test]
+fn a_request_received_after_the_grace_period_is_rejected_whenever_it_was_sent() {
+    let mut harness = Harness::new("");
+    harness.controller.shutdown_notice(harness.now, Timestamp::from_us(53_000_000));
+    harness.at(2000).receive("at-its-end", RequestSpec { age_ms: 300, ..RequestSpec::default() }).decide();
+    assert_eq!(counted(&harness), []);
+    harness.at(2001).receive("past-it", RequestSpec { age_ms: 300, ..RequestSpec::default() }).decide();
+    assert_eq!(counted(&harness), [(RejectionReason::ArrivedWhileDraining, 1)]);
+}
+
 #[test]
 fn the_counts_by_rule_leave_out_rules_that_rejected_none_and_are_shown_by_name() {
     let mut harness = Harness::new("");
