A shutdown notice that is handled late counts from its sending

Cause: shut_down counted grace period and stop from the handling of the signal, which carries no time.

Change: process/standstill.rs observes the event loop every 20 ms; a notice counts from the observation before it, or from the beginning of a standstill that has just ended. Where the stop is near by then, connections still get 100 ms. The wait for the worker comes first in its select: a notice in the same turn skipped the grace period by chance.

--- a/crates/hazelspur-server/src/process/mod.rs
+++ b/crates/hazelspur-server/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod serve;
 mod server;
 mod shutdown;
+pub mod standstill;
 pub mod supervise;
 
 pub use serve::{Signals, StartInputs, serve};
--- a/crates/hazelspur-server/src/process/serve.rs
+++ b/crates/hazelspur-server/src/process/serve.rs
@@ -49,6 +49,8 @@
     let reloader = server.reloader(&operator, options.file);
     server.spawn_tasks(&gateways, signals.hangup, reloader);
     let serves = tokio::select! {
+        // A notice that comes with the worker's status finds a server that serves.
+        biased;
         worker = server.services.worker.ready() => {
             server.start_controller(worker);
             true
--- a/crates/hazelspur-server/src/process/server.rs
+++ b/crates/hazelspur-server/src/process/server.rs
@@ -3,6 +3,7 @@
 use super::descriptors::Descriptors;
 use super::error::StartError;
 use super::phases::Phases;
+use super::standstill::StandstillDetector;
 use super::supervise::supervise;
 use crate::config::operator::OperatorConfig;
 use crate::config::reload::{self, References, Reloader};
@@ -32,6 +33,7 @@
     pub(super) config: Rc<ServerConfig>,
     pub(super) phases: Rc<Phases>,
     pub(super) services: Rc<Services>,
+    pub(super) standstills: Rc<StandstillDetector>,
     pub(super) queues: Option<Rc<AmqpConsumer>>,
     pub(super) gossip: Option<Rc<GossipTransport>>,
     catalog: Rc<RefCell<Catalog>>,
@@ -51,6 +53,7 @@
         let dispatcher = Rc::new(Dispatcher::default());
         dispatcher.clock.set_wall_offset_ms(clock_offset_ms);
         dispatcher.deduplication.replace(deduplication(&config, &catalog));
+        let standstills = Rc::new(StandstillDetector::new(dispatcher.clock.now()));
         let endpoints = Rc::new(UpstreamEndpoints::new(config.addresses));
         let gauge_names = config.gauge_names.clone();
         let services = Rc::new(Services {
@@ -62,6 +65,7 @@
             config: Rc::new(config),
             phases,
             services,
+            standstills,
             queues: None,
             gossip: None,
             catalog: Rc::new(RefCell::new(catalog)),
@@ -141,6 +145,11 @@
         supervise("runtime", worker, WorkerLink::run);
         supervise("tick", worker, WorkerLink::run_timer);
         supervise("dispatcher", dispatcher, Dispatcher::run);
+        let clock = dispatcher.clone();
+        supervise("standstills", &self.standstills, move |standstills| {
+            let clock = clock.clone();
+            standstills.run(move || clock.clock.now())
+        });
         self.spawn_health_reporter();
     }
 
--- a/crates/hazelspur-server/src/process/shutdown.rs
+++ b/crates/hazelspur-server/src/process/shutdown.rs
@@ -10,23 +10,37 @@
 const ENDING_MARGIN: Duration = Duration::from_ms(180);
 /// How long before the stop the process exits, whatever is open.
 const STOP_MARGIN: Duration = Duration::from_ms(40);
+/// How long connections are closed at least, where the notice was handled so late that the stop is past or near:
+/// what was received is answered although the process may be killed meanwhile.
+const MIN_ENDING_TIME: Duration = Duration::from_ms(100);
+/// A notice handled this late is logged, in milliseconds.
+const LOGGED_DELAY_MS: u64 = 60;
+/// Microseconds of a millisecond.
+const US_PER_MS: u64 = 1000;
 /// How often it is checked whether everything is closed.
 const CHECK_INTERVAL: Duration = Duration::from_ms(5);
 
 /// Drains, closes and ends; a server that never served has nothing to drain.
 pub(super) async fn shut_down(server: &Server, gateways: &GatewayServer, serves: bool) {
     let dispatcher = &server.services.dispatcher;
-    let noticed_at = dispatcher.clock.now();
+    let handled_at = dispatcher.clock.now();
+    // The platform counts from the sending of the signal.
+    let noticed_at = server.standstills.earliest_signal(handled_at);
+    let delayed_ms = (handled_at - noticed_at).us() / US_PER_MS;
+    if delayed_ms >= LOGGED_DELAY_MS {
+        log::warn!(delayed_ms; "shutdown notice handled late, its times count from its sending");
+    }
     let stop_at = noticed_at + server.config.stop;
     let end_at = stop_at.back(ENDING_MARGIN);
     if serves {
-        dispatcher.report(|controller, now| controller.shutdown_notice(now, stop_at));
+        dispatcher.report(|controller, _| controller.shutdown_notice(noticed_at, stop_at));
         server.phases.enter(Phase::Draining, gateways.counts());
         let grace_ends_at = noticed_at + server.config.grace_period;
         dispatcher.clock.sleep_until(grace_ends_at.min(end_at)).await;
     }
     run_phase(server, gateways, Phase::Closing, end_at).await;
-    run_phase(server, gateways, Phase::Ending, stop_at.back(STOP_MARGIN)).await;
+    let exit_at = stop_at.back(STOP_MARGIN).max(dispatcher.clock.now() + MIN_ENDING_TIME);
+    run_phase(server, gateways, Phase::Ending, exit_at).await;
     if let Some(queues) = &server.queues {
         queues.log_counters();
     }
--- a/crates/hazelspur-server/tests/shutdown.rs
+++ b/crates/hazelspur-server/tests/shutdown.rs
@@ -145,6 +145,67 @@
     .assert_eq(&server.trace);
 }
 
+/// A drain in which the server is suspended for some time; times count from the sending of SIGTERM.
+struct SuspendedDrain {
+    suspended_ms: u64,
+    /// When the suspension begins; SIGTERM is sent within it if it begins with that.
+    from_ms: u64,
+    /// When a whole request is sent, past the grace period of 300 ms.
+    request_ms: u64,
+}
+
+/// What became of a drain's request, whether the worker got it, and the end of the process.
+fn play_suspended_drain(name: &str, drain: &SuspendedDrain) -> String {
+    let (mut server, mut link) = ServerHarness::new(name, "");
+    let mut gateway = server.connect_gateway();
+    gateway.send("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n");
+    gateway.record_next(&mut String::new());
+    if drain.from_ms == 0 {
+        server.signal("-STOP");
+    }
+    let begun = Instant::now();
+    server.signal("-TERM");
+    if drain.from_ms > 0 {
+        wait_until(begun, drain.from_ms);
+        server.signal("-STOP");
+    }
+    wait_until(begun, drain.request_ms);
+    gateway.send(&format!("{}\n", request(2, 2, "view", "")));
+    wait_until(begun, drain.from_ms + drain.suspended_ms);
+    server.signal("-CONT");
+    let mut answer = gateway.record_next(&mut String::new());
+    if answer.contains("farewell") {
+        answer = gateway.record_next(&mut String::new());
+    }
+    let at_worker = link.record_next(&mut String::new());
+    let status = server.server.wait().expect("the server ends").code();
+    let in_time = begun.elapsed() < Duration::from_millis(1500);
+    format!(
+        "{}, worker {at_worker}, exit {status:?}, before the kill {in_time}",
+        &answer[..answer.len().min(46)]
+    )
+}
+
+/// Guards against a notice that counts from its handling: what arrives past the grace period as its sender counts it
+/// does not run, and the process has ended when its kill comes.
+#[test]
+fn notice_handled_late_counts_from_its_sending() {
+    let drains = [(450, 0, 350), (450, 0, 440), (1200, 0, 900), (600, 20, 500), (400, 150, 340)];
+    let seen: Vec<String> = std::thread::scope(|scope| {
+        let playing = drains.map(|(suspended_ms, from_ms, request_ms)| {
+            scope.spawn(move || {
+                let name = format!("late-{suspended_ms}-{from_ms}-{request_ms}");
+                play_suspended_drain(&name, &SuspendedDrain { suspended_ms, from_ms, request_ms })
+            })
+        });
+        playing.into_iter().map(|playing| playing.join().expect("it is played")).collect()
+    });
+    for (drain, seen) in drains.iter().zip(&seen) {
+        let expected = r#"{"jsonrpc":"2.0","id":2,"error":{"code":-32011, worker (closed), exit Some(0), before the kill true"#;
+        assert_eq!(seen, expected, "suspended for, from, request at: {drain:?} ms");
+    }
+}
+
 #[test]
 fn shutdown_before_the_worker_is_up_drops_no_request() {
     let mut server = ServerHarness::started("unready", "");
