A message whose time ends between its ack and its fence is dead-lettered

Callers: a message that must not run twice was acknowledged, never ran and was in no dead-letter queue, where its waiting time ended before its fence was answered.

Cause: after the ack there is nothing to reject; the tracker counted the loss.

Change: the answered fence proves that the ack was read and nothing ran, so a copy published to the message's own queue is the only one; it is expired there and settled by the queue's rules. A copy that is not confirmed is counted as before and never published again.

--- a/crates/hazelspur-deliveries/src/tracker/action.rs
+++ b/crates/hazelspur-deliveries/src/tracker/action.rs
@@ -50,6 +50,11 @@
         /// Attempts so far, this one included.
         attempts: u32,
     },
+    /// Publish a copy to the delivery's own queue, with the time of sending and the longest wait of the original.
+    PublishExpired {
+        /// The delivery to copy.
+        id: DeliveryId,
+    },
     /// Drop what is stored for the delivery.
     Release {
         /// The delivery that is over.
--- a/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
+++ b/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
@@ -40,7 +40,10 @@
             | DeliveryState::Publishing { publication: Publication::RetryCopy { .. }, .. } => {
                 self.leave_to_broker(id);
             }
-            DeliveryState::Running | DeliveryState::Publishing { publication: Publication::Reply, .. } => {}
+            DeliveryState::Running
+            | DeliveryState::Publishing {
+                publication: Publication::Reply | Publication::ExpiredCopy, ..
+            } => {}
         }
     }
 
--- a/crates/hazelspur-deliveries/src/tracker/counters.rs
+++ b/crates/hazelspur-deliveries/src/tracker/counters.rs
@@ -21,7 +21,8 @@
     pub possible_duplicates: u64,
     /// Left to the broker when their channel was lost before they ran.
     pub left_to_broker: u64,
-    /// Acknowledged and never run, since the connection broke or the deadline passed before the fence.
+    /// Acknowledged and never run, since the connection broke before the fence, or the deadline passed before it and
+    /// the broker did not confirm the copy.
     pub acked_without_run: u64,
     /// Replies that the broker did not take.
     pub replies_lost: u64,
--- a/crates/hazelspur-deliveries/src/tracker/delivery.rs
+++ b/crates/hazelspur-deliveries/src/tracker/delivery.rs
@@ -14,6 +14,9 @@
     Reply,
     /// A copy to the retry queue.
     RetryCopy { delay: Duration },
+    /// A copy to its own queue, of a message whose time ended between its ack and its run. The broker has read the
+    /// ack and nothing ran, so the copy is the only one; whoever gets it settles it as expired.
+    ExpiredCopy,
 }
 
 /// State of a delivery between its receipt and its settlement.
@@ -52,6 +55,14 @@
     }
 }
 
+impl DeliveryState {
+    /// Whether it waits for nothing but a connection on which it can be published.
+    pub(super) fn is_publishing_without_tag(self) -> bool {
+        let published = |publication| matches!(publication, Publication::Reply | Publication::ExpiredCopy);
+        matches!(self, Self::Publishing { publication, .. } if published(publication))
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct Delivery {
     pub(super) queue: QueueId,
--- a/crates/hazelspur-deliveries/src/tracker/mod.rs
+++ b/crates/hazelspur-deliveries/src/tracker/mod.rs
@@ -145,9 +145,10 @@
         self.deliveries.len()
     }
 
-    /// Whether a reply waits for a connection, or a running request may want one.
+    /// Whether a reply or an expired copy waits for a connection, or a running request may want one.
     pub fn has_pending_replies(&self) -> bool {
-        let pending = |state: DeliveryState| state.is_publishing_reply() || state == DeliveryState::Running;
+        let pending =
+            |state: DeliveryState| state.is_publishing_without_tag() || state == DeliveryState::Running;
         self.deliveries.values().any(|delivery| pending(delivery.state))
     }
 
--- a/crates/hazelspur-deliveries/src/tracker/publishing.rs
+++ b/crates/hazelspur-deliveries/src/tracker/publishing.rs
@@ -29,6 +29,7 @@
             Publication::RetryCopy { delay } => {
                 DeliveryAction::PublishRetry { id, delay, attempts: delivery.previous_attempts + 1 }
             }
+            Publication::ExpiredCopy => DeliveryAction::PublishExpired { id },
             Publication::Reply => DeliveryAction::PublishReply {
                 id,
                 outcome: delivery.outcome,
@@ -51,6 +52,11 @@
                 self.counters.retried += 1;
                 self.settle_as(id, Settlement::Ack);
             }
+            Publication::ExpiredCopy => {
+                self.counters.expired += u64::from(routed);
+                self.counters.acked_without_run += u64::from(!routed);
+                self.settle(id);
+            }
             Publication::Reply => {
                 self.counters.replies_lost += u64::from(!routed);
                 self.settle(id);
@@ -78,7 +84,8 @@
         }
     }
 
-    /// The publishing channel is ready, or lost. What is unconfirmed when it is lost is published again.
+    /// The publishing channel is ready, or lost. What is unconfirmed when it is lost is published again, but for the
+    /// copies of messages that must not run twice.
     pub fn set_publishing_ready(&mut self, ready: bool) {
         self.publisher.channel_ready = ready;
         self.publisher.blocked_by_broker = false;
@@ -86,6 +93,7 @@
             return;
         }
         self.publish_queue.clear();
+        self.give_up_unconfirmed_copies();
         for (id, delivery) in &mut self.deliveries {
             if let DeliveryState::Publishing { sent_at, .. } = &mut delivery.state {
                 *sent_at = None;
@@ -95,6 +103,18 @@
         }
     }
 
+    /// Of a copy that may have been published there is no second one.
+    fn give_up_unconfirmed_copies(&mut self) {
+        let unconfirmed = self.select(|delivery| {
+            let DeliveryState::Publishing { publication, sent_at } = delivery.state else { return false };
+            publication == Publication::ExpiredCopy && sent_at.is_some()
+        });
+        for id in unconfirmed {
+            self.counters.acked_without_run += 1;
+            self.settle(id);
+        }
+    }
+
     /// The broker closed the publishing channel: any unconfirmed message may be the cause, so all count as
     /// refused.
     pub fn publishing_channel_closed(&mut self, now: Timestamp) {
--- a/crates/hazelspur-deliveries/src/tracker/run.rs
+++ b/crates/hazelspur-deliveries/src/tracker/run.rs
@@ -1,9 +1,10 @@
 //! Submission of a delivery's request and its run.
 
-use super::delivery::DeliveryState;
+use super::delivery::{DeliveryState, Publication};
 use super::{DeliveryAction, DeliveryTracker};
 use crate::identifiers::DeliveryId;
 use crate::outcome::DeliveryOutcome;
+use crate::settlement::Settlement;
 use hazelspur::Timestamp;
 use std::rc::Rc;
 
@@ -93,11 +94,23 @@
             return;
         }
         if self.is_expired(now, id) {
-            // It cannot be dead-lettered any more: its ack is sent.
+            return self.expire_after_ack(now, id);
+        }
+        self.begin_run(id);
+    }
+
+    /// The message cannot be rejected any more: its ack was read. A copy of it is settled in its place, unless
+    /// expired messages are acknowledged anyway.
+    fn expire_after_ack(&mut self, now: Timestamp, id: DeliveryId) {
+        let Some(delivery) = self.deliveries.get_mut(&id) else { return };
+        if self.queues[delivery.queue.0].settlements.expired == Settlement::Ack {
             self.counters.acked_without_run += 1;
             return self.expire_before_run(now, id);
         }
-        self.begin_run(id);
+        delivery.outcome = DeliveryOutcome::Expired;
+        self.gates[delivery.queue.0].delivery_finished(now, delivery.submitted_at);
+        self.resolve_run(id, false);
+        self.begin_publishing(now, id, Publication::ExpiredCopy);
     }
 
     /// The fence could not be sent, or its channel is lost: the request never runs.
--- a/crates/hazelspur-deliveries/tests/tracker/traces.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/traces.rs
@@ -4,7 +4,8 @@
 use hazelspur::Duration;
 use hazelspur::Idempotency::{Idempotent, IdempotentWithKey, NonIdempotent};
 use hazelspur_deliveries::{
-    ConnectionNumber, DeliveryId, DeliveryOutcome, QueueId, ReceivedDelivery, Settlement, SettlementTable,
+    ConnectionNumber, DeliveryId, DeliveryOutcome, DeliveryTracker, QueueId, ReceivedDelivery, Settlement,
+    SettlementTable,
 };
 
 const REJECTED: DeliveryOutcome = DeliveryOutcome::Rejected(Duration::from_ms(300));
@@ -75,6 +76,88 @@
     .assert_eq(&actions(&mut tracker, 0));
 }
 
+/// Guards against a message that is lost between its ack and its run, and against a second copy of it.
+#[test]
+fn an_expired_copy_that_is_not_confirmed_is_counted_and_not_published_again() {
+    let fence_answered_late = |tracker: &mut DeliveryTracker| {
+        let expiring =
+            ReceivedDelivery { deadline: Some(at(500)), ..received(tag(1, 1), "a", NonIdempotent) };
+        let id = tracker.delivery_received(at(0), expiring);
+        tracker.run_requested(at(300), id);
+        actions(tracker, 300);
+        tracker.fence_answered(at(450), id);
+        id
+    };
+    let mut seen = String::new();
+    for (name, ends) in
+        [("refused", 0), ("returned", 1), ("in no time", 2), ("connection lost", 3), ("unsent", 4)]
+    {
+        let mut tracker = new_tracker(SettlementTable::default(), true);
+        tracker.set_publishing_ready(ends != 4);
+        let id = fence_answered_late(&mut tracker);
+        seen += &format!("{name}\n{}", actions(&mut tracker, 450));
+        match ends {
+            0 => tracker.publish_confirmed(at(460), id, false),
+            1 => {
+                tracker.publish_returned(id);
+                tracker.publish_confirmed(at(460), id, true);
+            }
+            2 => seen += &actions(&mut tracker, 5450),
+            _ => {
+                tracker.connection_lost(ConnectionNumber(1));
+                tracker.set_publishing_ready(false);
+                tracker.set_publishing_ready(true);
+            }
+        }
+        seen += &actions(&mut tracker, 5460);
+        seen += &format!("acked without run: {}\n", tracker.counters().acked_without_run);
+    }
+    expect_test::expect![[r#"
+        refused
+        450 ResolveRun { id: (1), permitted: false }
+        450 PublishExpired { id: (1) }
+        5460 Release { id: (1), outcome: Expired }
+        acked without run: 1
+        returned
+        450 ResolveRun { id: (1), permitted: false }
+        450 PublishExpired { id: (1) }
+        5460 Release { id: (1), outcome: Expired }
+        acked without run: 1
+        in no time
+        450 ResolveRun { id: (1), permitted: false }
+        450 PublishExpired { id: (1) }
+        5450 Release { id: (1), outcome: Expired }
+        acked without run: 1
+        connection lost
+        450 ResolveRun { id: (1), permitted: false }
+        450 PublishExpired { id: (1) }
+        5460 Release { id: (1), outcome: Expired }
+        acked without run: 1
+        unsent
+        450 ResolveRun { id: (1), permitted: false }
+        5460 PublishExpired { id: (1) }
+        acked without run: 0
+    "#]]
+    .assert_eq(&seen);
+}
+
+#[test]
+fn an_expired_message_that_is_acked_anyway_is_not_copied() {
+    let settlements = SettlementTable { expired: Settlement::Ack, ..SettlementTable::default() };
+    let mut tracker = new_tracker(settlements, true);
+    tracker.set_publishing_ready(true);
+    let expiring = ReceivedDelivery { deadline: Some(at(500)), ..received(tag(1, 1), "a", NonIdempotent) };
+    let id = tracker.delivery_received(at(0), expiring);
+    tracker.run_requested(at(300), id);
+    actions(&mut tracker, 300);
+    tracker.fence_answered(at(450), id);
+    expect_test::expect![[r#"
+        450 ResolveRun { id: (1), permitted: false }
+        450 Release { id: (1), outcome: Expired }
+    "#]]
+    .assert_eq(&actions(&mut tracker, 450));
+}
+
 #[test]
 fn an_expired_delivery_never_runs_in_whatever_state_it_expires() {
     let mut tracker = new_tracker(SettlementTable::default(), true);
@@ -92,6 +175,10 @@
     seen += &actions(&mut tracker, 521);
     tracker.fence_answered(at(650), fenced);
     seen += &actions(&mut tracker, 650);
+    tracker.set_publishing_ready(true);
+    seen += &actions(&mut tracker, 651);
+    tracker.publish_confirmed(at(652), fenced, true);
+    seen += &actions(&mut tracker, 652);
     seen += &format!("acked without run: {}\n", tracker.counters().acked_without_run);
     expect_test::expect![[r#"
         0 Reject(Tag {(1), channel: 1, tag: 1 })
@@ -108,8 +195,9 @@
         521 Reject(Tag {(1), channel: 1, tag: 3 })
         521 Release { id: (3), outcome: Expired }
         650 ResolveRun { id: (4), permitted: false }
-        650 Release { id: (4), outcome: Expired }
-        acked without run: 1
+        651 PublishExpired { id: (4) }
+        652 Release { id: (4), outcome: Expired }
+        acked without run: 0
     "#]]
     .assert_eq(&seen);
 }
--- a/crates/hazelspur-server/src/ingress/amqp/actions.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/actions.rs
@@ -46,6 +46,10 @@
                 let publish = |protocol: &mut Connection| self.publish_retry(protocol, id, delay, attempts);
                 self.publish(now, id, connection, publish);
             }
+            DeliveryAction::PublishExpired { id } => {
+                let publish = |protocol: &mut Connection| self.publish_expired(protocol, id);
+                self.publish(now, id, connection, publish);
+            }
             DeliveryAction::Release { id, outcome } => self.release(id, outcome),
         }
     }
--- a/crates/hazelspur-server/src/ingress/amqp/publishing.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/publishing.rs
@@ -1,7 +1,7 @@
 //! Messages that the consumer publishes: replies, and copies to the retry queue.
 
 use super::consumer::{AmqpConsumer, US_PER_MS};
-use super::message::{ATTEMPTS_HEADER, MAX_WAIT_HEADER, SENT_HEADER};
+use super::message::{ATTEMPTS_HEADER, MAX_WAIT_HEADER, SENT_HEADER, StoredMessage};
 use hazelspur::Duration;
 use hazelspur_amqp::{Connection, OutgoingMessage, Properties, TableWriter};
 use hazelspur_deliveries::{DeliveryId, DeliveryOutcome};
@@ -50,20 +50,37 @@
         let Some(message) = messages.get(&id) else { return false };
         let Some(queue) = &self.queues[message.queue.0].retry_queue else { return false };
         let Ok(original) = Properties::read(&message.properties) else { return false };
-        let mut headers = TableWriter::default()
-            .fields_except(original.headers.unwrap_or_default(), &[ATTEMPTS_HEADER, SENT_HEADER])
-            .integer(ATTEMPTS_HEADER, i64::from(attempts))
-            .integer(SENT_HEADER, (message.sent_at.us() / US_PER_MS) as i64);
-        let expiration_ms = original.expiration.and_then(|ms| ms.parse().ok());
-        if original.header(MAX_WAIT_HEADER).is_none()
-            && let Some(max_wait_ms) = expiration_ms
-        {
-            headers = headers.integer(MAX_WAIT_HEADER, max_wait_ms);
-        }
+        let headers = headers_of_copy(message, &original, &[ATTEMPTS_HEADER])
+            .integer(ATTEMPTS_HEADER, i64::from(attempts));
         let expiration = (delay.us() / US_PER_MS).max(1).to_string();
         let properties =
             Properties { headers: Some(headers.finish()), expiration: Some(&expiration), ..original };
         let copy = OutgoingMessage { number: id.0, queue, properties, body: &message.body };
         protocol.publish(self.publishing_channel(), &copy)
     }
+
+    /// Publishes a copy to the message's own queue, where it is expired already; returns whether it was sent.
+    pub(super) fn publish_expired(&self, protocol: &mut Connection, id: DeliveryId) -> bool {
+        let messages = self.messages.borrow();
+        let Some(message) = messages.get(&id) else { return false };
+        let Ok(original) = Properties::read(&message.properties) else { return false };
+        let headers = headers_of_copy(message, &original, &[]);
+        let properties = Properties { headers: Some(headers.finish()), expiration: None, ..original };
+        let queue = self.queues[message.queue.0].name.as_str();
+        let copy = OutgoingMessage { number: id.0, queue, properties, body: &message.body };
+        protocol.publish(self.publishing_channel(), &copy)
+    }
+}
+
+/// The headers of a copy: all but those named, with the time of sending and the longest wait of the original.
+fn headers_of_copy(message: &StoredMessage, original: &Properties<'_>, without: &[&str]) -> TableWriter {
+    let without = [&[SENT_HEADER], without].concat();
+    let headers = TableWriter::default()
+        .fields_except(original.headers.unwrap_or_default(), &without)
+        .integer(SENT_HEADER, (message.sent_at.us() / US_PER_MS) as i64);
+    let expiration_ms = original.expiration.and_then(|ms| ms.parse().ok());
+    match expiration_ms.filter(|_| original.header(MAX_WAIT_HEADER).is_none()) {
+        Some(max_wait_ms) => headers.integer(MAX_WAIT_HEADER, max_wait_ms),
+        None => headers,
+    }
 }
--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -214,6 +214,26 @@
     }
 }
 
+/// Guards against a message that is acknowledged and neither runs nor is dead-lettered.
+#[test]
+fn a_message_that_expires_between_its_ack_and_its_fence_is_dead_lettered() {
+    let mut shop = Shop::consuming(ORDERS, Pace::default(), "orders");
+    shop.broker.declare("answers", None);
+    let sent = Sent { sent_ms: Some(now_ms()), waits_ms: Some(400), reply: true, ..Sent::default() };
+    shop.publish("orders", "book", "short", sent);
+    {
+        // The broker stands still: it has delivered the message and does not read the ack.
+        let _state = shop.broker.state();
+        std::thread::sleep(std::time::Duration::from_millis(600));
+    }
+    assert!(shop.broker.until(SOON, |state| state.ready("dead") == 1), "it is not dead-lettered");
+    assert!(shop.settled(&["orders"]));
+    let said = shop.leave();
+    let seen = (shop.runs(), shop.waiting("dead"), shop.waiting("answers"), shop.breaches(0), said.errors());
+    let expected = (String::new(), "short".to_string(), " expired".to_string(), Vec::new(), 0);
+    assert_eq!(seen, expected, "{}", said.text);
+}
+
 #[test]
 fn a_connection_lost_while_draining_loses_no_reply_and_repeats_no_run() {
     let mut shop = Shop::new(ORDERS, Pace { run_ms: 300, cores: 4, ..Pace::default() });
