Deliveries whose fence is open at the end of the process are counted as lost

Callers: a message acknowledged before its run was lost when the process ended before its fence was answered, and the log said unproven=0.

Cause: fences are counted as lost with their connection, and the process ends without closing it. log_counters now takes the connection as lost first.

Evidence: a_message_whose_fence_is_open_at_the_end_is_counted on the old text: unproven 0 where 1 is due; the broker got the ack.

--- a/crates/hazelspur-server/src/ingress/amqp/consumer.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/consumer.rs
@@ -180,8 +180,9 @@
             "broker connection lost");
     }
 
-    /// Logs the counters of all deliveries.
+    /// Logs the counters of all deliveries. What still awaits its fence never runs and is counted as such.
     pub fn log_counters(&self) {
+        self.disconnected();
         let (counters, in_hand) = (self.tracker.borrow().counters(), self.tracker.borrow().active());
         log::info!(in_hand, read = counters.received, acked = counters.acked, rejected = counters.rejected,
             requeued = counters.requeued, retried = counters.retried, replies_lost = counters.replies_lost,
--- a/crates/hazelspur-server/tests/helpers/mod.rs
+++ b/crates/hazelspur-server/tests/helpers/mod.rs
@@ -56,6 +56,14 @@
 }
 
 impl Said {
+    /// Of a process that ends by itself or has ended.
+    pub(crate) fn of(mut server: Child) -> Self {
+        let mut text = String::new();
+        server.stderr.take().expect("piped").read_to_string(&mut text).expect("text");
+        let status = server.wait().expect("it ends").code();
+        Self { status, text }
+    }
+
     /// Lines that tell of a fault of the server's own.
     pub(crate) fn errors(&self) -> usize {
         self.text.lines().filter(|line| line.split(' ').nth(1) == Some("error")).count()
@@ -194,13 +202,14 @@
         send_signal(self.process(), name);
     }
 
+    /// The server's process, which the caller ends.
+    pub(crate) fn take_server(&mut self) -> Child {
+        self.server.take().expect("it runs")
+    }
+
     /// Waits for its end.
     pub(crate) fn ended(&mut self) -> Said {
-        let mut server = self.server.take().expect("it runs");
-        let mut text = String::new();
-        server.stderr.take().expect("piped").read_to_string(&mut text).expect("text");
-        let status = server.wait().expect("it ends").code();
-        Said { status, text }
+        Said::of(self.take_server())
     }
 
     pub(crate) fn leave(&mut self) -> Said {
--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -5,9 +5,10 @@
 use hazelspur::pcg::Pcg;
 use hazelspur_test_doubles::broker::Broker;
 use hazelspur_test_doubles::now_ms;
+use hazelspur_test_doubles::process::send_signal;
 use hazelspur_test_doubles::runtime::Pace;
 use hazelspur_test_doubles::script::{self, At, Fault};
-use helpers::{SOON, Sent, Shop};
+use helpers::{SOON, Said, Sent, Shop};
 
 const ORDERS: &str = "queue(name = \"orders\", window = \"fixed\", most = 16)\n";
 
@@ -234,6 +235,25 @@
     assert_eq!(seen, expected, "{}", said.text);
 }
 
+/// Guards against a loss that no log line tells of: the process ends between the ack and the fence.
+#[test]
+fn a_message_whose_fence_is_open_at_the_end_is_counted() {
+    let mut shop = Shop::consuming(ORDERS, Pace::default(), "orders");
+    shop.publish("orders", "book", "open", Sent::default());
+    let mut server = shop.take_server();
+    {
+        let _state = shop.broker.state();
+        // The broker stands still until the process has ended.
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        send_signal(server.id(), "-TERM");
+        server.wait().expect("it ends");
+    }
+    let said = Said::of(server);
+    assert!(shop.broker.until(SOON, |state| state.acks == 1), "the ack was not sent");
+    assert_eq!((said.sum("unproven"), said.status), (1, Some(0)), "{}", said.text);
+    assert_eq!(shop.breaches(said.sum("unproven")), Vec::<String>::new());
+}
+
 #[test]
 fn a_connection_lost_while_draining_loses_no_reply_and_repeats_no_run() {
     let mut shop = Shop::new(ORDERS, Pace { run_ms: 300, cores: 4, ..Pace::default() });
