--- /dev/null
+++ b/crates/hazelspur-fault-harness/src/endings/checker.rs
@@ -0,0 +1,178 @@
+//! The rules over the evidence of one run. What the server says of itself does not count, except for deliveries that
+//! it counts as lost.
+
+use super::client::{Answer, Connection, Sent};
+use super::plan::{Class, GRACE_MS};
+use super::server::{End, MAX_DESCRIPTORS, MAX_MEMORY_MB};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// A request that is written so shortly before the close of its connection crosses it, in milliseconds.
+const CROSSING_MS: u64 = 50;
+/// Each time limit is so much longer on sockets, in milliseconds.
+const SLACK_MS: u64 = 50;
+
+/// A rule of the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// One final response to each request, in time.
+    OneResponse,
+    /// No effect twice, and nothing rejected that ran.
+    OneEffect,
+    /// Nothing that arrived past the grace period runs.
+    GracePeriod,
+    /// Each delivery is settled once, or still at the broker.
+    Deliveries,
+    /// The process ends in good order before its kill.
+    End,
+    /// Memory, descriptors and files stay in their limits.
+    Limits,
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// The rule.
+    pub rule: Rule,
+    /// The request, if it is about one.
+    pub request: Option<String>,
+    /// What was seen.
+    pub seen: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {} {}", self.rule, self.request.as_deref().unwrap_or("server"), self.seen)
+    }
+}
+
+/// What a run left to be judged.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    /// Just after SIGTERM was sent, in Unix milliseconds.
+    pub notice_ms: u64,
+    /// When SIGKILL was due.
+    pub kill_ms: u64,
+    /// The clients' connections.
+    pub connections: Vec<Connection>,
+    /// When the worker started each request.
+    pub started: BTreeMap<String, u64>,
+    /// How often each body ran.
+    pub runs: BTreeMap<String, usize>,
+    /// What the broker's checker found.
+    pub queue_breaches: Vec<String>,
+    /// How the process ended.
+    pub end: End,
+    /// How long the next process took to serve; `None` where it did not, or was not tried.
+    pub ready_after: Option<Duration>,
+    /// The log of the server.
+    pub log: String,
+}
+
+impl Evidence {
+    /// All breaches.
+    pub fn breaches(&self) -> Vec<Breach> {
+        let mut found = Vec::new();
+        for connection in &self.connections {
+            self.check_connection(connection, &mut found);
+        }
+        self.check_effects(&mut found);
+        let of_queue = |seen: &String| Breach { rule: Rule::Deliveries, request: None, seen: seen.clone() };
+        found.extend(self.queue_breaches.iter().map(of_queue));
+        self.check_process(&mut found);
+        found
+    }
+
+    /// Requests that were sent whole.
+    pub fn requests(&self) -> impl Iterator<Item = &Sent> {
+        let sent = self.connections.iter().flat_map(|connection| &connection.sent);
+        sent.filter(|sent| sent.class.is_some() && sent.sent_ms != u64::MAX)
+    }
+
+    /// How many requests had this answer.
+    pub fn count(&self, answer: Answer) -> usize {
+        self.requests().filter(|sent| sent.answers.first().is_some_and(|(first, _)| *first == answer)).count()
+    }
+
+    fn check_connection(&self, connection: &Connection, found: &mut Vec<Breach>) {
+        for sent in connection.sent.iter().filter(|sent| sent.sent_ms != u64::MAX) {
+            let mut report = |rule, seen: String| {
+                let request = Some(sent.request.clone());
+                found.push(Breach { rule, request, seen });
+            };
+            match &sent.answers[..] {
+                [] if self.is_excused(connection, sent) => {}
+                [] => {
+                    let at = sent.sent_ms as i64 - self.notice_ms as i64;
+                    let closed = connection.closed_ms.map(|closed| closed as i64 - self.notice_ms as i64);
+                    let reset = connection.reset;
+                    report(
+                        Rule::OneResponse,
+                        format!("sent at {at} ms, closed {closed:?}, reset {reset}: no answer"),
+                    );
+                }
+                [(_, came_ms)] if *came_ms > sent.due_ms + SLACK_MS => {
+                    report(Rule::OneResponse, format!("answered {} ms late", came_ms - sent.due_ms));
+                }
+                [_] => {}
+                answers => report(Rule::OneResponse, format!("{} answers", answers.len())),
+            }
+            let was_rejected = sent.answers.iter().any(|(answer, _)| *answer == Answer::Rejected);
+            if was_rejected && self.started.contains_key(&sent.request) {
+                report(Rule::OneEffect, "rejected though it ran".into());
+            }
+            let grace_ends_ms = self.notice_ms.saturating_add_signed(GRACE_MS) + SLACK_MS;
+            if sent.sent_ms > grace_ends_ms && self.started.contains_key(&sent.request) {
+                let past = sent.sent_ms - grace_ends_ms;
+                report(Rule::GracePeriod, format!("ran, though it arrived {past} ms past the grace period"));
+            }
+        }
+        if connection.strays > 0 {
+            let seen = format!("{} answers to nothing that was sent", connection.strays);
+            found.push(Breach { rule: Rule::OneResponse, request: None, seen });
+        }
+    }
+
+    /// Whether a request without an answer crossed the close of its connection, or is still in time.
+    fn is_excused(&self, connection: &Connection, sent: &Sent) -> bool {
+        // A close by the kill is judged by the end of the process.
+        connection.closed_ms.is_some_and(|closed| closed <= sent.sent_ms + CROSSING_MS)
+    }
+
+    fn check_effects(&self, found: &mut Vec<Breach>) {
+        for sent in self.requests().filter(|sent| sent.class != Some(Class::View)) {
+            let runs = self.runs.get(&sent.effect).copied().unwrap_or(0);
+            if runs > 1 {
+                let (request, seen) =
+                    (Some(sent.request.clone()), format!("{} ran {runs} times", sent.effect));
+                found.push(Breach { rule: Rule::OneEffect, request, seen });
+            }
+        }
+    }
+
+    fn check_process(&self, found: &mut Vec<Breach>) {
+        let End { killed, status, memory_kb, descriptors, files_left } = self.end;
+        let mut report = |rule, seen| found.push(Breach { rule, request: None, seen });
+        if killed {
+            report(Rule::End, "alive when its kill was due".into());
+        } else if status != Some(0) {
+            report(Rule::End, format!("ended with {status:?}"));
+        }
+        if memory_kb > MAX_MEMORY_MB * 1024 {
+            report(Rule::Limits, format!("{memory_kb} kB of memory"));
+        }
+        if descriptors > MAX_DESCRIPTORS {
+            report(Rule::Limits, format!("{descriptors} descriptors"));
+        }
+        if files_left > 0 {
+            report(Rule::Limits, format!("{files_left} files left"));
+        }
+        // A file that is refused is an error of the file.
+        let is_fault =
+            |line: &&str| line.split(' ').nth(1) == Some("error") && !line.contains("reload refused");
+        for line in self.log.lines().filter(is_fault) {
+            report(Rule::End, format!("logged {line}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-fault-harness/src/endings/client.rs
@@ -0,0 +1,227 @@
+//! One connection of a client: sends what its plan says until the server closes, reads all that comes, and notes
+//! when each could have happened at the earliest.
+
+use super::plan::{Class, Client, Message};
+use hazelspur_test_doubles::arrival::ArrivalReader;
+use hazelspur_test_doubles::now_ms;
+use serde_json::Value;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// How long an answer may take by its request, in milliseconds.
+pub const TIMEOUT_MS: u64 = 2000;
+/// How often a client looks for what to do.
+const POLL: Duration = Duration::from_millis(2);
+/// How long a client may wait for the server to take what it sends.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes that are read at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// How a request was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// With a result.
+    Success,
+    /// With -32011: it never ran.
+    Rejected,
+    /// With any other error.
+    Failed,
+}
+
+/// A request that was sent whole, or a health check.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// Its id at the worker; empty for a health check.
+    pub request: String,
+    /// What it is; `None` for a health check.
+    pub class: Option<Class>,
+    /// Its effect: requests with the same one must take effect once.
+    pub effect: String,
+    /// Just before its last byte was written, in Unix milliseconds.
+    pub sent_ms: u64,
+    /// When its answer is due, in Unix milliseconds.
+    pub due_ms: u64,
+    /// Its answers, each with the earliest moment at which it can have come.
+    pub answers: Vec<(Answer, u64)>,
+}
+
+/// What became of a connection.
+#[derive(Clone, Debug, Default)]
+pub struct Connection {
+    /// Whether the server took it.
+    pub connected: bool,
+    /// What was sent on it.
+    pub sent: Vec<Sent>,
+    /// The earliest moment at which the server can have closed it, in Unix milliseconds.
+    pub closed_ms: Option<u64>,
+    /// Whether it ended with a reset.
+    pub reset: bool,
+    /// Answers under ids that no request had.
+    pub strays: usize,
+}
+
+/// What all clients of a run know.
+#[derive(Clone, Debug)]
+pub struct Scene {
+    /// Where the server listens.
+    pub server: SocketAddr,
+    /// When SIGTERM is due, in Unix milliseconds.
+    pub notice_due_ms: u64,
+    /// When clients give up, in Unix milliseconds.
+    pub until_ms: u64,
+}
+
+impl Scene {
+    fn at(&self, at_ms: i64) -> u64 {
+        self.notice_due_ms.saturating_add_signed(at_ms)
+    }
+}
+
+/// Text to be written at a time.
+struct Piece {
+    at_ms: u64,
+    text: String,
+    /// The request that it completes.
+    completes: Option<Sent>,
+}
+
+fn request_line(id: usize, sent: &Sent, class: Class, key: u32, stamp_ms: u64) -> String {
+    use base64::Engine as _;
+    let method = match class {
+        Class::View => "view",
+        Class::Book => "book",
+        Class::Pay => "pay",
+    };
+    let key = if class == Class::Book { format!(r#","opkey":"k{key}""#) } else { String::new() };
+    let data = base64::engine::general_purpose::STANDARD.encode(&sent.effect);
+    let request = &sent.request;
+    format!(
+        r#"{{"jsonrpc":"2.0","id":{id},"method":"{method}","params":{{"req":"{request}","ts":{stamp_ms},"via":1,"timeout":{TIMEOUT_MS},"need":20.5,"level":0.5,"data":"{data}"{key}}}}}"#
+    ) + "\n"
+}
+
+/// The pieces of all messages of a client; ids on the connection count from 1.
+fn pieces(scene: &Scene, number: usize, client: &Client) -> Vec<Piece> {
+    let mut pieces = Vec::new();
+    for (index, send) in client.sends.iter().enumerate() {
+        let (id, at_ms) = (index + 1, scene.at(send.at_ms));
+        let request = format!("{:08x}{id:08x}", number + 1);
+        let sent = |class, effect| Sent {
+            request: request.clone(),
+            class,
+            effect,
+            sent_ms: 0,
+            due_ms: at_ms + TIMEOUT_MS,
+            answers: Vec::new(),
+        };
+        let effect = |class| match class {
+            Class::Book => format!("book-{}", send.key),
+            Class::View | Class::Pay => format!("{class:?}-{request}"),
+        };
+        match send.message {
+            Message::Check => {
+                let text = format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"check\"}}\n");
+                let completes = Sent { request: String::new(), ..sent(None, String::new()) };
+                pieces.push(Piece { at_ms, text, completes: Some(completes) });
+            }
+            Message::Whole(class) => {
+                let sent = sent(Some(class), effect(class));
+                let text = request_line(id, &sent, class, send.key, at_ms);
+                pieces.push(Piece { at_ms, text, completes: Some(sent) });
+            }
+            Message::Halves(class, pause_ms) => {
+                let sent = sent(Some(class), effect(class));
+                let text = request_line(id, &sent, class, send.key, at_ms);
+                let (first, second) = text.split_at(text.len() / 2);
+                pieces.push(Piece { at_ms, text: first.into(), completes: None });
+                let at_ms = at_ms.saturating_add_signed(pause_ms);
+                pieces.push(Piece { at_ms, text: second.into(), completes: Some(sent) });
+            }
+        }
+    }
+    pieces
+}
+
+/// Plays a client until its connection ends or the run is over.
+pub fn play(scene: &Scene, number: usize, client: &Client) -> Connection {
+    wait_until(scene.at(client.at_ms));
+    let Ok(stream) = TcpStream::connect(scene.server) else { return Connection::default() };
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_write_timeout(Some(WRITE_TIMEOUT));
+    let mut connection = Connection { connected: true, ..Connection::default() };
+    // The pieces of one client follow each other, as a gateway writes one line after the other.
+    let mut pieces = pieces(scene, number, client).into_iter().peekable();
+    let mut reader = ArrivalReader::new(&stream);
+    let mut unread = Vec::new();
+    while now_ms() < scene.until_ms {
+        if client.read_pause_ms > 0 {
+            sleep(Duration::from_millis(client.read_pause_ms));
+        }
+        if read_available(&mut reader, &mut unread, &mut connection) {
+            break;
+        }
+        while let Some(piece) = pieces.next_if(|piece| piece.at_ms <= now_ms()) {
+            write(&stream, piece, &mut connection);
+        }
+        sleep(POLL);
+    }
+    connection
+}
+
+fn write(mut stream: &TcpStream, piece: Piece, connection: &mut Connection) {
+    let sent_ms = now_ms();
+    let is_written = stream.write_all(piece.text.as_bytes()).is_ok();
+    if let Some(sent) = piece.completes {
+        // Its place says its id; one that could not be written was never had by the server.
+        let sent_ms = if is_written { sent_ms } else { u64::MAX };
+        connection.sent.push(Sent { sent_ms, ..sent });
+    }
+}
+
+/// Reads what is there; returns whether the connection has ended.
+fn read_available(reader: &mut ArrivalReader<'_>, unread: &mut Vec<u8>, connection: &mut Connection) -> bool {
+    let mut chunk = [0; READ_BYTES];
+    loop {
+        match reader.read_available(&mut chunk) {
+            Ok(None) => return false,
+            Ok(Some(count @ 1..)) => unread.extend_from_slice(&chunk[..count]),
+            Ok(Some(0)) => {
+                connection.closed_ms = Some(reader.arrived_after_ms());
+                return true;
+            }
+            Err(_) => {
+                (connection.closed_ms, connection.reset) = (Some(reader.arrived_after_ms()), true);
+                return true;
+            }
+        }
+        while let Some(end) = unread.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = unread.drain(..=end).collect();
+            note_line(&line, reader.arrived_after_ms(), connection);
+        }
+    }
+}
+
+fn note_line(line: &[u8], came_ms: u64, connection: &mut Connection) {
+    let Ok(value) = serde_json::from_slice::<Value>(line) else {
+        connection.strays += 1;
+        return;
+    };
+    let Some(id) = value.get("id").and_then(Value::as_u64) else { return };
+    let answer = match value.pointer("/error/code").and_then(Value::as_i64) {
+        None => Answer::Success,
+        Some(-32011) => Answer::Rejected,
+        Some(_) => Answer::Failed,
+    };
+    let index = (id as usize).wrapping_sub(1);
+    match connection.sent.get_mut(index) {
+        Some(sent) => sent.answers.push((answer, came_ms)),
+        None => connection.strays += 1,
+    }
+}
+
+fn wait_until(at_ms: u64) {
+    let left = at_ms.saturating_sub(now_ms());
+    sleep(Duration::from_millis(left));
+}
--- /dev/null
+++ b/crates/hazelspur-fault-harness/src/endings/command.rs
@@ -0,0 +1,222 @@
+//! The subcommand `endings`: plays seeds, shows how far it is, keeps what fails, and sums up.
+
+use super::checker::{Breach, Evidence, Rule};
+use super::client::Answer;
+use super::plan::Plan;
+use super::run::play;
+use clap::Args;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::signal::unix::SignalKind;
+
+/// The most seeds of one call, and the most runs at a time.
+const MAX_SEEDS: u64 = 100_000;
+const MAX_JOBS: usize = 16;
+/// A restarted server serves within this time in nine of ten cases.
+const READY_TIME: Duration = Duration::from_secs(10);
+/// Breaches of a seed that are printed.
+const MAX_PRINTED: usize = 5;
+/// Runs that shrinking may take.
+const MAX_SHRINKING_RUNS: usize = 60;
+/// Set by an interrupt: no run is begun any more, and those under way end their processes.
+static INTERRUPTED: AtomicBool = AtomicBool::new(false);
+
+/// Options of the soak.
+#[derive(Args)]
+pub struct Options {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// How many seeds are played.
+    #[arg(long, default_value_t = 50)]
+    pub seeds: u64,
+    /// Runs at a time.
+    #[arg(long, default_value_t = 4)]
+    pub jobs: usize,
+    /// Parts of the plan that are left out, as a failing seed's report names them.
+    #[arg(long, value_delimiter = ',')]
+    pub without: Vec<usize>,
+    /// Leaves parts of a failing plan out, one by one, while it goes on failing.
+    #[arg(long)]
+    pub shrink: bool,
+    /// Where reports of failing seeds are kept.
+    #[arg(long, default_value_os_t = std::env::temp_dir())]
+    pub reports: PathBuf,
+    /// The server's program; otherwise the one beside this.
+    #[arg(long)]
+    pub server: Option<PathBuf>,
+}
+
+/// What all runs came to.
+#[derive(Debug, Default)]
+pub struct Summary {
+    /// Runs that came to their end.
+    pub played: u64,
+    /// Runs that could not be played, with why.
+    pub unplayed: Vec<String>,
+    /// Failed seeds.
+    pub failed: Vec<u64>,
+    /// Breaches by rule.
+    pub by_rule: BTreeMap<Rule, usize>,
+    /// Requests by their answer; those without are `None`.
+    answers: BTreeMap<&'static str, usize>,
+    /// Servers that came back, and those that did so in time.
+    back: usize,
+    back_in_time: usize,
+}
+
+/// Notes an interrupt from now on, on a thread of its own.
+fn note_interrupts() -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let mut interrupt = {
+        let _entered = runtime.enter();
+        tokio::signal::unix::signal(SignalKind::interrupt())?
+    };
+    std::thread::spawn(move || {
+        runtime.block_on(interrupt.recv());
+        INTERRUPTED.store(true, Ordering::Relaxed);
+    });
+    Ok(())
+}
+
+impl Options {
+    /// Plays the seeds; returns whether all rules held.
+    ///
+    /// # Errors
+    /// Names the option that is not possible, with its bound.
+    pub fn run(self) -> anyhow::Result<bool> {
+        let program = self.program()?;
+        anyhow::ensure!((1..=MAX_SEEDS).contains(&self.seeds), "--seeds {}: 1 to {MAX_SEEDS}", self.seeds);
+        anyhow::ensure!((1..=MAX_JOBS).contains(&self.jobs), "--jobs {}: 1 to {MAX_JOBS}", self.jobs);
+        anyhow::ensure!(self.reports.is_dir(), "--reports {:?}: no such folder", self.reports);
+        note_interrupts()?;
+        let summary = self.play_all(&program);
+        print!("{}", summary.report(self.seeds));
+        Ok(summary.holds(self.seeds))
+    }
+
+    fn program(&self) -> anyhow::Result<PathBuf> {
+        let beside = std::env::current_exe()?.with_file_name("hazelspur-server");
+        let program = self.server.clone().unwrap_or(beside);
+        anyhow::ensure!(program.exists(), "--server {program:?}: build it, or name another");
+        Ok(program)
+    }
+
+    fn play_all(&self, program: &Path) -> Summary {
+        let next = AtomicU64::new(self.seed);
+        let summary = Mutex::new(Summary::default());
+        std::thread::scope(|scope| {
+            for _ in 0..self.jobs {
+                scope.spawn(|| {
+                    while !INTERRUPTED.load(Ordering::Relaxed) {
+                        let seed = next.fetch_add(1, Ordering::Relaxed);
+                        if seed >= self.seed.saturating_add(self.seeds) {
+                            break;
+                        }
+                        let plan = Plan::drawn(seed).without(&self.without);
+                        let result = play(program, &plan, &INTERRUPTED);
+                        let mut summary = summary.lock().expect("no panic before");
+                        match result {
+                            Ok(evidence) => self.note(&mut summary, program, &plan, &evidence),
+                            Err(why) => summary.unplayed.push(format!("seed {seed}: {why:#}")),
+                        }
+                        summary.show_progress(self.seeds);
+                    }
+                });
+            }
+        });
+        summary.into_inner().expect("no panic before")
+    }
+
+    fn note(&self, summary: &mut Summary, program: &Path, plan: &Plan, evidence: &Evidence) {
+        let breaches = evidence.breaches();
+        summary.add(evidence, &breaches);
+        if breaches.is_empty() {
+            return;
+        }
+        summary.failed.push(plan.seed);
+        let file = self.reports.join(format!("hazelspur-endings-seed-{}.txt", plan.seed));
+        println!("\n{plan}\n  again: hazelspur-fault-harness endings --seed {} --seeds 1", plan.seed);
+        breaches.iter().take(MAX_PRINTED).for_each(|breach| println!("  {breach}"));
+        println!("  report: {}", file.display());
+        if let Err(why) = std::fs::write(&file, report(plan, evidence, &breaches)) {
+            println!("  the report was not kept: {why}");
+        }
+        if self.shrink {
+            let without = shrunk(program, plan);
+            println!("  least: --seed {} --seeds 1 --without {}", plan.seed, join(&without));
+        }
+    }
+}
+
+/// The parts that can be left out, one by one, of a plan that fails.
+fn shrunk(program: &Path, plan: &Plan) -> Vec<usize> {
+    let mut without = Vec::new();
+    for part in (0..plan.parts()).rev().take(MAX_SHRINKING_RUNS) {
+        let fewer = [&without[..], &[part]].concat();
+        let still_fails = play(program, &plan.without(&fewer), &INTERRUPTED)
+            .is_ok_and(|evidence| !evidence.breaches().is_empty());
+        if still_fails {
+            without = fewer;
+        }
+    }
+    without
+}
+
+fn join(numbers: &[usize]) -> String {
+    numbers.iter().map(usize::to_string).collect::<Vec<_>>().join(",")
+}
+
+fn report(plan: &Plan, evidence: &Evidence, breaches: &[Breach]) -> String {
+    let breaches: String = breaches.iter().map(|breach| format!("{breach}\n")).collect();
+    let requests: String = evidence.requests().map(|sent| format!("{sent:?}\n")).collect();
+    let (notice_ms, end) = (evidence.notice_ms, &evidence.end);
+    format!("{plan}\n{breaches}notice {notice_ms} {end:?}\n{requests}{plan:#?}\n{}", evidence.log)
+}
+
+impl Summary {
+    fn add(&mut self, evidence: &Evidence, breaches: &[Breach]) {
+        self.played += 1;
+        breaches.iter().for_each(|breach| *self.by_rule.entry(breach.rule).or_default() += 1);
+        let named = [
+            ("succeeded", evidence.count(Answer::Success)),
+            ("rejected", evidence.count(Answer::Rejected)),
+            ("failed", evidence.count(Answer::Failed)),
+            ("crossed a close", evidence.requests().filter(|sent| sent.answers.is_empty()).count()),
+        ];
+        named.into_iter().for_each(|(name, count)| *self.answers.entry(name).or_default() += count);
+        self.back += 1;
+        self.back_in_time += usize::from(evidence.ready_after.is_some_and(|after| after <= READY_TIME));
+    }
+
+    fn show_progress(&self, seeds: u64) {
+        let (played, failed) = (self.played + self.unplayed.len() as u64, self.failed.len());
+        eprint!("\r{played} of {seeds} seeds, {failed} failed ");
+        let _ = std::io::stderr().flush();
+    }
+
+    /// Whether all seeds were played and all rules held.
+    fn holds(&self, seeds: u64) -> bool {
+        let in_time = self.back_in_time * 10 >= self.back * 9;
+        self.played == seeds && self.failed.is_empty() && self.unplayed.is_empty() && in_time
+    }
+
+    fn report(&self, seeds: u64) -> String {
+        let Self { played, unplayed, failed, by_rule, answers, back, back_in_time } = self;
+        let answers: Vec<String> = answers.iter().map(|(name, count)| format!("{count} {name}")).collect();
+        let mut text = format!(
+            "\n{played} of {seeds} seeds played, {} failed {failed:?}\nrequests: {}\n\
+             ready again within {} s: {back_in_time} of {back}\n",
+            failed.len(),
+            answers.join(", "),
+            READY_TIME.as_secs()
+        );
+        by_rule.iter().for_each(|(rule, count)| text += &format!("breaches of {rule:?}: {count}\n"));
+        unplayed.iter().for_each(|why| text += &format!("not played: {why}\n"));
+        text
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-fault-harness/src/endings/plan.rs
@@ -0,0 +1,225 @@
+//! What happens in one run, drawn from a seed. Times are in milliseconds from the sending of SIGTERM.
+
+use hazelspur::pcg::Pcg;
+use std::fmt;
+
+/// Grace period of the servers, in milliseconds.
+pub const GRACE_MS: i64 = 300;
+/// How long before SIGTERM a run begins, in milliseconds.
+pub const LEAD_MS: i64 = 400;
+/// Times to the kill that are drawn, in milliseconds; the shortest leaves 420 ms between grace period and last close.
+const STOP_MS: [i64; 4] = [900, 1200, 1500, 2400];
+/// A suspension ends at least this long before the kill, in milliseconds.
+const SUSPENSION_MARGIN_MS: i64 = 300;
+/// Clients of a run without a crowd, and with one; all of them fit the descriptors of a server.
+const CLIENTS: u32 = 8;
+const CROWD: u32 = 60;
+
+/// A request class, by what repeating it would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// Idempotent.
+    View,
+    /// Idempotent with a key.
+    Book,
+    /// Not idempotent.
+    Pay,
+}
+
+/// What a client sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// A health check.
+    Check,
+    /// A request in one piece.
+    Whole(Class),
+    /// A request whose second half follows after so many milliseconds.
+    Halves(Class, i64),
+}
+
+/// One message of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct Send {
+    /// When it is sent.
+    pub at_ms: i64,
+    /// What is sent.
+    pub message: Message,
+    /// Requests with the same key are one effect; only keyed requests have one.
+    pub key: u32,
+}
+
+/// A change of the configuration file before SIGHUP.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FileChange {
+    /// The same file.
+    Unchanged,
+    /// Another worker address, which is the same worker.
+    Moved,
+    /// No file.
+    Missing,
+    /// The first half of the file.
+    HalfWritten,
+}
+
+/// What is done to the server or to its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// SIGTERM once more.
+    Term,
+    /// SIGHUP.
+    Hup(FileChange),
+    /// SIGSTOP, and SIGCONT after so many milliseconds.
+    Suspend(i64),
+    /// The worker link breaks and is refused for so many milliseconds.
+    RefuseWorker(i64),
+    /// All connections to the broker break.
+    CutBroker,
+}
+
+/// An action and its time.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    /// When it is done.
+    pub at_ms: i64,
+    /// What is done.
+    pub action: Action,
+}
+
+/// A client with one connection, which it uses until the server closes it.
+#[derive(Clone, Debug)]
+pub struct Client {
+    /// When it connects; after SIGTERM it may be refused.
+    pub at_ms: i64,
+    /// What it sends, in order of time.
+    pub sends: Vec<Send>,
+    /// How long it rests between two reads, in milliseconds.
+    pub read_pause_ms: u64,
+}
+
+/// All that happens in one run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The seed that it was drawn from.
+    pub seed: u64,
+    /// Time from SIGTERM to SIGKILL.
+    pub stop_ms: i64,
+    /// How long a run takes the worker, in milliseconds.
+    pub run_ms: u64,
+    /// Messages in the broker's queue; none where the server consumes no queue.
+    pub queued_messages: u32,
+    /// What is done, in order of time.
+    pub steps: Vec<Step>,
+    /// The clients.
+    pub clients: Vec<Client>,
+}
+
+/// Draws from ranges.
+struct Chance(Pcg);
+
+impl Chance {
+    fn below(&mut self, bound: u32) -> u32 {
+        self.0.draw() % bound
+    }
+
+    fn one_in(&mut self, count: u32) -> bool {
+        self.below(count) == 0
+    }
+
+    fn time(&mut self, from_ms: i64, to_ms: i64) -> i64 {
+        from_ms + i64::from(self.below((to_ms - from_ms).max(1) as u32))
+    }
+
+    fn message(&mut self) -> Message {
+        let class = [Class::View, Class::Book, Class::Pay][self.below(3) as usize];
+        match self.below(6) {
+            0 => Message::Check,
+            1 => Message::Halves(class, self.time(20, 500)),
+            _ => Message::Whole(class),
+        }
+    }
+
+    fn client(&mut self, stop_ms: i64) -> Client {
+        let connects_late = self.one_in(5);
+        let at_ms = if connects_late { self.time(0, stop_ms) } else { self.time(-LEAD_MS, 0) };
+        let sends = (0..1 + self.below(6)).map(|_| self.send(at_ms, stop_ms));
+        let mut sends: Vec<Send> = sends.collect();
+        sends.sort_by_key(|send| send.at_ms);
+        let read_pause_ms = if self.one_in(8) { 120 } else { 0 };
+        Client { at_ms, sends, read_pause_ms }
+    }
+
+    fn send(&mut self, from_ms: i64, stop_ms: i64) -> Send {
+        // Around the instants at which something ends: more often than by chance.
+        let at_ms = match self.below(5) {
+            0 => self.time(GRACE_MS - 40, GRACE_MS + 120),
+            // Connections that rest after the goodbye message are closed about then.
+            2 => self.time(GRACE_MS + 380, GRACE_MS + 620),
+            1 => self.time(stop_ms - 260, stop_ms - 120),
+            _ => self.time(from_ms, stop_ms),
+        };
+        Send { at_ms: at_ms.max(from_ms), message: self.message(), key: self.below(12) }
+    }
+
+    fn step(&mut self, stop_ms: i64) -> Step {
+        let at_ms = self.time(-200, stop_ms - SUSPENSION_MARGIN_MS);
+        let longest = stop_ms - SUSPENSION_MARGIN_MS - at_ms;
+        let files = [FileChange::Unchanged, FileChange::Moved, FileChange::Missing, FileChange::HalfWritten];
+        let action = match self.below(6) {
+            0 => Action::Term,
+            1 => Action::Hup(files[self.below(4) as usize]),
+            2 | 3 => Action::Suspend(self.time(10, longest.min(600))),
+            4 => Action::RefuseWorker(self.time(10, 400)),
+            _ => Action::CutBroker,
+        };
+        // The first SIGTERM is the notice.
+        let at_ms = if action == Action::Term { at_ms.max(1) } else { at_ms };
+        Step { at_ms, action }
+    }
+}
+
+impl Plan {
+    /// Draws a plan.
+    pub fn drawn(seed: u64) -> Self {
+        let mut chance = Chance(Pcg::new(seed));
+        let stop_ms = STOP_MS[chance.below(4) as usize];
+        let clients = if chance.one_in(5) { CROWD } else { CLIENTS };
+        let run_ms = [0, 15, 60, 200][chance.below(4) as usize];
+        let queued_messages = if chance.one_in(3) { 10 } else { 0 };
+        let mut steps: Vec<Step> = (0..chance.below(5)).map(|_| chance.step(stop_ms)).collect();
+        steps.sort_by_key(|step| step.at_ms);
+        let clients = (0..clients).map(|_| chance.client(stop_ms)).collect();
+        Self { seed, stop_ms, run_ms, queued_messages, steps, clients }
+    }
+
+    /// How many parts can be left out.
+    pub fn parts(&self) -> usize {
+        self.steps.len() + self.clients.len()
+    }
+
+    /// The plan without these parts: steps first, then clients.
+    pub fn without(&self, parts: &[usize]) -> Self {
+        let kept = |part: usize| !parts.contains(&part);
+        let numbered = |offset: usize| move |(index, _): &(usize, _)| kept(offset + index);
+        let steps = self.steps.iter().copied().enumerate().filter(|(index, _)| kept(*index));
+        let clients = self.clients.iter().cloned().enumerate().filter(numbered(self.steps.len()));
+        Self {
+            steps: steps.map(|(_, step)| step).collect(),
+            clients: clients.map(|(_, client)| client).collect(),
+            ..self.clone()
+        }
+    }
+
+    /// Whether many clients are there at once.
+    pub fn has_crowd(&self) -> bool {
+        self.clients.len() > CLIENTS as usize
+    }
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { seed, stop_ms, run_ms, queued_messages, steps, clients } = self;
+        write!(f, "seed {seed}: stop {stop_ms} ms, runs {run_ms} ms, {queued_messages} queued messages")?;
+        write!(f, ", {} clients", clients.len())?;
+        steps.iter().try_for_each(|step| write!(f, "; {} {:?}", step.at_ms, step.action))
+    }
+}
--- /dev/null
+++ b/crates/hazelspur-fault-harness/src/endings/run.rs
@@ -0,0 +1,224 @@
+//! One run: test doubles, a server, its clients and what is done to it, until its end and its return.
+
+use super::checker::Evidence;
+use super::client::{self, Connection, Scene};
+use super::plan::{Action, LEAD_MS, Plan, Step};
+use super::server::{Addresses, Server};
+use amq_protocol::protocol::basic::AMQPProperties;
+use anyhow::Context;
+use hazelspur_test_doubles::broker::Broker;
+use hazelspur_test_doubles::checker::{Expected, breaches};
+use hazelspur_test_doubles::control::Control;
+use hazelspur_test_doubles::ledger::Ledger;
+use hazelspur_test_doubles::now_ms;
+use hazelspur_test_doubles::reserved_address::ReservedAddress;
+use hazelspur_test_doubles::runtime::{Pace, Runtime};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// Calls that the dependency serves at once, and the time of one in milliseconds.
+const CALL_SLOTS: usize = 50;
+const CALL_MS: f64 = 5.0;
+/// How long the run goes on past the kill, for clients that still read, in milliseconds.
+const AFTERMATH_MS: u64 = 300;
+/// How long the broker may take to notice the end of the process.
+const SETTLING_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often the process is looked at.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(20);
+/// Runs of this process so far; part of each run's folder and address.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
+/// The test doubles and the folder of one run.
+struct Scenery {
+    worker: Runtime,
+    dependency: Ledger,
+    registry: Control,
+    broker: Broker,
+    reserved: ReservedAddress,
+    folder: PathBuf,
+    /// Bodies in the broker's queue, with what must hold for each.
+    expected: BTreeMap<Vec<u8>, Expected>,
+}
+
+impl Scenery {
+    fn new(plan: &Plan) -> anyhow::Result<Self> {
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let net = 1 + (std::process::id() % 250) as u8;
+        let ip = Ipv4Addr::new(127, 81, net, 1 + (run % 250) as u8);
+        let folder = std::env::temp_dir().join(format!("hazelspur-endings-{}-{run}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let pace = Pace {
+            run_ms: plan.run_ms,
+            calls: plan.seed.is_multiple_of(2),
+            over_ms: client::TIMEOUT_MS,
+            ..Pace::default()
+        };
+        let mut scenery = Self {
+            worker: Runtime::start("127.0.0.1:0", pace),
+            dependency: Ledger::start("127.0.0.1:0", CALL_SLOTS, CALL_MS),
+            registry: Control::start("127.0.0.1:0"),
+            broker: Broker::start(),
+            reserved: ReservedAddress::on(ip).context("an address for the server")?,
+            folder,
+            expected: BTreeMap::new(),
+        };
+        scenery.fill_queue(plan.queued_messages);
+        Ok(scenery)
+    }
+
+    fn fill_queue(&mut self, messages: u32) {
+        self.broker.declare("dead", None);
+        self.broker.declare("orders", Some("dead"));
+        for number in 0..messages {
+            let class = ["view", "book", "pay"][number as usize % 3];
+            let body = format!("message-{number}").into_bytes();
+            self.broker.publish("orders", queue_message(class, number), &body);
+            self.expected.insert(body, Expected { once: class != "view", until_ms: None });
+        }
+    }
+
+    fn addresses(&self) -> Addresses {
+        Addresses {
+            listen: self.reserved.address(),
+            worker: [self.worker.address; 2],
+            dependency: self.dependency.address,
+            registry: self.registry.address,
+            broker: self.broker.address,
+        }
+    }
+
+    /// What the broker's checker finds once the broker and the worker have read all that the server wrote.
+    fn queue_breaches(&self, log: &str) -> Vec<String> {
+        self.broker.until(SETTLING_TIMEOUT, |state| !state.consumed("orders") && state.unsettled() == 0);
+        sleep(OBSERVATION_INTERVAL);
+        let lost = figure(log, "unproven");
+        breaches(&self.broker.state(), &self.worker.town(), &self.expected, lost)
+    }
+
+    fn act(&self, server: &mut Server, action: Action) -> anyhow::Result<()> {
+        match action {
+            Action::Term => server.signal("-TERM"),
+            Action::Hup(change) => server.reload(change)?,
+            Action::Suspend(ms) => {
+                server.signal("-STOP");
+                sleep(Duration::from_millis(ms as u64));
+                server.signal("-CONT");
+            }
+            Action::RefuseWorker(ms) => {
+                {
+                    let mut worker = self.worker.town();
+                    worker.refuses_links = true;
+                    worker.break_link();
+                }
+                sleep(Duration::from_millis(ms as u64));
+                self.worker.town().refuses_links = false;
+            }
+            Action::CutBroker => self.broker.cut(),
+        }
+        Ok(())
+    }
+
+    /// Plays the steps; SIGTERM is sent at its time. Returns just before and just after its sending.
+    fn play_steps(&self, server: &mut Server, plan: &Plan, scene: &Scene) -> anyhow::Result<(u64, u64)> {
+        let notice = Step { at_ms: 0, action: Action::Term };
+        let mut steps: Vec<Step> = plan.steps.clone();
+        let place = steps.partition_point(|step| step.at_ms < 0);
+        steps.insert(place, notice);
+        let mut sent = (0, 0);
+        for (index, step) in steps.into_iter().enumerate() {
+            let due_ms = scene.notice_due_ms.saturating_add_signed(step.at_ms);
+            while now_ms() < due_ms {
+                server.observe();
+                sleep(OBSERVATION_INTERVAL.min(Duration::from_millis(due_ms.saturating_sub(now_ms()))));
+            }
+            let before_ms = now_ms();
+            self.act(server, step.action)?;
+            if index == place {
+                sent = (before_ms, now_ms());
+            }
+        }
+        Ok(sent)
+    }
+}
+
+/// Plays a plan.
+///
+/// # Errors
+/// Where it can't be set up, or the server does not start.
+pub fn play(program: &Path, plan: &Plan, interrupted: &AtomicBool) -> anyhow::Result<Evidence> {
+    let scenery = Scenery::new(plan)?;
+    let addresses = scenery.addresses();
+    let mut server = Server::start(program, &scenery.folder, addresses, plan)?;
+    server.until_serving().with_context(|| log_of(&scenery.folder))?;
+    let notice_due_ms = now_ms().saturating_add_signed(LEAD_MS);
+    let until_ms = notice_due_ms.saturating_add_signed(plan.stop_ms) + AFTERMATH_MS;
+    let scene = Scene { server: addresses.listen, notice_due_ms, until_ms };
+    let (connections, ended) = std::thread::scope(|scope| {
+        let clients = plan.clients.iter().enumerate();
+        let playing: Vec<_> = clients
+            .map(|(number, client)| {
+                scope.spawn({
+                    let scene = &scene;
+                    move || client::play(scene, number, client)
+                })
+            })
+            .collect();
+        let ended = scenery.play_steps(&mut server, plan, &scene).and_then(|notice| {
+            let kill_ms = notice.0.saturating_add_signed(plan.stop_ms);
+            Ok((notice, server.end_or_kill(kill_ms)?))
+        });
+        let connections: Vec<Connection> =
+            playing.into_iter().map(|client| client.join().unwrap_or_default()).collect();
+        (connections, ended)
+    });
+    let (notice, end) = ended?;
+    let log = log_of(&scenery.folder);
+    let queue_breaches = scenery.queue_breaches(&log);
+    let back = if interrupted.load(Ordering::Relaxed) { None } else { come_back(program, &scenery, plan)? };
+    let worker = scenery.worker.town();
+    let evidence = Evidence {
+        notice_ms: notice.1,
+        kill_ms: notice.0.saturating_add_signed(plan.stop_ms),
+        connections,
+        started: worker.started.clone(),
+        runs: worker
+            .runs
+            .iter()
+            .map(|(body, runs)| (String::from_utf8_lossy(body).into(), runs.len()))
+            .collect(),
+        queue_breaches,
+        end,
+        ready_after: back,
+        log,
+    };
+    let _ = std::fs::remove_dir_all(&scenery.folder);
+    Ok(evidence)
+}
+
+/// The same server at once again, under its name and address: the time until it serves. It is killed then.
+fn come_back(program: &Path, scenery: &Scenery, plan: &Plan) -> anyhow::Result<Option<Duration>> {
+    let mut server = Server::start(program, &scenery.folder, scenery.addresses(), plan)?;
+    let ready_after = server.until_serving().ok();
+    Ok(ready_after)
+}
+
+fn log_of(folder: &Path) -> String {
+    std::fs::read_to_string(folder.join("log")).unwrap_or_default()
+}
+
+/// The sum of a figure over all lines of a log.
+fn figure(log: &str, key: &str) -> usize {
+    let key = format!(" {key}=");
+    let after = log.split(&key).skip(1);
+    after.filter_map(|rest| rest.split([' ', '\n']).next()?.parse::<usize>().ok()).sum()
+}
+
+/// A message of a request class; its id is its number.
+fn queue_message(class: &str, number: u32) -> AMQPProperties {
+    let id = format!("m{number}");
+    AMQPProperties::default().with_type(class.into()).with_message_id(id.as_str().into())
+}
--- /dev/null
+++ b/crates/hazelspur-fault-harness/src/endings/server.rs
@@ -0,0 +1,204 @@
+//! The process under test: its files, its signals and its end.
+
+use super::plan::{FileChange, GRACE_MS, Plan};
+use anyhow::Context;
+use hazelspur_test_doubles::now_ms;
+use hazelspur_test_doubles::process::send_signal;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// Descriptors that the server may use.
+pub const MAX_DESCRIPTORS: usize = 160;
+/// Memory that it may use, in MB.
+pub const MAX_MEMORY_MB: u64 = 64;
+/// How long a start may take before it counts as failed.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// How often a health check is repeated, and the end looked for.
+const POLL: Duration = Duration::from_millis(5);
+/// How long a health check may take.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The addresses of a server and its peers.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Where the server listens.
+    pub listen: SocketAddr,
+    /// The worker, by two addresses.
+    pub worker: [SocketAddr; 2],
+    /// The shared dependency.
+    pub dependency: SocketAddr,
+    /// The registry.
+    pub registry: SocketAddr,
+    /// The broker.
+    pub broker: SocketAddr,
+}
+
+/// How a process ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct End {
+    /// Whether it was alive when its kill was due.
+    pub killed: bool,
+    /// Its exit status, if it ended by itself.
+    pub status: Option<i32>,
+    /// The most memory that it took, in kB.
+    pub memory_kb: u64,
+    /// The most descriptors that it was seen with.
+    pub descriptors: usize,
+    /// Files that it left in its folder for temporary files.
+    pub files_left: usize,
+}
+
+/// A server process.
+pub struct Server {
+    child: Child,
+    addresses: Addresses,
+    folder: PathBuf,
+    stop_ms: i64,
+    end: End,
+}
+
+fn configuration(addresses: &Addresses, stop_ms: i64, worker: usize) -> String {
+    let Addresses { listen, dependency, registry, .. } = addresses;
+    let worker = addresses.worker[worker];
+    let grace_us = GRACE_MS * 1000;
+    format!(
+        r#"{{"name":"n1","listen":"{listen}","runtime":"{worker}","ledger":"{dependency}","control":"{registry}",
+ "seed":"000000000000002a","stop_ms":{stop_ms},"limits":{{"cores":1.0,"memory_mb":{MAX_MEMORY_MB},"sockets":{MAX_DESCRIPTORS}}},
+ "settings":{{"family-info":{{"n-cores":2,"mem-limit-kb":100000,"run-factor":8,"stop-mode":"drop",
+ "meters":["core_use","on_cores"],"calls-out":50,"calls-over-us":5000000,"passes-deadline":true}},
+ "lanes":[{{"name":"view","aim-us":1000000,"deadline-us":2000000,"semantics":"safe","importance":1}},
+ {{"name":"book","aim-us":1000000,"deadline-us":2000000,"semantics":"keyed","memory-span-us":20000000}},
+ {{"name":"pay","aim-us":1000000,"deadline-us":2000000,"semantics":"unsafe"}}],
+ "rules":{{"fall-multiple":8,"cold-share":0.2,"cold-us":10000000,"drain-grace-us":{grace_us}}},
+ "limits":{{"retry-after":true,"max-retry-after-us":1000000}},"servers":1}}}}"#
+    )
+}
+
+impl Server {
+    /// Starts the program in a folder of its own.
+    ///
+    /// # Errors
+    /// Where files or the process can't be made.
+    pub fn start(program: &Path, folder: &Path, addresses: Addresses, plan: &Plan) -> anyhow::Result<Self> {
+        let temporary = folder.join("tmp");
+        std::fs::create_dir_all(&temporary)?;
+        let file = folder.join("config.json");
+        std::fs::write(&file, configuration(&addresses, plan.stop_ms, 0))?;
+        let mut command = Command::new(program);
+        command
+            .env("ROUTER_CONFIG", &file)
+            .env("TMPDIR", &temporary)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null());
+        if plan.queued_messages > 0 {
+            let operator = folder.join("operator.star");
+            let broker = addresses.broker;
+            let text = format!(
+                "amqp(brokers = [\"{broker}\"], user = \"u\", password = \"p\", spread_s = 0.03)\nqueue(name = \"orders\", window = \"fixed\", most = 4)\n"
+            );
+            std::fs::write(&operator, text)?;
+            command.arg("--file").arg(operator);
+        }
+        command.stderr(File::options().create(true).append(true).open(folder.join("log"))?);
+        let child = command.spawn().with_context(|| format!("{program:?}"))?;
+        let (folder, stop_ms) = (folder.to_path_buf(), plan.stop_ms);
+        Ok(Self { child, addresses, folder, stop_ms, end: End::default() })
+    }
+
+    /// Waits until a health check says that it serves; the time that took.
+    ///
+    /// # Errors
+    /// Where it ends, or takes longer than 30 s.
+    pub fn until_serving(&mut self) -> anyhow::Result<Duration> {
+        let began = Instant::now();
+        while began.elapsed() < START_TIMEOUT {
+            anyhow::ensure!(self.child.try_wait()?.is_none(), "the server ended at its start");
+            if serves(self.addresses.listen) {
+                return Ok(began.elapsed());
+            }
+            sleep(POLL);
+        }
+        anyhow::bail!("not serving within {} s", START_TIMEOUT.as_secs())
+    }
+
+    /// Sends a signal, named as for the `kill` command, if the process is still there.
+    pub fn signal(&mut self, name: &str) {
+        if self.child.try_wait().is_ok_and(|ended| ended.is_none()) {
+            send_signal(self.child.id(), name);
+        }
+    }
+
+    /// Changes the configuration file and sends SIGHUP.
+    ///
+    /// # Errors
+    /// Where the file can't be changed.
+    pub fn reload(&mut self, change: FileChange) -> anyhow::Result<()> {
+        let file = self.folder.join("config.json");
+        let text = |worker| configuration(&self.addresses, self.stop_ms, worker);
+        match change {
+            FileChange::Unchanged => {}
+            FileChange::Moved => std::fs::write(&file, text(1))?,
+            FileChange::Missing => std::fs::remove_file(&file).or_else(ignore_missing)?,
+            FileChange::HalfWritten => std::fs::write(&file, &text(0)[..text(0).len() / 2])?,
+        }
+        self.signal("-HUP");
+        Ok(())
+    }
+
+    /// Notes what the process uses now.
+    pub fn observe(&mut self) {
+        let process = Path::new("/proc").join(self.child.id().to_string());
+        let descriptors = std::fs::read_dir(process.join("fd")).map_or(0, Iterator::count);
+        self.end.descriptors = self.end.descriptors.max(descriptors);
+        let status = std::fs::read_to_string(process.join("status")).unwrap_or_default();
+        let memory = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let memory = memory.and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok());
+        self.end.memory_kb = self.end.memory_kb.max(memory.unwrap_or(0));
+    }
+
+    /// Waits for its end until a moment in Unix milliseconds, and kills it then.
+    ///
+    /// # Errors
+    /// Where its status can't be read.
+    pub fn end_or_kill(mut self, kill_ms: u64) -> anyhow::Result<End> {
+        while now_ms() < kill_ms && self.child.try_wait()?.is_none() {
+            sleep(POLL);
+        }
+        let ended = self.child.try_wait()?;
+        self.end.killed = ended.is_none();
+        self.end.status = ended.and_then(|status| status.code());
+        let _ = self.child.kill();
+        self.child.wait()?;
+        self.end.files_left = std::fs::read_dir(self.folder.join("tmp"))?.count();
+        Ok(self.end)
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        // Whatever ends the run ends the process.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn ignore_missing(error: std::io::Error) -> std::io::Result<()> {
+    if error.kind() == std::io::ErrorKind::NotFound { Ok(()) } else { Err(error) }
+}
+
+fn serves(listen: SocketAddr) -> bool {
+    let check = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&listen, CHECK_TIMEOUT)?;
+        stream.set_read_timeout(Some(CHECK_TIMEOUT))?;
+        stream.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n")?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line)?;
+        Ok(line)
+    };
+    check().is_ok_and(|line| line.contains("\"ready\":true"))
+}
--- /dev/null
+++ b/crates/hazelspur-fault-harness/tests/endings.rs
@@ -0,0 +1,148 @@
+//! The soak's checker finds planted faults, one for each rule; its plans are repeatable; its options are checked.
+
+use hazelspur_fault_harness::endings::checker::{Evidence, Rule};
+use hazelspur_fault_harness::endings::client::{Answer, Connection, Sent};
+use hazelspur_fault_harness::endings::plan::{Class, Plan};
+use hazelspur_fault_harness::endings::server::{End, MAX_DESCRIPTORS, MAX_MEMORY_MB};
+use std::process::Command;
+use std::time::Duration;
+
+/// When SIGTERM was sent; the grace period ends 300 ms later, or 350 with the slack.
+const NOTICE_MS: u64 = 10_000;
+
+fn sent(request: &str, at_ms: u64) -> Sent {
+    Sent {
+        request: request.into(),
+        class: Some(Class::Pay),
+        effect: format!("effect-{request}"),
+        sent_ms: at_ms,
+        due_ms: at_ms + 2000,
+        answers: vec![(Answer::Success, at_ms + 20)],
+    }
+}
+
+/// A run in which all rules hold: a request before the notice that ran, one past the grace period that was rejected,
+/// and one that crossed the close.
+fn good() -> Evidence {
+    let late = Sent { answers: vec![(Answer::Rejected, NOTICE_MS + 500)], ..sent("b", NOTICE_MS + 480) };
+    let crossing = Sent { answers: Vec::new(), ..sent("c", NOTICE_MS + 900) };
+    let connection = Connection {
+        connected: true,
+        sent: vec![sent("a", NOTICE_MS - 100), late, crossing],
+        closed_ms: Some(NOTICE_MS + 940),
+        ..Connection::default()
+    };
+    Evidence {
+        notice_ms: NOTICE_MS,
+        kill_ms: NOTICE_MS + 1500,
+        connections: vec![connection],
+        started: [("a".to_string(), NOTICE_MS - 95)].into(),
+        runs: [("effect-a".to_string(), 1)].into(),
+        end: End { status: Some(0), memory_kb: 9000, descriptors: 40, ..End::default() },
+        ready_after: Some(Duration::from_millis(50)),
+        ..Evidence::default()
+    }
+}
+
+/// The rules that are broken in a run with a planted fault.
+fn found(plant: impl FnOnce(&mut Evidence)) -> Vec<Rule> {
+    let mut evidence = good();
+    plant(&mut evidence);
+    evidence.breaches().into_iter().map(|breach| breach.rule).collect()
+}
+
+fn request(evidence: &mut Evidence, index: usize) -> &mut Sent {
+    &mut evidence.connections[0].sent[index]
+}
+
+#[test]
+fn a_good_run_has_no_breach() {
+    assert_eq!(good().breaches(), []);
+}
+
+#[test]
+fn a_dropped_a_doubled_a_late_and_a_stray_response_are_found() {
+    assert_eq!(found(|run| request(run, 0).answers.clear()), [Rule::OneResponse]);
+    assert_eq!(found(|run| request(run, 0).answers.push((Answer::Failed, NOTICE_MS))), [Rule::OneResponse]);
+    assert_eq!(found(|run| request(run, 0).answers[0].1 = NOTICE_MS + 1951), [Rule::OneResponse]);
+    assert_eq!(found(|run| run.connections[0].strays = 1), [Rule::OneResponse]);
+}
+
+#[test]
+fn a_request_that_was_sent_long_before_the_close_or_is_never_closed_is_lost() {
+    assert_eq!(found(|run| run.connections[0].closed_ms = Some(NOTICE_MS + 951)), [Rule::OneResponse]);
+    assert_eq!(found(|run| run.connections[0].closed_ms = None), [Rule::OneResponse]);
+}
+
+#[test]
+fn a_run_past_the_grace_period_is_found() {
+    let run_late = |run: &mut Evidence| {
+        request(run, 1).answers[0].0 = Answer::Success;
+        run.started.insert("b".into(), NOTICE_MS + 485);
+    };
+    assert_eq!(found(run_late), [Rule::GracePeriod]);
+    let in_slack = |run: &mut Evidence| {
+        request(run, 1).sent_ms = NOTICE_MS + 350;
+        run_late(run);
+    };
+    assert_eq!(found(in_slack), []);
+}
+
+#[test]
+fn a_second_effect_and_a_rejection_of_what_ran_are_found() {
+    assert_eq!(found(|run| *run.runs.entry("effect-a".into()).or_default() = 2), [Rule::OneEffect]);
+    assert_eq!(found(|run| request(run, 0).answers[0].0 = Answer::Rejected), [Rule::OneEffect]);
+}
+
+#[test]
+fn a_late_exit_a_failure_and_a_logged_fault_are_found() {
+    assert_eq!(found(|run| run.end.killed = true), [Rule::End]);
+    assert_eq!(found(|run| run.end.status = Some(1)), [Rule::End]);
+    assert_eq!(found(|run| run.end.status = None), [Rule::End]);
+    assert_eq!(found(|run| run.log = "1.0 error task failed name=accept\n".into()), [Rule::End]);
+    assert_eq!(found(|run| run.log = "1.0 error reload refused, the old file stays\n".into()), []);
+}
+
+#[test]
+fn kept_descriptors_memory_and_files_are_found() {
+    assert_eq!(found(|run| run.end.descriptors = MAX_DESCRIPTORS + 1), [Rule::Limits]);
+    assert_eq!(found(|run| run.end.memory_kb = MAX_MEMORY_MB * 1024 + 1), [Rule::Limits]);
+    assert_eq!(found(|run| run.end.files_left = 1), [Rule::Limits]);
+}
+
+#[test]
+fn a_breach_at_the_broker_is_found() {
+    let plant = |run: &mut Evidence| run.queue_breaches.push("message 1 settled for good 2 times".into());
+    assert_eq!(found(plant), [Rule::Deliveries]);
+}
+
+#[test]
+fn a_plan_is_the_same_each_time_and_parts_can_be_left_out() {
+    for seed in 1..50 {
+        let plan = Plan::drawn(seed);
+        assert_eq!(format!("{plan:?}"), format!("{:?}", Plan::drawn(seed)));
+        let all: Vec<usize> = (0..plan.parts()).collect();
+        let none = plan.without(&all);
+        assert_eq!((none.steps.len(), none.clients.len(), plan.without(&[]).parts()), (0, 0, plan.parts()));
+    }
+    let crowds = (1..50).filter(|seed| Plan::drawn(*seed).has_crowd()).count();
+    let queues = (1..50).filter(|seed| Plan::drawn(*seed).queued_messages > 0).count();
+    assert!(crowds > 4 && queues > 8, "{crowds} of 49 seeds have a crowd, {queues} a queue");
+}
+
+#[test]
+fn impossible_options_are_refused_with_their_bounds() {
+    let refused = |server: &str, options: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hazelspur-fault-harness"));
+        let output = command.args(["endings", "--server", server]).args(options).output().expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).trim().to_string())
+    };
+    // Any program stands for the server: nothing is started.
+    let any = "/bin/true";
+    assert_eq!(refused(any, &["--seeds", "0"]), (Some(2), "--seeds 0: 1 to 100000".into()));
+    assert_eq!(refused(any, &["--jobs", "17"]), (Some(2), "--jobs 17: 1 to 16".into()));
+    let no_folder = (Some(2), "--reports \"/nowhere\": no such folder".into());
+    assert_eq!(refused(any, &["--reports", "/nowhere"]), no_folder);
+    let no_program = (Some(2), "--server \"/nowhere/server\": build it, or name another".into());
+    assert_eq!(refused("/nowhere/server", &[]), no_program);
+}
--- a/crates/hazelspur-test-doubles/src/arrival.rs
+++ b/crates/hazelspur-test-doubles/src/arrival.rs
@@ -15,29 +15,43 @@
 const OBSERVATION_INTERVAL_MS: u8 = 2;
 
 /// The reading side of a connection.
-pub(crate) struct ArrivalReader<'a> {
+pub struct ArrivalReader<'a> {
     stream: &'a TcpStream,
     empty_at_ms: u64,
 }
 
 impl<'a> ArrivalReader<'a> {
-    pub(crate) fn new(stream: &'a TcpStream) -> Self {
+    /// Observes a stream from now on.
+    pub fn new(stream: &'a TcpStream) -> Self {
         Self { stream, empty_at_ms: now_ms() }
     }
 
     /// When the bytes that were read last can have come at the earliest, in Unix milliseconds.
-    pub(crate) fn arrived_after_ms(&self) -> u64 {
+    pub fn arrived_after_ms(&self) -> u64 {
         self.empty_at_ms
     }
+
+    /// Reads what is there, without waiting; `None` where nothing is, and 0 bytes at the stream's end.
+    ///
+    /// # Errors
+    /// Where the connection is broken.
+    pub fn read_available(&mut self, buffer: &mut [u8]) -> io::Result<Option<usize>> {
+        let looked_at_ms = now_ms();
+        match recv(self.stream.as_raw_fd(), buffer, MsgFlags::MSG_DONTWAIT) {
+            Err(Errno::EAGAIN) => {
+                self.empty_at_ms = looked_at_ms;
+                Ok(None)
+            }
+            result => Ok(Some(result?)),
+        }
+    }
 }
 
 impl Read for ArrivalReader<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         loop {
-            let looked_at_ms = now_ms();
-            match recv(self.stream.as_raw_fd(), buffer, MsgFlags::MSG_DONTWAIT) {
-                Err(Errno::EAGAIN) => self.empty_at_ms = looked_at_ms,
-                result => return Ok(result?),
+            if let Some(count) = self.read_available(buffer)? {
+                return Ok(count);
             }
             let mut readable = [PollFd::new(self.stream.as_fd(), PollFlags::POLLIN)];
             poll(&mut readable, PollTimeout::from(OBSERVATION_INTERVAL_MS))?;
--- a/crates/hazelspur-test-doubles/src/lib.rs
+++ b/crates/hazelspur-test-doubles/src/lib.rs
@@ -3,7 +3,7 @@
 //! count what happened, and `checker` says which rule was broken. Bounded, without privileges, never the
 //! server's own code.
 
-mod arrival;
+pub mod arrival;
 pub mod broker;
 pub mod checker;
 pub mod control;
