--- a/crates/hazelspur-server/tests/endings.rs
+++ b/crates/hazelspur-server/tests/endings.rs
@@ -34,7 +34,8 @@
                     if seed > SEEDS {
                         break;
                     }
-                    failures.lock().expect("no panic before").extend(failure(seed));
+                    let failure = failure(seed);
+                    failures.lock().expect("no panic before").extend(failure);
                 }
             });
         }
