--- a/crates/hazelspur-fault-harness/src/endings/command.rs
+++ b/crates/hazelspur-fault-harness/src/endings/command.rs
@@ -13,8 +13,9 @@
 use std::time::Duration;
 use tokio::signal::unix::SignalKind;
 
-/// The most seeds of one call, and the most runs at a time.
+/// The most seeds of one call.
 const MAX_SEEDS: u64 = 100_000;
+/// The most runs at a time.
 const MAX_JOBS: usize = 16;
 /// A restarted server serves within this time in nine of ten cases.
 const READY_TIME: Duration = Duration::from_secs(10);
--- a/crates/hazelspur-fault-harness/src/endings/plan.rs
+++ b/crates/hazelspur-fault-harness/src/endings/plan.rs
@@ -11,8 +11,9 @@
 const STOP_MS: [i64; 4] = [900, 1200, 1500, 2400];
 /// A suspension ends at least this long before the kill, in milliseconds.
 const SUSPENSION_MARGIN_MS: i64 = 300;
-/// Clients of a run without a crowd, and with one; all of them fit the descriptors of a server.
+/// Clients of a run without a crowd.
 const CLIENTS: u32 = 8;
+/// Clients of a run with a crowd; all of them fit the descriptors of a server.
 const CROWD: u32 = 60;
 
 /// A request class, by what repeating it would do.
--- a/crates/hazelspur-fault-harness/src/endings/run.rs
+++ b/crates/hazelspur-fault-harness/src/endings/run.rs
@@ -20,8 +20,9 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-/// Calls that the dependency serves at once, and the time of one in milliseconds.
+/// Calls that the dependency serves at once.
 const CALL_SLOTS: usize = 50;
+/// The time of a call, in milliseconds.
 const CALL_MS: f64 = 5.0;
 /// How long the run goes on past the kill, for clients that still read, in milliseconds.
 const AFTERMATH_MS: u64 = 300;
--- a/crates/hazelspur-test-doubles/src/runtime.rs
+++ b/crates/hazelspur-test-doubles/src/runtime.rs
@@ -223,6 +223,40 @@
         });
     }
 
+    /// Carries out a command that came over this link.
+    fn take(&mut self, words: &[&str], body: Vec<u8>, arrived_after_ms: u64, link: &TcpStream) {
+        match *words {
+            ["sync", last] => {
+                let last: u64 = last.parse().unwrap_or(0);
+                if last == 0 {
+                    // A new life of the server; one that knows a run sends its start once more.
+                    self.running.iter_mut().for_each(|run| run.orphan = Some(Instant::now()));
+                }
+                self.link = link.try_clone().ok();
+                self.say(b"ready hot 60000\r\n");
+                let again: Vec<u8> =
+                    self.notices.iter().filter(|(n, _)| *n > last).flat_map(|(_, b)| b.clone()).collect();
+                self.say(&again);
+            }
+            ["gauges", tag] => {
+                let on_cores = self.running.iter().filter(|run| !run.calling).count();
+                let load = format!("load {tag} 0.1 {on_cores} 0.0 1\r\n");
+                self.say(load.as_bytes());
+            }
+            ["start", id, ..] => self.begin(id, body, arrived_after_ms),
+            ["give", id, _] => {
+                if let Some(run) = self.running.iter_mut().find(|run| run.id == id) {
+                    run.calling = false;
+                }
+                if self.pace.run_ms == 0 {
+                    self.work(0.0);
+                }
+            }
+            ["stop", id] => self.stop(id),
+            _ => self.say(b"info 0 not understood\r\n"),
+        }
+    }
+
     fn stop(&mut self, id: &str) {
         if let Some(at) = self.running.iter().position(|run| run.id == id) {
             self.running.swap_remove(at);
@@ -253,36 +287,7 @@
         if town.refuses_links {
             return;
         }
-        match words[..] {
-            ["sync", last] => {
-                let last: u64 = last.parse().unwrap_or(0);
-                if last == 0 {
-                    // A new life of the server; one that knows a run sends its start once more.
-                    town.running.iter_mut().for_each(|run| run.orphan = Some(Instant::now()));
-                }
-                town.link = stream.try_clone().ok();
-                town.say(b"ready hot 60000\r\n");
-                let again: Vec<u8> =
-                    town.notices.iter().filter(|(n, _)| *n > last).flat_map(|(_, b)| b.clone()).collect();
-                town.say(&again);
-            }
-            ["gauges", tag] => {
-                let on_cores = town.running.iter().filter(|run| !run.calling).count();
-                let load = format!("load {tag} 0.1 {on_cores} 0.0 1\r\n");
-                town.say(load.as_bytes());
-            }
-            ["start", id, ..] => town.begin(id, body, arrived_after_ms),
-            ["give", id, _] => {
-                if let Some(run) = town.running.iter_mut().find(|run| run.id == id) {
-                    run.calling = false;
-                }
-                if town.pace.run_ms == 0 {
-                    town.work(0.0);
-                }
-            }
-            ["stop", id] => town.stop(id),
-            _ => town.say(b"info 0 not understood\r\n"),
-        }
+        town.take(&words, body, arrived_after_ms, stream);
         line.clear();
     }
 }
