The drain test's client closes as gateways do, so that the end is not at its margin

notice_handled_late_counts_from_its_sending failed in 4 of 30 runs of its binary at load 40 to 76: answer, worker and status right, the end after 1,500 ms. Its client read the close and stayed, so the server waited for it until 40 ms before the kill, which that load takes. A gateway closes; then 170 ms are left. What is asserted is the same.

--- a/crates/hazelspur-server/tests/shutdown.rs
+++ b/crates/hazelspur-server/tests/shutdown.rs
@@ -177,6 +177,9 @@
     if answer.contains("farewell") {
         answer = gateway.record_next(&mut String::new());
     }
+    // As a gateway does; the server would otherwise wait for it until shortly before the kill.
+    while gateway.read_line() != "(closed)" {}
+    drop(gateway);
     let at_worker = link.record_next(&mut String::new());
     let status = server.server.wait().expect("the server ends").code();
     let in_time = begun.elapsed() < Duration::from_millis(1500);
