A connection that the end of the process closes gets its goodbye message first

Seen: shutdown_answers_received_requests_and_sends_goodbye failed once in 30 runs at load 40 to 76: a gateway whose last request was answered 250 ms before the stop read the end of its connection without a goodbye message.

Cause: the message goes out in the first round without an open request; where the machine delays the rounds by over 70 ms, that round finds the phase "ending", which closed at once. A gateway that is not told goes on sending.

The test is unchanged.

--- a/crates/hazelspur-server/src/ingress/gateway/maintenance.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/maintenance.rs
@@ -55,6 +55,9 @@
             return;
         }
         if self.phase == Phase::Ending {
+            if connection.is_open() {
+                connection.send_goodbye();
+            }
             connection.close();
         }
         if !connection.has_open_requests() {
