The soak's steps end at their drawn moments, whatever other step lasts longer

The server was not at fault.

Cause: steps were carried out one after the other, each suspension and each refused link for its whole length. Suspend(322) at 1521 and Suspend(573) at 1522 ended at 2416, past the kill at 2400. A refusal of the worker link near the end also put the kill itself off, which made the check of the end laxer there. And a suspension drawn within 10 ms of its margin could end up to 9 ms past it.

Change: `timeline` turns a plan into operations with a time each; overlapping spans of a kind last from the first beginning to the last end; nothing lasts past the kill. Drawn plans are the same but for those suspensions, which end at the margin. The checks are unchanged.

--- a/crates/hazelspur-fault-harness/src/endings/mod.rs
+++ b/crates/hazelspur-fault-harness/src/endings/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! - `plan`: what happens when, drawn from a seed, and what is left of it when parts are left out;
 //! - `server`: the process under test, its files, signals and end; `client`: one connection of a client;
+//! - `timeline`: when each step of a plan begins and ends;
 //! - `run`: a plan from start to evidence; `checker`: the rules over the evidence;
 //! - `command`: many seeds, their summary, and the shrinking of one that fails.
 
@@ -12,3 +13,4 @@
 pub mod plan;
 pub mod run;
 pub mod server;
+pub mod timeline;
--- a/crates/hazelspur-fault-harness/src/endings/plan.rs
+++ b/crates/hazelspur-fault-harness/src/endings/plan.rs
@@ -168,7 +168,7 @@
         let action = match self.below(6) {
             0 => Action::Term,
             1 => Action::Hup(files[self.below(4) as usize]),
-            2 | 3 => Action::Suspend(self.time(10, longest.min(600))),
+            2 | 3 => Action::Suspend(self.time(10, longest.min(600)).min(longest)),
             4 => Action::RefuseWorker(self.time(10, 400)),
             _ => Action::CutBroker,
         };
--- a/crates/hazelspur-fault-harness/src/endings/run.rs
+++ b/crates/hazelspur-fault-harness/src/endings/run.rs
@@ -2,8 +2,9 @@
 
 use super::checker::Evidence;
 use super::client::{self, Connection, Scene};
-use super::plan::{Action, LEAD_MS, Plan, Step};
+use super::plan::{LEAD_MS, Plan};
 use super::server::{Addresses, Server};
+use super::timeline::{Operation, OverlappingSpans, TimedOperation, timeline};
 use amq_protocol::protocol::basic::AMQPProperties;
 use anyhow::Context;
 use hazelspur_test_doubles::broker::Broker;
@@ -100,52 +101,64 @@
         breaches(&self.broker.state(), &self.worker.town(), &self.expected, lost)
     }
 
-    fn act(&self, server: &mut Server, action: Action) -> anyhow::Result<()> {
-        match action {
-            Action::Term => server.signal("-TERM"),
-            Action::Hup(change) => server.reload(change)?,
-            Action::Suspend(ms) => {
-                server.signal("-STOP");
-                sleep(Duration::from_millis(ms as u64));
-                server.signal("-CONT");
+    /// Plays the timeline; SIGTERM is sent at its time. Returns just before and just after its sending.
+    fn play_timeline(&self, server: &mut Server, plan: &Plan, scene: &Scene) -> anyhow::Result<Notice> {
+        let mut spans = Spans::default();
+        let mut notice = Notice::default();
+        for TimedOperation { at_ms, operation } in timeline(plan) {
+            let due_ms = scene.notice_due_ms.saturating_add_signed(at_ms);
+            while now_ms() < due_ms {
+                server.observe();
+                sleep(OBSERVATION_INTERVAL.min(Duration::from_millis(due_ms.saturating_sub(now_ms()))));
             }
-            Action::RefuseWorker(ms) => {
-                {
-                    let mut worker = self.worker.town();
-                    worker.refuses_links = true;
-                    worker.break_link();
-                }
-                sleep(Duration::from_millis(ms as u64));
-                self.worker.town().refuses_links = false;
+            if operation == Operation::Notice {
+                notice.before_ms = now_ms();
+                server.signal("-TERM");
+                notice.after_ms = now_ms();
+            } else {
+                self.act(server, &mut spans, operation)?;
             }
-            Action::CutBroker => self.broker.cut(),
         }
-        Ok(())
+        Ok(notice)
     }
 
-    /// Plays the steps; SIGTERM is sent at its time. Returns just before and just after its sending.
-    fn play_steps(&self, server: &mut Server, plan: &Plan, scene: &Scene) -> anyhow::Result<(u64, u64)> {
-        let notice = Step { at_ms: 0, action: Action::Term };
-        let mut steps: Vec<Step> = plan.steps.clone();
-        let place = steps.partition_point(|step| step.at_ms < 0);
-        steps.insert(place, notice);
-        let mut sent = (0, 0);
-        for (index, step) in steps.into_iter().enumerate() {
-            let due_ms = scene.notice_due_ms.saturating_add_signed(step.at_ms);
-            while now_ms() < due_ms {
-                server.observe();
-                sleep(OBSERVATION_INTERVAL.min(Duration::from_millis(due_ms.saturating_sub(now_ms()))));
-            }
-            let before_ms = now_ms();
-            self.act(server, step.action)?;
-            if index == place {
-                sent = (before_ms, now_ms());
+    fn act(&self, server: &mut Server, spans: &mut Spans, operation: Operation) -> anyhow::Result<()> {
+        match operation {
+            Operation::Notice | Operation::Term => server.signal("-TERM"),
+            Operation::Hup(change) => server.reload(change)?,
+            Operation::BeginSuspension if spans.suspensions.begin() => server.signal("-STOP"),
+            Operation::EndSuspension if spans.suspensions.end() => server.signal("-CONT"),
+            Operation::BeginRefusal if spans.refusals.begin() => {
+                let mut worker = self.worker.town();
+                worker.refuses_links = true;
+                worker.break_link();
             }
+            Operation::EndRefusal if spans.refusals.end() => self.worker.town().refuses_links = false,
+            Operation::CutBroker => self.broker.cut(),
+            // Another span of the kind goes on.
+            Operation::BeginSuspension
+            | Operation::EndSuspension
+            | Operation::BeginRefusal
+            | Operation::EndRefusal => {}
         }
-        Ok(sent)
+        Ok(())
     }
 }
 
+/// Spans under way in one run.
+#[derive(Default)]
+struct Spans {
+    suspensions: OverlappingSpans,
+    refusals: OverlappingSpans,
+}
+
+/// When SIGTERM was sent, in Unix milliseconds.
+#[derive(Clone, Copy, Default)]
+struct Notice {
+    before_ms: u64,
+    after_ms: u64,
+}
+
 /// Plays a plan.
 ///
 /// # Errors
@@ -168,8 +181,8 @@
                 })
             })
             .collect();
-        let ended = scenery.play_steps(&mut server, plan, &scene).and_then(|notice| {
-            let kill_ms = notice.0.saturating_add_signed(plan.stop_ms);
+        let ended = scenery.play_timeline(&mut server, plan, &scene).and_then(|notice| {
+            let kill_ms = notice.before_ms.saturating_add_signed(plan.stop_ms);
             Ok((notice, server.end_or_kill(kill_ms)?))
         });
         let connections: Vec<Connection> =
@@ -182,8 +195,8 @@
     let back = if interrupted.load(Ordering::Relaxed) { None } else { come_back(program, &scenery, plan)? };
     let worker = scenery.worker.town();
     let evidence = Evidence {
-        notice_ms: notice.1,
-        kill_ms: notice.0.saturating_add_signed(plan.stop_ms),
+        notice_ms: notice.after_ms,
+        kill_ms: notice.before_ms.saturating_add_signed(plan.stop_ms),
         connections,
         started: worker.started.clone(),
         runs: worker
--- a/crates/hazelspur-fault-harness/tests/endings.rs
+++ b/crates/hazelspur-fault-harness/tests/endings.rs
@@ -2,8 +2,9 @@
 
 use hazelspur_fault_harness::endings::checker::{Evidence, Rule};
 use hazelspur_fault_harness::endings::client::{Answer, Connection, Sent};
-use hazelspur_fault_harness::endings::plan::{Class, Plan};
+use hazelspur_fault_harness::endings::plan::{Action, Class, Plan, Step};
 use hazelspur_fault_harness::endings::server::{End, MAX_DESCRIPTORS, MAX_MEMORY_MB};
+use hazelspur_fault_harness::endings::timeline::{Operation, OverlappingSpans, TimedOperation, timeline};
 use std::process::Command;
 use std::time::Duration;
 
@@ -130,6 +131,49 @@
     assert!(crowds > 4 && queues > 8, "{crowds} of 49 seeds have a crowd, {queues} a queue");
 }
 
+/// Guards against steps that are carried out one after the other, so that a suspension lasts until past the kill.
+#[test]
+fn a_step_ends_at_its_moment_whatever_other_step_lasts_longer() {
+    let steps = [
+        Step { at_ms: 1521, action: Action::Suspend(322) },
+        Step { at_ms: 1522, action: Action::Suspend(573) },
+        Step { at_ms: 1600, action: Action::RefuseWorker(100) },
+        Step { at_ms: 1650, action: Action::Term },
+    ];
+    let plan = Plan { steps: steps.to_vec(), ..Plan::drawn(972) };
+    let expected = [
+        (0, Operation::Notice),
+        (1521, Operation::BeginSuspension),
+        (1522, Operation::BeginSuspension),
+        (1600, Operation::BeginRefusal),
+        (1650, Operation::Term),
+        (1700, Operation::EndRefusal),
+        (1843, Operation::EndSuspension),
+        (2095, Operation::EndSuspension),
+    ];
+    let expected = expected.map(|(at_ms, operation)| TimedOperation { at_ms, operation });
+    assert_eq!(timeline(&plan), expected);
+}
+
+#[test]
+fn overlapping_spans_last_from_the_first_beginning_to_the_last_end() {
+    let mut spans = OverlappingSpans::default();
+    assert_eq!([spans.begin(), spans.begin(), spans.end(), spans.end()], [true, false, false, true]);
+    assert_eq!([spans.begin(), spans.end()], [true, true]);
+}
+
+#[test]
+fn every_drawn_suspension_ends_before_the_margin_to_the_kill_and_every_step_by_the_kill() {
+    for plan in (1..1000).map(Plan::drawn) {
+        let latest = |timed: &TimedOperation| match timed.operation {
+            Operation::EndSuspension => plan.stop_ms - 300,
+            _ => plan.stop_ms,
+        };
+        let late: Vec<_> = timeline(&plan).into_iter().filter(|timed| timed.at_ms > latest(timed)).collect();
+        assert!(late.is_empty(), "{plan}: {late:?}");
+    }
+}
+
 #[test]
 fn impossible_options_are_refused_with_their_bounds() {
     let refused = |server: &str, options: &[&str]| {
