No decision and no timeout goes by a time later than the last look at input

Callers saw: a request was failed (-32000) although its result had been written to the server before its deadline, where the server was suspended or starved meanwhile. A dependency's reply that came so was taken for a timeout and its call made again.

Cause: after one look at input and one task hop the dispatcher decided by the present time; a result takes three tasks to its report. Timeouts ended by the present time, whatever lay in the socket.

Change: the clock has an input watermark, the time up to which all input is read and reported. The event loop advances it: it takes the time, has the runtime look at input without waiting, and polls the tasks until none is ready. Decisions and the ends of sleeps and timeouts wait for it and go by it. The controller gets inputs by the turn's time, so that its time never goes back; whether a request came within the grace period goes by the present time at which it was read (`read_after`), leases and permissions to run by the present time, so that what arrives late stays late. Clippy refuses the runtime's own sleeps and timeouts in this package. Membership reads datagrams before it acts on timers; a wait for datagrams that was made up for never counts into the future.

--- a/crates/hazelspur-fleet/src/membership/local_health.rs
+++ b/crates/hazelspur-fleet/src/membership/local_health.rs
@@ -94,7 +94,8 @@
         self.add_to_score(LATE_TIMER_PENALTY);
         self.recovering_until = now + self.period + self.period;
         // It received nothing meanwhile because it did not run.
-        self.last_received = self.last_received + late;
+        let received_while_suspended = (self.last_received + late).min(now);
+        self.last_received = self.last_received.max(received_while_suspended);
         late
     }
 
--- a/crates/hazelspur-fleet/tests/helpers/mod.rs
+++ b/crates/hazelspur-fleet/tests/helpers/mod.rs
@@ -86,7 +86,7 @@
         self.suspended.insert(of, VecDeque::new());
     }
 
-    /// The member receives all datagrams that arrived meanwhile.
+    /// The member acts on its timers and then receives all datagrams that arrived meanwhile.
     pub(crate) fn resume(&mut self, of: usize) {
         let waiting = self.suspended.remove(&of).unwrap_or_default();
         if let Some(member) = self.members.get_mut(&of) {
@@ -97,6 +97,17 @@
         }
     }
 
+    /// The member receives all datagrams that arrived meanwhile before it acts on its timers, as the server does.
+    pub(crate) fn resume_input_first(&mut self, of: usize) {
+        let waiting = self.suspended.remove(&of).unwrap_or_default();
+        if let Some(member) = self.members.get_mut(&of) {
+            for datagram in &waiting {
+                let _ = member.receive(self.now, datagram);
+            }
+            member.tick(self.now);
+        }
+    }
+
     pub(crate) fn kill(&mut self, of: usize) {
         self.members.remove(&of);
     }
--- a/crates/hazelspur-fleet/tests/membership.rs
+++ b/crates/hazelspur-fleet/tests/membership.rs
@@ -48,12 +48,21 @@
 
 #[test]
 fn a_suspended_member_is_degraded_and_declares_nobody_dead() {
+    check_suspended_members(TestFleet::resume);
+}
+
+#[test]
+fn a_suspended_member_that_reads_before_it_acts_is_degraded_and_declares_nobody_dead() {
+    check_suspended_members(TestFleet::resume_input_first);
+}
+
+fn check_suspended_members(resume: fn(&mut TestFleet, usize)) {
     let mut fleet = TestFleet::new(12);
     fleet.run(8000);
     fleet.events.clear();
     (0..4).for_each(|of| fleet.suspend(of * 3));
     fleet.run(10_000);
-    (0..4).for_each(|of| fleet.resume(of * 3));
+    (0..4).for_each(|of| resume(&mut fleet, of * 3));
     fleet.run(20);
     let of = |fleet: &TestFleet, of: usize| fleet.members[&of].local_status();
     assert_eq!(of(&fleet, 0), LocalStatus::Degraded);
--- a/crates/hazelspur-server/src/clock.rs
+++ b/crates/hazelspur-server/src/clock.rs
@@ -1,12 +1,19 @@
-//! The clocks of the process.
+//! The clocks of the process, and the waits that go by them.
 //!
-//! `now` is the one to wait and to calculate by: it starts at the Unix time of the process's start and advances
-//! evenly, so that setting the system clock changes no timeout, window or deadline. `wall` is the Unix clock as
-//! other servers see it, never going back. `monotonic` has no relation to the time of day.
+//! `now` starts at the Unix time of the process's start and advances evenly, so that setting the system clock
+//! changes no timeout, window or deadline. `wall` is the Unix clock as other servers see it, never going back.
+//! `monotonic` has no relation to the time of day.
+//!
+//! `input_watermark` is the time up to which all input has been read and reported; the event loop advances it.
+//! Invariant: no timeout ends, and no decision is made, by a time later than the watermark. So a result that
+//! lies in a socket when its deadline passes counts before the deadline, also if the process was suspended
+//! meanwhile. What arrives late is late: receipts, leases and permissions to run go by `now`.
 
 use hazelspur::{Duration, Timeline, Timestamp};
 use std::cell::{Cell, OnceCell};
 use std::time::{Duration as StdDuration, Instant, SystemTime, UNIX_EPOCH};
+use thiserror::Error;
+use tokio::sync::Notify;
 
 /// What `Clock::monotonic` shows at first: above zero, so that earlier times exist.
 const MONOTONIC_START: Timestamp = Timestamp::from_us(1_000_000);
@@ -26,20 +33,58 @@
     }
 }
 
+/// What was awaited did not come before the timeout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("timed out")]
+pub struct TimedOut;
+
+/// The time up to which all input has been read and reported, and the tasks that wait for it.
+#[derive(Default)]
+struct InputWatermark {
+    /// When the present turn of the event loop began.
+    turn_began: Cell<Timestamp>,
+    /// The beginning of the last turn whose input is reported.
+    time: Cell<Timestamp>,
+    waiters: Cell<usize>,
+    advanced: Notify,
+}
+
+/// Counts a task that waits for the watermark, for as long as it waits.
+struct WatermarkWaiter<'a>(&'a Cell<usize>);
+
+impl<'a> WatermarkWaiter<'a> {
+    fn register(waiters: &'a Cell<usize>) -> Self {
+        waiters.set(waiters.get() + 1);
+        Self(waiters)
+    }
+}
+
+impl Drop for WatermarkWaiter<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The clocks of one process.
 #[derive(Default)]
 pub struct Clock {
     last_wall: Cell<Timestamp>,
-    wall_offset_ms: Cell<i64>,
+    wall_offset_ms: i64,
     origin: OnceCell<Origin>,
+    watermark: InputWatermark,
 }
 
 impl Clock {
+    /// Clocks whose Unix clock is set apart from the system's by so many milliseconds.
+    pub fn apart_from_system_ms(wall_offset_ms: i64) -> Self {
+        Self { wall_offset_ms, ..Self::default() }
+    }
+
     fn origin(&self) -> &Origin {
         self.origin.get_or_init(|| Origin { instant: Instant::now(), timeline: Timeline::new(self.unix()) })
     }
 
-    /// The time to wait and to calculate by.
+    /// The time at which something is received, sent or started.
     pub fn now(&self) -> Timestamp {
         let origin = self.origin();
         origin.timeline.at(origin.elapsed())
@@ -59,7 +104,7 @@
 
     fn unix(&self) -> Timestamp {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let offset_us = self.wall_offset_ms.get().saturating_mul(US_PER_MS);
+        let offset_us = self.wall_offset_ms.saturating_mul(US_PER_MS);
         let now_us = (since.as_micros() as i64).saturating_add(offset_us);
         Timestamp::from_us(now_us.max(0) as u64)
     }
@@ -69,22 +114,81 @@
         MONOTONIC_START + self.origin().elapsed()
     }
 
-    /// Sets the Unix clock apart from the system's, before it is first read.
-    pub fn set_wall_offset_ms(&self, ms: i64) {
-        self.wall_offset_ms.set(ms);
+    /// The time up to which all input has been read and reported.
+    pub fn input_watermark(&self) -> Timestamp {
+        self.watermark.time.get()
+    }
+
+    /// The Unix time at the input watermark.
+    pub fn wall_at_watermark(&self) -> Timestamp {
+        let wall = self.wall();
+        wall.back(self.now() - self.input_watermark())
     }
 
-    /// Sleeps until a time by `now`.
+    /// When the present turn of the event loop began. What the turn's tasks read may have arrived later.
+    pub fn turn_began(&self) -> Timestamp {
+        self.watermark.turn_began.get()
+    }
+
+    /// A turn begins: the look at input that follows finds all that has arrived by now.
+    pub(crate) fn begin_turn(&self) {
+        self.watermark.turn_began.set(self.now());
+    }
+
+    /// Advances the watermark: what had arrived before the present turn has been read and reported.
+    pub(crate) fn input_is_reported(&self) {
+        self.watermark.time.set(self.turn_began());
+        self.watermark.advanced.notify_waiters();
+    }
+
+    /// Whether a task can't go on before the watermark advances.
+    pub(crate) fn watermark_is_awaited(&self) -> bool {
+        self.watermark.waiters.get() > 0
+    }
+
+    /// Completes once what a turn of the event loop found is reported, within that turn.
+    pub async fn input_reported(&self) {
+        let _waiter = WatermarkWaiter::register(&self.watermark.waiters);
+        self.watermark.advanced.notified().await;
+        // A turn with too many ready tasks ends before all that were notified have run.
+        while self.input_watermark() < self.turn_began() {
+            self.watermark.advanced.notified().await;
+        }
+    }
+
+    /// Sleeps until a time by `now`, and until all input that had arrived by then is reported.
     pub async fn sleep_until(&self, at: Timestamp) {
         // Timers may be a little early by this clock.
         while self.now() < at {
-            sleep(at - self.now()).await;
+            pause(at - self.now()).await;
+        }
+        let _waiter = WatermarkWaiter::register(&self.watermark.waiters);
+        while self.input_watermark() < at {
+            self.watermark.advanced.notified().await;
+        }
+    }
+
+    /// Sleeps for this long, and until all input that had arrived by then is reported.
+    pub async fn sleep(&self, duration: Duration) {
+        self.sleep_until(self.now() + duration).await;
+    }
+
+    /// Awaits a future for this long. What had arrived by then counts, however late this task runs.
+    ///
+    /// # Errors
+    /// `TimedOut` where the future is not complete although all input up to the end of the time is reported.
+    pub async fn timeout<F: Future>(&self, limit: Duration, future: F) -> Result<F::Output, TimedOut> {
+        tokio::select! {
+            biased;
+            output = future => Ok(output),
+            () = self.sleep(limit) => Err(TimedOut),
         }
     }
 }
 
-/// Sleeps for this long.
-pub async fn sleep(duration: Duration) {
+/// Pauses for this long whatever input has arrived: nothing may be decided by the time that has passed.
+#[expect(clippy::disallowed_methods, reason = "the one place that sleeps without the watermark")]
+pub async fn pause(duration: Duration) {
     tokio::time::sleep(to_std(duration)).await;
 }
 
--- a/crates/hazelspur-server/src/fleet/transport.rs
+++ b/crates/hazelspur-server/src/fleet/transport.rs
@@ -1,7 +1,7 @@
 //! The gossip transport: one UDP socket whose datagrams go to `FleetNode` and from it, and a task that probes
 //! the shared dependency while the circuit breaker is open.
 
-use crate::clock::{Clock, to_std};
+use crate::clock::Clock;
 use crate::config::fleet_keys::{Fleet, QuotaKeysError};
 use crate::fleet::coordinator::{Coordinator, UnknownLimitError};
 use crate::fleet::event_log::EventLog;
@@ -127,6 +127,12 @@
         clocks(&self.dispatcher.clock)
     }
 
+    /// The clocks that timers go by. A suspicion ends by the input watermark, since a datagram that refutes it may
+    /// have arrived; a lease ends by the present time, since it must not be relied on any longer.
+    fn timer_clocks(&self, now: Clocks) -> Clocks {
+        Clocks { wall: self.dispatcher.clock.wall_at_watermark(), monotonic: now.monotonic }
+    }
+
     /// Sends and receives datagrams and acts on timers, for as long as the process runs.
     pub async fn run(self: Rc<Self>) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
@@ -135,12 +141,13 @@
             self.step();
             let wait = self.node.borrow().time_to_next_tick(self.now()).min(MAX_IDLE);
             tokio::select! {
+                biased;
                 received = self.socket.recv_from(&mut buffer) => {
                     let length = received.ok().map(|(length, _)| length);
                     self.receive_all(length, &mut buffer);
                     tokio::task::yield_now().await;
                 }
-                () = tokio::time::sleep(to_std(wait)) => {}
+                () = self.dispatcher.clock.sleep(wait) => {}
                 () = self.phases.reached(is_leaving), if !self.leaving.get() => {
                     self.leaving.set(true);
                     self.node.borrow_mut().leave(self.now());
@@ -151,8 +158,6 @@
 
     /// Takes the datagram in the buffer and those that have arrived meanwhile.
     fn receive_all(&self, length: Option<usize>, buffer: &mut [u8]) {
-        // Timers first: after a suspension they tell that this process did not run.
-        self.node.borrow_mut().tick(self.now());
         if let Some(length) = length {
             self.receive(&buffer[..length]);
         }
@@ -177,7 +182,7 @@
         let now = self.now();
         let (mut node, mut event_log) = (self.node.borrow_mut(), self.event_log.borrow_mut());
         self.coordinator.borrow_mut().report(now, &self.dispatcher, &mut node);
-        node.tick(now);
+        node.tick(self.timer_clocks(now));
         while let Some(OutgoingDatagram { address, datagram }) = node.next_datagram(now) {
             // A datagram that cannot be sent now is lost, as on any network.
             let _ = self.socket.try_send_to(&datagram::seal(&self.key, &datagram), address);
@@ -198,11 +203,11 @@
                 Some(at) if at <= now => {
                     self.node.borrow_mut().breaker.probe_sent(now);
                     let Some(address) = self.endpoints.current().dependency else { continue };
-                    let reached = is_reachable(address).await;
+                    let reached = is_reachable(&self.dispatcher.clock, address).await;
                     self.call_finished(reached);
                 }
-                Some(at) => crate::clock::sleep((at - now).min(MAX_PROBE_WAIT)).await,
-                None => crate::clock::sleep(MAX_IDLE).await,
+                Some(at) => self.dispatcher.clock.sleep((at - now).min(MAX_PROBE_WAIT)).await,
+                None => self.dispatcher.clock.sleep(MAX_IDLE).await,
             }
         }
     }
@@ -237,10 +242,10 @@
 }
 
 /// Whether a connection can be made that is not closed at once.
-async fn is_reachable(address: SocketAddr) -> bool {
-    let connecting = tokio::time::timeout(to_std(PROBE_CONNECT_TIMEOUT), TcpStream::connect(address));
+async fn is_reachable(clock: &Clock, address: SocketAddr) -> bool {
+    let connecting = clock.timeout(PROBE_CONNECT_TIMEOUT, TcpStream::connect(address));
     match connecting.await {
-        Ok(Ok(stream)) => tokio::time::timeout(to_std(PROBE_OPEN_TIME), stream.readable()).await.is_err(),
+        Ok(Ok(stream)) => clock.timeout(PROBE_OPEN_TIME, stream.readable()).await.is_err(),
         _ => false,
     }
 }
--- a/crates/hazelspur-server/src/ingress/amqp/actions.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/actions.rs
@@ -11,10 +11,11 @@
     /// Carries out all actions that are due; without a connection nothing can be settled.
     pub(super) fn carry_out_actions(&self, mut connection: Option<&mut BrokerConnection>) {
         loop {
-            let now = self.now();
-            let Some(action) = self.tracker.borrow_mut().next_action(now) else { return };
+            // What the tracker's timers end, a confirm or a fence that has arrived may have ended before.
+            let watermark = self.clock().input_watermark();
+            let Some(action) = self.tracker.borrow_mut().next_action(watermark) else { return };
             log::trace!("delivery action {action:?}");
-            self.carry_out(now, action, connection.as_deref_mut());
+            self.carry_out(self.now(), action, connection.as_deref_mut());
         }
     }
 
--- a/crates/hazelspur-server/src/ingress/amqp/connection.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/connection.rs
@@ -2,7 +2,6 @@
 
 use super::channels::ChannelAttempts;
 use super::consumer::{AmqpConsumer, ConnectionFailure, MAX_WAIT, is_shutting_down};
-use crate::clock::sleep;
 use hazelspur::{Duration, Timestamp};
 use hazelspur_amqp::{Connection, ConnectionEnd, ConnectionSettings, ConnectionState, Credentials};
 use hazelspur_deliveries::{ConnectionNumber, DeliveryTag};
@@ -138,11 +137,11 @@
             // What else is ready to end goes out with it.
             () = self.input_notification.notified(), if !over => tokio::task::yield_now().await,
             () = self.phases.reached(is_shutting_down), if !over && !self.shutting_down.get() => {}
-            () = sleep(wait.max(MIN_WAIT)) => {
+            () = self.clock().sleep(wait.max(MIN_WAIT)) => {
                 if over {
                     return false;
                 }
-                connection.protocol.tick(self.now());
+                connection.protocol.tick(self.clock().input_watermark());
             }
         }
         true
--- a/crates/hazelspur-server/src/ingress/amqp/consumer.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/consumer.rs
@@ -1,7 +1,7 @@
 //! The consumer: its state, its reconnects and its shutdown.
 
 use super::message::StoredMessage;
-use crate::clock::{sleep, to_std};
+use crate::clock::Clock;
 use crate::config::operator::{AmqpConfig, OperatorConfig, QueueConfig, SettleOrder};
 use crate::process::phases::{Phase, Phases};
 use crate::request::dispatcher::ResponseCounts;
@@ -144,7 +144,11 @@
     }
 
     pub(super) fn now(&self) -> Timestamp {
-        self.services.dispatcher.clock.now()
+        self.clock().now()
+    }
+
+    pub(super) fn clock(&self) -> &Clock {
+        &self.services.dispatcher.clock
     }
 
     /// Keeps a connection to a broker while the server serves, and then while deliveries are unsettled or replies
@@ -155,7 +159,7 @@
         self.disconnected();
         while self.until_next_attempt().await {
             let address = self.brokers.borrow().address();
-            let connecting = tokio::time::timeout(to_std(CONNECT_TIMEOUT), TcpStream::connect(address));
+            let connecting = self.clock().timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
             let failure = match connecting.await {
                 Ok(Ok(stream)) => self.serve_connection(stream).await,
                 Ok(Err(error)) => ConnectionFailure { reason: error.to_string(), refused: false },
@@ -211,7 +215,7 @@
             tokio::select! {
                 () = self.input_notification.notified() => {}
                 () = self.phases.reached(is_shutting_down), if !shutting_down => {}
-                () = sleep(wait.min(MAX_WAIT)) => {}
+                () = self.clock().sleep(wait.min(MAX_WAIT)) => {}
             }
         }
     }
--- a/crates/hazelspur-server/src/ingress/gateway/connection.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/connection.rs
@@ -3,7 +3,6 @@
 use super::error::ProtocolError;
 use super::reputation::ClientReputation;
 use super::response_queue::ResponseQueue;
-use crate::clock::to_std;
 use crate::request::dispatcher::Dispatcher;
 use hazelspur::{Duration, RequestId, Timestamp};
 use hazelspur_parsers::rpc::{self, RpcId};
@@ -102,7 +101,7 @@
             self.output.progressed().await;
         }
         // After the timeout the rest is given up.
-        let _ = tokio::time::timeout(to_std(write_timeout), self.output.flushed()).await;
+        let _ = self.dispatcher.clock.timeout(write_timeout, self.output.flushed()).await;
     }
 
     /// Answers invalid input with an error and records it.
--- a/crates/hazelspur-server/src/ingress/gateway/connection_task.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/connection_task.rs
@@ -4,7 +4,6 @@
 
 use super::connection::{GatewayConnection, Stage};
 use super::server::{ConnectionId, GatewayServer};
-use crate::clock::sleep;
 use crate::request::event::RequestEvent;
 use hazelspur::{Duration, RequestId};
 use hazelspur_parsers::Buffer;
@@ -84,7 +83,7 @@
         if is_shut_down && end == ReadEnd::CloseRequested {
             tokio::select! {
                 () = discard_input(&mut reader, &mut input) => {}
-                () = sleep(DISCARD_TIMEOUT) => {}
+                () = self.services.dispatcher.clock.sleep(DISCARD_TIMEOUT) => {}
                 () = connection.close_requested.notified() => {}
             }
         }
@@ -139,7 +138,7 @@
                 return ReadEnd::CloseRequested;
             }
             if connection.reputation.protocol_errors() > errors_before {
-                sleep(PROTOCOL_ERROR_PAUSE).await;
+                self.services.dispatcher.clock.sleep(PROTOCOL_ERROR_PAUSE).await;
             }
             connection.output.queued_below(MAX_QUEUED_BYTES).await;
         }
--- a/crates/hazelspur-server/src/ingress/gateway/maintenance.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/maintenance.rs
@@ -3,7 +3,6 @@
 use super::connection::{GatewayConnection, Stage};
 use super::error::ProtocolError;
 use super::server::{GatewayServer, MAX_ERROR_LINES_PER_ROUND};
-use crate::clock::sleep;
 use crate::process::phases::Phase;
 use hazelspur::{Duration, Timestamp};
 use std::rc::Rc;
@@ -27,6 +26,7 @@
 
 /// What holds for all connections in one round.
 struct Round {
+    /// The input watermark: a line or a close that had arrived by then has been read.
     now: Timestamp,
     phase: Phase,
     /// Idle timeout decided by the admission controller, if any.
@@ -101,13 +101,13 @@
         loop {
             let dispatcher = &self.services.dispatcher;
             let round = Round {
-                now: dispatcher.clock.now(),
+                now: dispatcher.clock.input_watermark(),
                 phase: self.phases.now(),
                 idle_timeout: dispatcher.idle_timeout.get(),
             };
             self.connections.borrow().values().for_each(|connection| round.maintain(connection));
             self.log_unreported_errors();
-            sleep(round.interval()).await;
+            dispatcher.clock.sleep(round.interval()).await;
         }
     }
 
--- a/crates/hazelspur-server/src/ingress/gateway/server.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/server.rs
@@ -2,7 +2,6 @@
 
 use super::connection::GatewayConnection;
 use super::eviction::EvictionReason;
-use crate::clock::sleep;
 use crate::process::descriptors::Descriptors;
 use crate::process::phases::{OpenCounts, Phase, Phases};
 use crate::request::lifecycle::Services;
@@ -134,7 +133,7 @@
             log::warn!(connections = self.connection_count(), why:% = error; "accept failed");
         }
         self.evict(EvictionReason::DescriptorsExhausted);
-        sleep(failures.next_pause).await;
+        self.services.dispatcher.clock.sleep(failures.next_pause).await;
         failures.next_pause = (failures.next_pause + failures.next_pause).min(MAX_ACCEPT_PAUSE);
     }
 
@@ -146,7 +145,7 @@
     async fn accept_next(&self) -> io::Result<TcpStream> {
         while self.connection_count() >= self.max_connections() {
             self.evict(EvictionReason::TableFull);
-            sleep(TABLE_FULL_PAUSE).await;
+            self.services.dispatcher.clock.sleep(TABLE_FULL_PAUSE).await;
         }
         let accepted = poll_fn(|context| match &*self.listener.borrow() {
             Some(listener) => listener.poll_accept(context),
--- a/crates/hazelspur-server/src/lib.rs
+++ b/crates/hazelspur-server/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod commands;
 pub mod config;
+pub mod event_loop;
 pub mod fleet;
 pub mod ingress;
 pub mod logging;
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -2,14 +2,17 @@
 
 use clap::Parser;
 use hazelspur::Catalog;
+use hazelspur_server::clock::Clock;
 use hazelspur_server::commands;
 use hazelspur_server::config::command::{Command, CommandLine, ServeOptions};
 use hazelspur_server::config::operator::{self, OperatorConfig, OperatorError};
 use hazelspur_server::config::server_config;
+use hazelspur_server::event_loop::EventLoop;
 use hazelspur_server::logging;
 use hazelspur_server::process::error::{ProcessError, StartError};
 use hazelspur_server::process::{self, Signals, StartInputs};
 use std::process::ExitCode;
+use std::rc::Rc;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -42,7 +45,10 @@
         Signals::register()?
     };
     let inputs = read_inputs(options)?;
-    LocalSet::new().block_on(&runtime, process::serve(inputs, signals))
+    let clock = Rc::new(Clock::apart_from_system_ms(inputs.options.clock_apart_ms));
+    let tasks = LocalSet::new();
+    let serving = tasks.run_until(process::serve(inputs, clock.clone(), signals));
+    runtime.block_on(EventLoop::new(clock, serving))
 }
 
 fn read_inputs(options: ServeOptions) -> Result<StartInputs, StartError> {
--- a/crates/hazelspur-server/src/process/listener.rs
+++ b/crates/hazelspur-server/src/process/listener.rs
@@ -1,6 +1,6 @@
 //! Binds the gateways' listener, waiting for a former process to release the address.
 
-use crate::clock::{sleep, to_std};
+use crate::clock::{pause, to_std};
 use hazelspur::Duration;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -22,7 +22,7 @@
                 if !std::mem::replace(&mut is_logged, true) {
                     log::warn!(listen:%, why:% = e; "address in use, tried again");
                 }
-                sleep(BIND_RETRY_PAUSE).await;
+                pause(BIND_RETRY_PAUSE).await;
             }
             result => return result,
         }
--- a/crates/hazelspur-server/src/process/serve.rs
+++ b/crates/hazelspur-server/src/process/serve.rs
@@ -5,9 +5,11 @@
 use super::phases::Phase;
 use super::server::Server;
 use super::shutdown;
+use crate::clock::Clock;
 use crate::config::command::ServeOptions;
 use crate::config::operator::OperatorConfig;
 use crate::config::server_config::Loaded;
+use std::rc::Rc;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// The signals that the process handles.
@@ -35,10 +37,10 @@
     pub options: ServeOptions,
 }
 
-/// Serves until the shutdown notice and its end.
-pub async fn serve(inputs: StartInputs, mut signals: Signals) -> Result<(), ProcessError> {
+/// Serves until the shutdown notice and its end, by the clock that the event loop advances.
+pub async fn serve(inputs: StartInputs, clock: Rc<Clock>, mut signals: Signals) -> Result<(), ProcessError> {
     let StartInputs { loaded, operator, options } = inputs;
-    let server = Server::new(loaded, &operator, options.clock_apart_ms).await?;
+    let server = Server::new(loaded, &operator, clock).await?;
     // From here on connections may be accepted: whatever ends the process ends them first.
     let listener = tokio::select! {
         bound = bind(server.config.listen) => bound?,
--- a/crates/hazelspur-server/src/process/server.rs
+++ b/crates/hazelspur-server/src/process/server.rs
@@ -5,6 +5,7 @@
 use super::phases::Phases;
 use super::standstill::StandstillDetector;
 use super::supervise::supervise;
+use crate::clock::Clock;
 use crate::config::operator::OperatorConfig;
 use crate::config::reload::{self, References, Reloader};
 use crate::config::server_config::{Loaded, ServerConfig};
@@ -45,13 +46,12 @@
     pub(super) async fn new(
         loaded: Loaded,
         operator: &OperatorConfig,
-        clock_offset_ms: i64,
+        clock: Rc<Clock>,
     ) -> Result<Self, StartError> {
         let Loaded { config, catalog } = loaded;
         let descriptors = Descriptors::allowed(config.max_sockets);
         let phases = Rc::new(Phases::default());
-        let dispatcher = Rc::new(Dispatcher::default());
-        dispatcher.clock.set_wall_offset_ms(clock_offset_ms);
+        let dispatcher = Rc::new(Dispatcher::new(clock));
         dispatcher.deduplication.replace(deduplication(&config, &catalog));
         let standstills = Rc::new(StandstillDetector::new(dispatcher.clock.now()));
         let endpoints = Rc::new(UpstreamEndpoints::new(config.addresses));
--- a/crates/hazelspur-server/src/process/shutdown.rs
+++ b/crates/hazelspur-server/src/process/shutdown.rs
@@ -2,7 +2,6 @@
 
 use super::phases::Phase;
 use super::server::Server;
-use crate::clock::sleep;
 use crate::ingress::gateway::GatewayServer;
 use hazelspur::{Duration, Timestamp};
 
@@ -56,7 +55,8 @@
     server.phases.enter(phase, gateways.counts());
     let all_closed =
         || gateways.is_closed() && server.queues.as_ref().is_none_or(|queues| queues.is_finished());
-    while server.services.dispatcher.clock.now() < until && !all_closed() {
-        sleep(CHECK_INTERVAL).await;
+    let clock = &server.services.dispatcher.clock;
+    while clock.now() < until && !all_closed() {
+        clock.sleep(CHECK_INTERVAL).await;
     }
 }
--- a/crates/hazelspur-server/src/process/standstill.rs
+++ b/crates/hazelspur-server/src/process/standstill.rs
@@ -4,7 +4,7 @@
 //! which a signal that is handled now can have been sent. A signal carries no time, and the platform counts from
 //! its sending: whatever the loop handled before that time was handled without the signal.
 
-use crate::clock::sleep;
+use crate::clock::pause;
 use hazelspur::{Duration, Timestamp};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -69,7 +69,7 @@
             {
                 log::warn!(ms = (ended - began).us() / 1000; "process stood still");
             }
-            sleep(OBSERVATION_INTERVAL).await;
+            pause(OBSERVATION_INTERVAL).await;
         }
     }
 }
--- a/crates/hazelspur-server/src/process/supervise.rs
+++ b/crates/hazelspur-server/src/process/supervise.rs
@@ -1,7 +1,7 @@
 //! Supervision of the tasks that serve all requests: a task that panics is started again, after a pause that
 //! doubles while it goes on failing.
 
-use crate::clock::sleep;
+use crate::clock;
 use hazelspur::Duration;
 use std::rc::Rc;
 use std::time::{Duration as StdDuration, Instant};
@@ -32,7 +32,7 @@
                 pause = RESTART_PAUSE;
             }
             log::error!(name, again_ms = pause.us() / 1000; "task failed");
-            sleep(pause).await;
+            clock::pause(pause).await;
             pause = (pause + pause).min(MAX_RESTART_PAUSE);
         }
     });
--- a/crates/hazelspur-server/src/request/dispatcher.rs
+++ b/crates/hazelspur-server/src/request/dispatcher.rs
@@ -1,7 +1,8 @@
 //! Host of the `AdmissionController`: tasks report inputs, the dispatcher pulls decisions and carries them out.
 //!
-//! Decisions are pulled only after every ready task has reported its inputs. Each decision about a request goes
-//! to the request's task; the others are stored here for the tasks that read them.
+//! Decisions are pulled only once all input up to the clock's watermark is reported, and by the time of that
+//! watermark. Each decision about a request goes to the request's task; the others are stored here for the tasks
+//! that read them.
 
 use crate::clock::Clock;
 use crate::request::deduplication::Deduplication;
@@ -40,7 +41,7 @@
 #[derive(Default)]
 pub struct Dispatcher {
     /// The clock that every task goes by.
-    pub clock: Clock,
+    pub clock: Rc<Clock>,
     controller: RefCell<Option<AdmissionController>>,
     requests: RefCell<BTreeMap<RequestId, UnboundedSender<RequestEvent>>>,
     /// Idempotency keys and shared reads.
@@ -63,6 +64,11 @@
 }
 
 impl Dispatcher {
+    /// A dispatcher without a controller, whose tasks go by this clock.
+    pub fn new(clock: Rc<Clock>) -> Self {
+        Self { clock, ..Self::default() }
+    }
+
     /// From now on this controller decides.
     pub fn start(&self, controller: AdmissionController) {
         *self.controller.borrow_mut() = Some(controller);
@@ -74,9 +80,10 @@
         self.controller.borrow().is_some()
     }
 
-    /// Reports an input. A panic inside the controller is logged and leaves the rest of the program running.
+    /// Reports an input, by the time at which this turn of the event loop began, so that the controller's time never
+    /// goes back. A panic inside the controller is logged and leaves the rest of the program running.
     pub fn report(&self, input: impl FnOnce(&mut AdmissionController, Timestamp)) {
-        let now = self.clock.now();
+        let now = self.clock.turn_began();
         if let Some(controller) = self.controller.borrow_mut().as_mut()
             && catch_unwind(AssertUnwindSafe(|| input(controller, now))).is_err()
         {
@@ -92,7 +99,7 @@
         catalog: &RefCell<Catalog>,
         change: &Change,
     ) -> Result<ChangeSummary, ConfigError> {
-        let now = self.clock.now();
+        let now = self.clock.turn_began();
         let changed = match self.controller.borrow_mut().as_mut() {
             Some(controller) => controller.apply_change(now, change)?,
             None => {
@@ -122,7 +129,7 @@
     fn expire_leases(&self) {
         let now = self.clock.monotonic();
         let Some(expiry) = self.lease_expiry.borrow_mut().take_if(|expiry| now >= expiry.at) else { return };
-        let now = self.clock.now();
+        let now = self.clock.turn_began();
         if let Some(controller) = self.controller.borrow_mut().as_mut() {
             for ExpiredValue { key, value } in expiry.values {
                 controller.set_guidance(now, key, Some(value));
@@ -138,12 +145,12 @@
 
     /// The load of this server for its fleet; none before the start.
     pub fn load_report(&self) -> Option<LoadReport> {
-        self.controller.borrow().as_ref().map(|controller| controller.load_report(self.clock.now()))
+        self.controller.borrow().as_ref().map(|controller| controller.load_report(self.clock.turn_began()))
     }
 
     /// The request rate of a tenant, in requests per second.
     pub fn tenant_rate(&self, tenant: TenantId) -> f64 {
-        let now = self.clock.now();
+        let now = self.clock.turn_began();
         self.controller.borrow().as_ref().map_or(0.0, |controller| controller.tenant_rate(now, tenant))
     }
 
@@ -170,7 +177,7 @@
 
     /// How many more requests the controller has capacity for, beside those in progress.
     pub fn spare_capacity(&self) -> f64 {
-        let now = self.clock.now();
+        let now = self.clock.turn_began();
         let capacity =
             self.controller.borrow().as_ref().map_or(0.0, |controller| controller.spare_capacity(now));
         capacity - self.requests.borrow().len() as f64
@@ -216,11 +223,11 @@
         }
     }
 
-    /// Pulls decisions whenever something was reported, after every other ready task has run.
+    /// Pulls decisions whenever something was reported, after all that arrived with it is reported too.
     pub async fn run(self: Rc<Self>) {
         loop {
             self.input_notification.notified().await;
-            tokio::task::yield_now().await;
+            self.clock.input_reported().await;
             while let Some(decision) = self.next_decision() {
                 self.carry_out(decision);
             }
@@ -229,7 +236,7 @@
 
     fn next_decision(&self) -> Option<Decision> {
         self.expire_leases();
-        let now = self.clock.now();
+        let now = self.clock.input_watermark();
         let mut controller = self.controller.borrow_mut();
         let controller = controller.as_mut()?;
         catch_unwind(AssertUnwindSafe(|| controller.next_decision(now))).unwrap_or_else(|_| {
--- a/crates/hazelspur-server/src/request/lifecycle.rs
+++ b/crates/hazelspur-server/src/request/lifecycle.rs
@@ -108,6 +108,7 @@
     /// Passes the request to the controller at once, so that no change of configuration comes in between.
     pub fn admit(self, received: &ReceivedRequest) -> Self {
         let (request, retry_of) = (self.request, self.retry_of.as_ref().map(|retry| retry.original));
+        let read_at = self.services.dispatcher.clock.now();
         self.services.dispatcher.report(|controller, now| {
             let new = NewRequest {
                 id: request,
@@ -119,6 +120,7 @@
                 cost: None,
                 size_kb: received.size_kb,
                 age: now - received.sent_at,
+                read_after: read_at - now,
                 // Neither ingress states it; the class's idempotency decides.
                 is_write: false,
                 retry_of,
--- a/crates/hazelspur-server/src/upstream/dependency.rs
+++ b/crates/hazelspur-server/src/upstream/dependency.rs
@@ -12,7 +12,6 @@
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::time::timeout;
 
 /// An older idle connection is not reused: the dependency closes connections that were idle for 10 s.
 const MAX_IDLE_TIME: Duration = Duration::from_ms(5000);
@@ -113,7 +112,7 @@
     /// Makes a call; dropping the future cancels it.
     pub async fn call(&self, clock: &Clock, call: Call<'_>) -> CallResult {
         let give_up_at = clock.now() + call.timeout + TIMEOUT_SLACK;
-        let Ok(Ok(_permit)) = timeout(to_std(call.timeout), self.permits.acquire()).await else {
+        let Ok(Ok(_permit)) = clock.timeout(call.timeout, self.permits.acquire()).await else {
             return CallResult::without_reply(Outcome::Rejected);
         };
         let Some(address) = self.endpoints.current().dependency else {
@@ -139,7 +138,7 @@
         {
             return Some(Connection { address, stream, reused: true });
         }
-        let connecting = timeout(to_std(give_up_at - clock.now()), TcpStream::connect(address));
+        let connecting = clock.timeout(give_up_at - clock.now(), TcpStream::connect(address));
         let stream = connecting.await.ok()?.ok()?;
         Some(Connection { address, stream, reused: false })
     }
@@ -156,7 +155,7 @@
         let reply_timeout = (give_up_at - clock.now()).max(MIN_REPLY_TIMEOUT);
         let message = encode(call, address, call.timeout.min(reply_timeout));
         let exchanging = exchange(&mut stream, &message, NO_EFFECT_HEADER);
-        match timeout(to_std(reply_timeout), exchanging).await {
+        match clock.timeout(reply_timeout, exchanging).await {
             Ok(Ok(reply)) => {
                 self.notify(true);
                 if reply.is_reusable {
--- a/crates/hazelspur-server/src/upstream/registry.rs
+++ b/crates/hazelspur-server/src/upstream/registry.rs
@@ -1,6 +1,6 @@
 //! Health reports to the registry (the configuration's `control`), whose list of servers the gateways use.
 
-use crate::clock::{sleep, to_std};
+use crate::clock::Clock;
 use crate::process::phases::{Phase, Phases};
 use crate::request::dispatcher::Dispatcher;
 use crate::upstream::endpoints::UpstreamEndpoints;
@@ -13,7 +13,6 @@
 use std::time::Instant;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 /// A time between two bounds, drawn at random.
 struct RandomInterval {
@@ -102,8 +101,9 @@
                 () = phases.reached(|phase| phase != Phase::Serving) => return,
             };
             self.note(result);
+            let (clock, interval) = (self.dispatcher.clock.clone(), self.next_interval());
             tokio::select! {
-                () = sleep(self.next_interval()) => {}
+                () = clock.sleep(interval) => {}
                 () = endpoints.moved_from(|at| at.registry, registry) => {}
             }
         }
@@ -143,9 +143,10 @@
         let body = format!("{{\"condition\":\"{condition}\"}}");
         let mut message = Vec::new();
         http::write_request(&mut message, "PUT", &self.path, &address.to_string(), &[], body.as_bytes());
-        let mut stream = connect(address).await.map_err(ReportError::Connect)?;
+        let clock = &self.dispatcher.clock;
+        let mut stream = connect(clock, address).await.map_err(ReportError::Connect)?;
         let sent_at = Instant::now();
-        match timeout(to_std(self.reply_timeout), exchange(&mut stream, &message, "")).await {
+        match clock.timeout(self.reply_timeout, exchange(&mut stream, &message, "")).await {
             Err(_) => Err(ReportError::TimedOut),
             Ok(Err(why)) => Err(ReportError::Exchange(why)),
             Ok(Ok(reply)) if reply.status == STATUS_NO_CONTENT => {
@@ -156,19 +157,20 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+async fn connect(clock: &Clock, address: SocketAddr) -> std::io::Result<TcpStream> {
     let further_attempts = async {
         loop {
-            sleep(FURTHER_CONNECT_TIMEOUT).await;
-            let connecting = timeout(to_std(FURTHER_CONNECT_TIMEOUT), TcpStream::connect(address));
+            clock.sleep(FURTHER_CONNECT_TIMEOUT).await;
+            let connecting = clock.timeout(FURTHER_CONNECT_TIMEOUT, TcpStream::connect(address));
             if let Ok(Ok(stream)) = connecting.await {
                 return stream;
             }
         }
     };
     tokio::select! {
+        biased;
         first = TcpStream::connect(address) => first,
         stream = further_attempts => Ok(stream),
-        () = sleep(CONNECT_TIMEOUT) => Err(std::io::ErrorKind::TimedOut.into()),
+        () = clock.sleep(CONNECT_TIMEOUT) => Err(std::io::ErrorKind::TimedOut.into()),
     }
 }
--- a/crates/hazelspur-server/src/upstream/worker/link.rs
+++ b/crates/hazelspur-server/src/upstream/worker/link.rs
@@ -6,7 +6,7 @@
 use super::notices::Notices;
 use super::replay::Replay;
 use super::state::{LinkState, WorkerStatus};
-use crate::clock::{sleep, to_std};
+use crate::clock::Clock;
 use crate::request::dispatcher::Dispatcher;
 use crate::upstream::endpoints::UpstreamEndpoints;
 use hazelspur::{Duration, RequestId, RuntimeGauges};
@@ -22,7 +22,6 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 /// The first pause before a reconnect; doubled after each.
 const RECONNECT_PAUSE: Duration = Duration::from_ms(20);
@@ -123,6 +122,10 @@
         self.state.runs.borrow_mut().give(request, reply, self.state.gauge_query.latest());
     }
 
+    fn clock(&self) -> &Clock {
+        &self.state.dispatcher.clock
+    }
+
     fn send(&self, write: impl FnOnce(&mut Vec<u8>)) {
         if self.is_synchronized.get() {
             write(&mut self.out.borrow_mut());
@@ -149,7 +152,7 @@
         let mut pause = RECONNECT_PAUSE;
         let mut connect_timeout = CONNECT_TIMEOUT;
         loop {
-            match timeout(to_std(connect_timeout), TcpStream::connect(address)).await {
+            match self.clock().timeout(connect_timeout, TcpStream::connect(address)).await {
                 Ok(Ok(stream)) => {
                     let why = self.serve(stream).await;
                     // A worker that accepts and closes at once is as good as one that refuses.
@@ -161,7 +164,7 @@
                 Ok(Err(_)) => log::debug!("worker link refused"),
                 Err(_) => connect_timeout = (connect_timeout + connect_timeout).min(MAX_CONNECT_TIMEOUT),
             }
-            sleep(pause).await;
+            self.clock().sleep(pause).await;
             pause = (pause + pause).min(MAX_RECONNECT_PAUSE);
         }
     }
@@ -192,7 +195,7 @@
         let mut buffer = Buffer::default();
         loop {
             let idle_timeout = if self.is_synchronized.get() { IDLE_TIMEOUT } else { UNREADY_IDLE_TIMEOUT };
-            let reading = timeout(to_std(idle_timeout), read.read_buf(buffer.spare_capacity()));
+            let reading = self.clock().timeout(idle_timeout, read.read_buf(buffer.spare_capacity()));
             let count = reading.await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))?;
             if count == 0 {
                 return Err(LinkError::Closed);
@@ -224,7 +227,7 @@
         runtime::gauges(&mut out, &Replay::tag(connection));
         write.write_all(&out).await?;
         out.clear();
-        let replay = timeout(to_std(REPLAY_TIMEOUT), self.state.replay.ended(connection));
+        let replay = self.clock().timeout(REPLAY_TIMEOUT, self.state.replay.ended(connection));
         replay.await.map_err(|_| LinkError::ReplayTimedOut)?;
         self.resend(&mut out);
         self.is_synchronized.set(true);
@@ -252,8 +255,8 @@
                 self.state.dispatcher.timer_set.notified().await;
                 continue;
             };
-            self.state.dispatcher.clock.sleep_until(at).await;
-            let values = timeout(to_std(GAUGES_TIMEOUT), self.query_gauges()).await.unwrap_or_default();
+            self.clock().sleep_until(at).await;
+            let values = self.clock().timeout(GAUGES_TIMEOUT, self.query_gauges()).await.unwrap_or_default();
             let mut gauges = self.gauge_names.iter().zip(values);
             let on_cores = gauges.find(|(name, _)| *name == REQUESTS_ON_CORES_GAUGE);
             let gauges = RuntimeGauges { requests_on_cores: on_cores.map(|(_, value)| value) };
--- a/crates/hazelspur-server/tests/dependency_calls.rs
+++ b/crates/hazelspur-server/tests/dependency_calls.rs
@@ -150,3 +150,39 @@
     "#]]
     .assert_eq(&server.trace);
 }
+
+/// Guards against a timeout that ends before the reply in the socket is read, as after a suspension.
+#[test]
+fn reply_received_during_a_suspension_counts_before_the_call_timeout() {
+    let (mut server, mut link) = ServerHarness::new("slept", "");
+    let mut gateway = server.connect_gateway();
+    let reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok";
+    server.start_run(&mut gateway, &mut link, &request(1, 1, "view", ""));
+    link.send(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
+    let mut ledger = server.accept_dependency_call();
+    ledger.record_call(&mut server.trace);
+    ledger.send(reply); // The next call gets a few times as long as this one took.
+    link.record_next(&mut server.trace);
+    link.send(&success_notice(2, 1));
+    gateway.record_next(&mut server.trace);
+    server.start_run(&mut gateway, &mut link, &request(2, 2, "view", ""));
+    link.send(&format!("wants 3 {} 3\r\nask\r\n", id(2)));
+    let mut ledger = server.accept_dependency_call();
+    ledger.record_call(&mut server.trace);
+    server.signal("-STOP");
+    ledger.send(reply);
+    std::thread::sleep(Duration::from_millis(1200));
+    server.signal("-CONT");
+    link.record_next(&mut server.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        ledger < POST /post HTTP/1.1 0000000000000001 ask
+        runtime < give 0000000000000001 2 ok
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
+        runtime < start 0000000000000002 view 5 hello
+        ledger < POST /post HTTP/1.1 0000000000000002 ask
+        runtime < give 0000000000000002 2 ok
+    "#]]
+    .assert_eq(&server.trace);
+}
--- /dev/null
+++ b/crates/hazelspur-server/tests/event_loop/main.rs
@@ -0,0 +1,39 @@
+//! The event loop and the clock's input watermark: what had arrived before a time is reported before anything
+//! that goes by that time. A task that keeps the thread stands for a suspension of the process at that point.
+
+mod decisions;
+mod timeouts;
+
+use hazelspur_server::clock::Clock;
+use hazelspur_server::event_loop::EventLoop;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream as StdTcpStream};
+use std::rc::Rc;
+use std::time::Duration as StdDuration;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+/// Runs a test's future as the process runs its own.
+fn run_in_event_loop<F: Future>(test: impl FnOnce(Rc<Clock>) -> F) -> F::Output {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let clock = Rc::new(Clock::default());
+    let tasks = LocalSet::new();
+    let work = tasks.run_until(test(clock.clone()));
+    runtime.block_on(EventLoop::new(clock, work))
+}
+
+/// Both ends of a connection: the event loop's, and a blocking one.
+fn connected_pair() -> (TcpStream, StdTcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let peer = StdTcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+    let (accepted, _) = listener.accept().expect("a connection");
+    accepted.set_nonblocking(true).expect("a mode");
+    (TcpStream::from_std(accepted).expect("a stream"), peer)
+}
+
+/// Keeps the thread; the peer writes meanwhile.
+fn block_thread_while_peer_writes(peer: &mut StdTcpStream, bytes: &[u8], blocked_ms: u64) {
+    peer.write_all(bytes).expect("written");
+    std::thread::sleep(StdDuration::from_millis(blocked_ms));
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -33,6 +33,9 @@
     pub size_kb: f64,
     /// How long ago it arrived.
     pub age: Duration,
+    /// How long after the present time, at which an event loop's turn began, the last of it was read; whether it
+    /// came within the grace period of a shutdown goes by that.
+    pub read_after: Duration,
     /// Whether it changes data.
     pub is_write: bool,
     /// The request in hand that this one retries.
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -147,6 +147,7 @@
             cost: spec.cost_ms.map(Duration::from_ms),
             size_kb: spec.size_kb,
             age: Duration::from_ms(spec.age_ms),
+            read_after: Duration::ZERO,
             is_write: false,
             retry_of: spec.retry_of.map(id),
         };
