A retry that waits for an attempt that never ran is rejected and not failed

Callers saw -32000 ("may have run") for a retry with an idempotency key whose original ended without a run: rejected while queued, not permitted, or unknown to the worker. Neither ran, so the caller gave up for nothing.

Cause: `Dispatcher::attempt_never_ran` notified the waiting retries with the completion of an attempt that may have run.

Change: `Completion::never_ran`; such a retry is rejected (-32011), unless it may have run itself. What is not known of an original any more (`Deduplication::subscribe`) may have run and stays failed.

--- a/crates/hazelspur-server/src/request/dispatcher.rs
+++ b/crates/hazelspur-server/src/request/dispatcher.rs
@@ -219,7 +219,7 @@
     pub fn attempt_never_ran(&self, request: RequestId) {
         let waiting = self.deduplication.borrow_mut().never_ran(request);
         for retry in waiting {
-            self.deliver(retry, RequestEvent::Finished(Completion::failed()));
+            self.deliver(retry, RequestEvent::Finished(Completion::never_ran()));
         }
     }
 
--- a/crates/hazelspur-server/src/request/event.rs
+++ b/crates/hazelspur-server/src/request/event.rs
@@ -17,6 +17,11 @@
     pub fn failed() -> Self {
         Self { outcome: Outcome::Error, result: Rc::from([]) }
     }
+
+    /// An attempt that ended without a run.
+    pub fn never_ran() -> Self {
+        Self { outcome: Outcome::NeverStarted, result: Rc::from([]) }
+    }
 }
 
 /// An input of one request's lifecycle.
--- a/crates/hazelspur-server/src/request/lifecycle.rs
+++ b/crates/hazelspur-server/src/request/lifecycle.rs
@@ -257,10 +257,10 @@
 
     fn respond_as_original(&mut self, original: &Completion) -> State {
         self.report_run_finished(original.outcome);
-        if original.outcome == Outcome::Ok {
-            self.responder.success(&original.result);
-        } else {
-            self.responder.failed();
+        match original.outcome {
+            Outcome::Ok => self.responder.success(&original.result),
+            Outcome::NeverStarted if !self.may_have_run => self.responder.rejected(Duration::ZERO, false),
+            _ => self.responder.failed(),
         }
         State::Finished
     }
--- a/crates/hazelspur-server/tests/deduplication.rs
+++ b/crates/hazelspur-server/tests/deduplication.rs
@@ -223,6 +223,34 @@
     .assert_eq(&server.trace);
 }
 
+/// Guards against a retry that is told "may have run" although neither it nor its original ran.
+#[test]
+fn retry_that_awaits_an_original_that_never_ran_is_rejected_and_the_key_is_free() {
+    let (mut server, mut link) = ServerHarness::new("waiting", "");
+    let mut gateway = server.connect_gateway();
+    server.start_run(&mut gateway, &mut link, &request(1, 1, "book", r#","opkey":"k""#));
+    gateway.send(&format!("{}\n", request(2, 2, "book", r#","opkey":"k""#)));
+    // The answer to a health check shows that the retry was read.
+    gateway.send("{\"jsonrpc\":\"2.0\",\"id\":9,\"method\":\"check\"}\n");
+    gateway.record_next(&mut server.trace);
+    link.send(&format!("nack start {}\r\n", id(1)));
+    gateway.record_next(&mut server.trace);
+    gateway.record_next(&mut server.trace);
+    server.start_run(&mut gateway, &mut link, &request(3, 3, "book", r#","opkey":"k""#));
+    link.send(&success_notice(1, 3));
+    gateway.record_next(&mut server.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 book 5 hello
+        gateway < {"jsonrpc":"2.0","id":9,"result":{"ready":true}}
+        gateway < {"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"failed"}}
+        gateway < {"jsonrpc":"2.0","id":2,"error":{"code":-32011,"message":"refused"}}
+        runtime < start 0000000000000003 book 5 hello
+        gateway < {"jsonrpc":"2.0","id":3,"result":{"data":"ZG9uZQ=="}}
+    "#]]
+    .assert_eq(&server.trace);
+}
+
 /// Request ids may be used again after their request is finished.
 #[test]
 fn reused_request_id_does_not_mix_up_keys() {
