A dependency that accepts calls and never answers opens the circuit breaker

Callers saw requests wait for their whole deadline and fail, one after the other, while the shared dependency hung: accepted connections, answered nothing. The breaker stayed closed, nobody else was told, no log line said it.

Cause: a call that timed out counted neither way; most calls to a dependency that hangs are cancelled a tick before the deadline of their request and counted nowhere; and a probe was a connection, which such a dependency accepts.

Change: `DependencyClient` tells answered, unreachable and unanswered calls apart; one that is cancelled after half of its timeout is unanswered. Six over a second or more with no answer in between open the breaker, two while most others report the same. One answer begins the count anew, so that a slow dependency which answers does not open it. Only an answer closes a breaker opened so: its probe calls for a run that does not exist, which has no effect. New log line `shared dependency does not answer, circuit breaker open`.

`LogLines` and `operator_file` moved from settings_reload.rs to the harness, which two test files use now.

--- a/crates/hazelspur-fleet/src/circuit_breaker.rs
+++ b/crates/hazelspur-fleet/src/circuit_breaker.rs
@@ -2,12 +2,14 @@
 //! server but probes, and the fleet shares the probes out: a few designated probers of all sites probe often
 //! while servers hear of each other, and each server probes in its time slot while they do not.
 //!
-//! Calls that could not connect or broke count as failures; a call that timed out counts neither way. Servers use it
-//! only where the operator's file has `together = True`.
+//! Calls that could not connect or broke count as unreachable, calls that were connected and got no answer in time as
+//! unanswered. Either opens the breaker where no answer comes in between. A breaker that unanswered calls opened is
+//! closed by an answer only, since a dependency that hangs goes on accepting connections. Servers use it only where
+//! the operator's file has `together = True`.
 //!
-//! Inputs: ended calls and probes (`call_finished`, `probe_sent`), recoveries of others (`recovery_hint`),
-//! and what the load reports of others say (`set_peer_view`). Outputs: whether calls may leave, when to probe
-//! next, state changes.
+//! Inputs: ended calls and probes (`call_finished`, `call_unanswered`, `probe_sent`), recoveries of others
+//! (`recovery_hint`), and what the load reports of others say (`set_peer_view`). Outputs: whether calls may leave,
+//! when and how to probe next, state changes.
 //!
 //! Invariant: only a call or probe of this server closes the breaker. What others report brings the next
 //! probe forward, once a second at most, because the fault may be in this server's own link and a report may
@@ -23,7 +25,11 @@
 const FAILURE_THRESHOLD: u32 = 6;
 /// Time between the first and the last of the failures that open the breaker.
 const MIN_FAILURE_SPAN: Duration = Duration::from_ms(200);
-/// Consecutive unreachable calls that open the breaker while most others report the dependency unreachable.
+/// Consecutive unanswered calls that open the breaker, if they spread over `MIN_UNANSWERED_SPAN`.
+const UNANSWERED_THRESHOLD: u32 = 6;
+/// Time between the first and the last of the unanswered calls that open the breaker: a dependency may pause.
+const MIN_UNANSWERED_SPAN: Duration = Duration::from_ms(1000);
+/// Consecutive unreachable or unanswered calls that open the breaker while most others report the dependency unreachable.
 const CONFIRMED_FAILURE_THRESHOLD: u32 = 2;
 /// Mean time between probes of a designated prober.
 const DESIGNATED_PROBE_INTERVAL: Duration = Duration::from_ms(250);
@@ -51,8 +57,10 @@
 /// A change of the breaker's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BreakerChange {
-    /// No call leaves this server from now on.
+    /// No call leaves this server from now on, since calls did not reach the dependency.
     Opened,
+    /// No call leaves this server from now on, since the dependency accepts calls and does not answer them.
+    OpenedUnanswered,
     /// Calls leave this server again.
     Closed {
         /// How long the breaker was open.
@@ -69,15 +77,42 @@
     pub mostly_unreachable: bool,
 }
 
+/// What a probe has to show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeKind {
+    /// That a connection can be made.
+    Connection,
+    /// That a call is answered, whatever the answer.
+    Answer,
+}
+
+/// Failed calls of one kind with no answer in between.
+#[derive(Clone, Copy, Debug, Default)]
+struct FailureRun {
+    count: u32,
+    first_at: Timestamp,
+}
+
+impl FailureRun {
+    fn with_one_more(self, now: Timestamp) -> Self {
+        let first_at = if self.count == 0 { now } else { self.first_at };
+        Self { count: self.count.saturating_add(1), first_at }
+    }
+
+    fn reaches(self, now: Timestamp, count: u32, span: Duration) -> bool {
+        self.count >= count && now - self.first_at >= span
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum State {
-    Closed { failures: u32, first_failure_at: Timestamp },
-    Open { since: Timestamp, next_probe_at: Timestamp },
+    Closed { unreachable: FailureRun, unanswered: FailureRun },
+    Open { since: Timestamp, next_probe_at: Timestamp, probe_kind: ProbeKind },
 }
 
 impl State {
     fn closed() -> Self {
-        Self::Closed { failures: 0, first_failure_at: Timestamp::default() }
+        Self::Closed { unreachable: FailureRun::default(), unanswered: FailureRun::default() }
     }
 }
 
@@ -124,14 +159,30 @@
                 self.push_change(BreakerChange::Closed { after: now - since });
             }
             (State::Closed { .. }, true) => self.state = State::closed(),
-            (State::Closed { failures: 0, .. }, false) => self.count_failure(now, 0, now),
-            (State::Closed { failures, first_failure_at }, false) => {
-                self.count_failure(now, failures, first_failure_at);
+            (State::Closed { unreachable, unanswered }, false) => {
+                let unreachable = unreachable.with_one_more(now);
+                self.state = State::Closed { unreachable, unanswered };
+                if unreachable.reaches(now, FAILURE_THRESHOLD, MIN_FAILURE_SPAN)
+                    || self.is_confirmed(unreachable)
+                {
+                    self.open(now, ProbeKind::Connection, BreakerChange::Opened);
+                }
             }
             (State::Open { .. }, false) => {}
         }
     }
 
+    /// Notes a call that the dependency accepted and did not answer in time.
+    pub fn call_unanswered(&mut self, now: Timestamp) {
+        let State::Closed { unreachable, unanswered } = self.state else { return };
+        let unanswered = unanswered.with_one_more(now);
+        self.state = State::Closed { unreachable, unanswered };
+        if unanswered.reaches(now, UNANSWERED_THRESHOLD, MIN_UNANSWERED_SPAN) || self.is_confirmed(unanswered)
+        {
+            self.open(now, ProbeKind::Answer, BreakerChange::OpenedUnanswered);
+        }
+    }
+
     /// Another server has just reached the dependency: brings the next probe forward.
     pub fn recovery_hint(&mut self, now: Timestamp) {
         if self.is_closed() || now - self.last_hint_at < MIN_HINT_INTERVAL {
@@ -157,6 +208,14 @@
         }
     }
 
+    /// What the next probe has to show.
+    pub fn probe_kind(&self) -> ProbeKind {
+        match self.state {
+            State::Closed { .. } => ProbeKind::Connection,
+            State::Open { probe_kind, .. } => probe_kind,
+        }
+    }
+
     /// Notes that a probe goes out now; `call_finished` reports its end.
     pub fn probe_sent(&mut self, now: Timestamp) {
         self.probe_attempts += 1;
@@ -171,16 +230,15 @@
         self.changes.pop_front()
     }
 
-    fn count_failure(&mut self, now: Timestamp, failures: u32, first_failure_at: Timestamp) {
-        let failures = failures.saturating_add(1);
+    /// Whether most others report the dependency unreachable too.
+    fn is_confirmed(&self, failures: FailureRun) -> bool {
         let confirmed = self.peer_view.is_some_and(|view| view.mostly_unreachable);
-        let by_itself = failures >= FAILURE_THRESHOLD && now - first_failure_at >= MIN_FAILURE_SPAN;
-        if by_itself || confirmed && failures >= CONFIRMED_FAILURE_THRESHOLD {
-            self.state = State::Open { since: now, next_probe_at: self.scheduled_probe(now) };
-            self.push_change(BreakerChange::Opened);
-        } else {
-            self.state = State::Closed { failures, first_failure_at };
-        }
+        confirmed && failures.count >= CONFIRMED_FAILURE_THRESHOLD
+    }
+
+    fn open(&mut self, now: Timestamp, probe_kind: ProbeKind, change: BreakerChange) {
+        self.state = State::Open { since: now, next_probe_at: self.scheduled_probe(now), probe_kind };
+        self.push_change(change);
     }
 
     fn probe_no_later_than(&mut self, latest: Timestamp) {
--- a/crates/hazelspur-fleet/src/node.rs
+++ b/crates/hazelspur-fleet/src/node.rs
@@ -182,6 +182,12 @@
         }
     }
 
+    /// A call to the shared dependency was accepted and not answered in time.
+    pub fn call_unanswered(&mut self, now: Clocks) {
+        self.last_call_at = now.monotonic;
+        self.breaker.call_unanswered(now.wall);
+    }
+
     fn announce_recovery(&mut self) {
         self.unreachable_fraction = 0.0;
         self.own_report.unreachable_fraction = Some(0.0);
--- a/crates/hazelspur-fleet/tests/circuit_breaker.rs
+++ b/crates/hazelspur-fleet/tests/circuit_breaker.rs
@@ -4,7 +4,7 @@
 
 use expect_test::expect;
 use hazelspur::{Duration, Timestamp};
-use hazelspur_fleet::circuit_breaker::{BreakerChange, CircuitBreaker, PeerView};
+use hazelspur_fleet::circuit_breaker::{BreakerChange, CircuitBreaker, PeerView, ProbeKind};
 use helpers::{START, name};
 
 fn ms(ms: u64) -> Timestamp {
@@ -65,3 +65,42 @@
     breaker.call_finished(ms(722), false);
     assert!(!breaker.is_closed());
 }
+
+/// Guards against calls that go on to a dependency which accepts them and never answers.
+#[test]
+fn calls_that_are_never_answered_open_the_breaker_and_only_an_answer_closes_it() {
+    let mut breaker = CircuitBreaker::new(name(1), "ledger", 10);
+    (0..6).for_each(|i| breaker.call_unanswered(ms(i * 199)));
+    assert!(breaker.is_closed(), "within a second it may be a pause");
+    breaker.call_unanswered(ms(1000));
+    assert!(!breaker.is_closed());
+    assert_eq!(breaker.next_change(), Some(BreakerChange::OpenedUnanswered));
+    let next = breaker.next_probe().expect("it is open");
+    assert_eq!(breaker.probe_kind(), ProbeKind::Answer);
+    breaker.probe_sent(next);
+    breaker.call_finished(next, false);
+    assert_eq!((breaker.is_closed(), breaker.probe_kind()), (false, ProbeKind::Answer));
+    breaker.call_finished(next, true);
+    assert!(breaker.is_closed());
+}
+
+#[test]
+fn one_answer_begins_the_count_of_unanswered_calls_anew() {
+    let mut breaker = CircuitBreaker::new(name(1), "ledger", 10);
+    (0..5).for_each(|i| breaker.call_unanswered(ms(i * 300)));
+    breaker.call_finished(ms(1500), true);
+    (0..5).for_each(|i| breaker.call_unanswered(ms(1600 + i * 300)));
+    assert!(breaker.is_closed());
+    breaker.call_unanswered(ms(3100));
+    assert!(!breaker.is_closed());
+}
+
+#[test]
+fn two_unanswered_calls_open_the_breaker_while_most_others_report_the_same() {
+    let mut breaker = CircuitBreaker::new(name(1), "ledger", 10);
+    breaker.set_peer_view(ms(0), Some(PeerView { designated: false, mostly_unreachable: true }));
+    breaker.call_unanswered(ms(10));
+    assert!(breaker.is_closed());
+    breaker.call_unanswered(ms(20));
+    assert!(!breaker.is_closed());
+}
--- a/crates/hazelspur-server/src/fleet/coordinator.rs
+++ b/crates/hazelspur-server/src/fleet/coordinator.rs
@@ -146,6 +146,9 @@
 fn log_breaker_change(change: BreakerChange, tries: u64) {
     match change {
         BreakerChange::Opened => log::warn!(tries; "shared dependency unreachable, circuit breaker open"),
+        BreakerChange::OpenedUnanswered => {
+            log::warn!(tries; "shared dependency does not answer, circuit breaker open");
+        }
         BreakerChange::Closed { after } => {
             log::info!(after_ms = after.us() / 1000, tries; "shared dependency reachable, circuit breaker closed");
         }
--- a/crates/hazelspur-server/src/fleet/transport.rs
+++ b/crates/hazelspur-server/src/fleet/transport.rs
@@ -7,9 +7,10 @@
 use crate::fleet::event_log::EventLog;
 use crate::process::phases::{Phase, Phases};
 use crate::request::dispatcher::Dispatcher;
-use crate::upstream::dependency::ReachabilityObserver;
+use crate::upstream::dependency::{CallReach, ReachabilityObserver, is_answering};
 use crate::upstream::endpoints::UpstreamEndpoints;
 use hazelspur::{Catalog, Duration};
+use hazelspur_fleet::circuit_breaker::ProbeKind;
 use hazelspur_fleet::datagram::{self, MAX_DATAGRAM_BYTES};
 use hazelspur_fleet::membership::OutgoingDatagram;
 use hazelspur_fleet::{Clocks, FleetNode, Generation, Installation, Key, MemberName};
@@ -28,6 +29,8 @@
 /// Time for which a probe's connection must stay open: a proxy may accept connections for a dependency that
 /// is gone.
 const PROBE_OPEN_TIME: Duration = Duration::from_ms(50);
+/// Timeout for the answer to a probe.
+const PROBE_ANSWER_TIMEOUT: Duration = Duration::from_ms(500);
 /// Longest wait for the next probe, so that a recovery hint brings it forward.
 const MAX_PROBE_WAIT: Duration = Duration::from_ms(20);
 
@@ -70,6 +73,7 @@
 
 /// The socket and the state machines behind it.
 pub struct GossipTransport {
+    name: MemberName,
     socket: UdpSocket,
     key: Key,
     installation: Installation,
@@ -109,6 +113,7 @@
         let seed = seed ^ now.wall.us();
         log_start(fleet);
         Ok(Self {
+            name,
             socket,
             key,
             installation: fleet.installation,
@@ -203,8 +208,8 @@
                 Some(at) if at <= now => {
                     self.node.borrow_mut().breaker.probe_sent(now);
                     let Some(address) = self.endpoints.current().dependency else { continue };
-                    let reached = is_reachable(&self.dispatcher.clock, address).await;
-                    self.call_finished(reached);
+                    let reached = self.probe(address).await;
+                    self.call_finished(if reached { CallReach::Answered } else { CallReach::Unreachable });
                 }
                 Some(at) => self.dispatcher.clock.sleep((at - now).min(MAX_PROBE_WAIT)).await,
                 None => self.dispatcher.clock.sleep(MAX_IDLE).await,
@@ -212,6 +217,15 @@
         }
     }
 
+    async fn probe(&self, address: SocketAddr) -> bool {
+        let clock = &self.dispatcher.clock;
+        let kind = self.node.borrow().breaker.probe_kind();
+        match kind {
+            ProbeKind::Connection => is_reachable(clock, address).await,
+            ProbeKind::Answer => is_answering(clock, address, self.name.as_str(), PROBE_ANSWER_TIMEOUT).await,
+        }
+    }
+
     /// Announces that this server has ended; sent at once, because nothing runs after it.
     pub fn announce_left(&self) {
         self.node.borrow_mut().membership.announce_left(self.now().wall);
@@ -220,14 +234,18 @@
 }
 
 impl ReachabilityObserver for GossipTransport {
-    fn call_finished(&self, reached: bool) {
+    fn call_finished(&self, reach: CallReach) {
         if !self.coordinated {
             return;
         }
         let now = self.now();
         let mut node = self.node.borrow_mut();
         let was_closed = node.breaker.is_closed();
-        node.call_finished(now, reached);
+        match reach {
+            CallReach::Answered => node.call_finished(now, true),
+            CallReach::Unreachable => node.call_finished(now, false),
+            CallReach::Unanswered => node.call_unanswered(now),
+        }
         if node.breaker.is_closed() != was_closed {
             // The controller must know before its next decision.
             self.coordinator.borrow_mut().guide(now, &self.dispatcher, &mut node);
--- a/crates/hazelspur-server/src/upstream/dependency.rs
+++ b/crates/hazelspur-server/src/upstream/dependency.rs
@@ -25,13 +25,27 @@
 const TIMEOUT_SLACK: Duration = Duration::from_ms(15);
 /// The shortest time that a call gets for its reply.
 const MIN_REPLY_TIMEOUT: Duration = Duration::from_ms(1);
+/// A call that was cancelled after this part of its timeout counts as unanswered: a request is failed before its
+/// deadline, which cancels its call.
+const UNANSWERED_PART_OF_TIMEOUT: f64 = 0.5;
 /// The reply header that says that the call had no effect.
 const NO_EFFECT_HEADER: &str = "X-Untouched";
 
+/// How far a call came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallReach {
+    /// It was answered.
+    Answered,
+    /// No connection was made, or the connection broke.
+    Unreachable,
+    /// It was accepted, and not answered in time.
+    Unanswered,
+}
+
 /// Is notified whether calls reach the dependency.
 pub trait ReachabilityObserver {
-    /// A call ended that reached the dependency, or did not.
-    fn call_finished(&self, reached: bool);
+    /// A call ended.
+    fn call_finished(&self, reach: CallReach);
 }
 
 /// One dependency call of a run.
@@ -61,6 +75,29 @@
     }
 }
 
+/// A call that was written and not answered yet: dropped late, it counts as unanswered.
+struct UnansweredCall<'a> {
+    client: &'a DependencyClient,
+    clock: &'a Clock,
+    counts_from: Timestamp,
+}
+
+impl UnansweredCall<'_> {
+    /// The call ended otherwise.
+    fn ended(self, reach: CallReach) {
+        self.client.notify(reach);
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for UnansweredCall<'_> {
+    fn drop(&mut self) {
+        if self.clock.now() >= self.counts_from {
+            self.client.notify(CallReach::Unanswered);
+        }
+    }
+}
+
 struct IdleConnection {
     since: Timestamp,
     address: SocketAddr,
@@ -103,9 +140,9 @@
         let _ = self.observer.set(observer);
     }
 
-    fn notify(&self, reached: bool) {
+    fn notify(&self, reach: CallReach) {
         if let Some(observer) = self.observer.get() {
-            observer.call_finished(reached);
+            observer.call_finished(reach);
         }
     }
 
@@ -119,7 +156,7 @@
             return CallResult::without_reply(Outcome::Unreachable);
         };
         let Some(connection) = self.connection(clock, address, &call, give_up_at).await else {
-            self.notify(false);
+            self.notify(CallReach::Unreachable);
             return CallResult::without_reply(Outcome::Unreachable);
         };
         self.exchange(clock, connection, &call, give_up_at).await
@@ -154,10 +191,12 @@
         let _ = stream.set_nodelay(true);
         let reply_timeout = (give_up_at - clock.now()).max(MIN_REPLY_TIMEOUT);
         let message = encode(call, address, call.timeout.min(reply_timeout));
+        let counts_from = clock.now() + reply_timeout.scaled(UNANSWERED_PART_OF_TIMEOUT);
+        let unanswered = UnansweredCall { client: self, clock, counts_from };
         let exchanging = exchange(&mut stream, &message, NO_EFFECT_HEADER);
         match clock.timeout(reply_timeout, exchanging).await {
             Ok(Ok(reply)) => {
-                self.notify(true);
+                unanswered.ended(CallReach::Answered);
                 if reply.is_reusable {
                     self.put_idle(clock.now(), address, stream);
                 }
@@ -165,7 +204,7 @@
             }
             Ok(Err(why)) => {
                 // A proxy in between may accept connections for a dependency that is gone.
-                self.notify(false);
+                unanswered.ended(CallReach::Unreachable);
                 log::debug!(op:% = call.request, reused, why:%; "dependency call broke");
                 CallResult::without_reply(Outcome::ConnectionLost)
             }
@@ -192,6 +231,20 @@
     }
 }
 
+/// Whether the dependency answers, whatever the answer: it is called for a run that does not exist, which has no
+/// effect. `caller` is part of the name of that run, so that callers do not replace each other's calls.
+pub async fn is_answering(clock: &Clock, address: SocketAddr, caller: &str, limit: Duration) -> bool {
+    // No request has such an id: those of gateways are hexadecimal, those of brokers begin otherwise.
+    let Some(request) = RequestId::padded(&format!("p-{caller}")) else { return false };
+    let call = Call { request, timeout: limit, body: &[], new_connection: true };
+    let message = encode(&call, address, limit);
+    let calling = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        exchange(&mut stream, &message, NO_EFFECT_HEADER).await.ok()
+    };
+    matches!(clock.timeout(limit, calling).await, Ok(Some(_)))
+}
+
 fn encode(call: &Call<'_>, address: SocketAddr, limit: Duration) -> Vec<u8> {
     let id = call.request.to_string();
     let limit_ms = to_std(limit).as_millis().max(1).to_string();
--- /dev/null
+++ b/crates/hazelspur-server/tests/dependency_hang.rs
@@ -0,0 +1,94 @@
+//! A dependency that accepts calls and never answers.
+
+mod harness;
+
+use harness::*;
+use std::net::TcpListener;
+
+/// Requests of a batch: as many as open the circuit breaker together with the next batch.
+const BATCH: u32 = 6;
+
+/// The operator's file of a server that is the only one of its fleet.
+fn fleet_of_one(name: &str) -> String {
+    let reserved = listener().1;
+    let key = config_file(name).with_extension("key");
+    std::fs::write(&key, [7; 32]).expect("a file");
+    operator_file(
+        name,
+        &format!(
+            "fleet(installation = \"one\", site = \"east\", at = \"{reserved}\", key_file = {key:?}, most = 4, together = True)\n"
+        ),
+    )
+}
+
+/// The worker's end of the link, with the number of its last notice.
+struct Worker {
+    link: Peer,
+    last_notice: u32,
+}
+
+impl Worker {
+    fn notify(&mut self, notice: impl Fn(u32) -> String) {
+        self.last_notice += 1;
+        self.link.send(&notice(self.last_notice));
+    }
+
+    /// Reads commands until a run is started, which asks for a call then. Runs that are stopped end.
+    fn start_run_that_calls(&mut self) {
+        loop {
+            let command = self.link.record_next(&mut String::new());
+            match command.split(' ').collect::<Vec<_>>()[..] {
+                ["start", request, ..] => {
+                    return self.notify(|number| format!("wants {number} {request} 3\r\nask\r\n"));
+                }
+                ["stop", request] => {
+                    self.notify(|number| format!("end {number} {request} cancelled 9 0\r\n\r\n"))
+                }
+                _ => panic!("{command}"),
+            }
+        }
+    }
+}
+
+/// A batch of requests whose calls get no answer: each is failed in time.
+fn play_batch_without_answers(server: &ServerHarness, worker: &mut Worker, gateway: &mut Peer, first: u32) {
+    let mut calls = Vec::new();
+    for number in first..first + BATCH {
+        gateway.send(&format!("{}\n", request(number, number, "view", "").replace(":4000,", ":1500,")));
+        worker.start_run_that_calls();
+        calls.push(accept(&server.ledger));
+    }
+    for _ in 0..BATCH {
+        let response = gateway.read_line();
+        assert!(response.contains("-32000"), "{response}");
+    }
+}
+
+/// The next call, which must be a probe for a run that does not exist.
+fn accept_probe(ledger: &TcpListener) -> Peer {
+    let mut probe = Peer::new("ledger", accept(ledger));
+    let mut seen = String::new();
+    probe.record_call(&mut seen);
+    assert_eq!(seen, "ledger < POST /post HTTP/1.1 p-n1 \n");
+    probe
+}
+
+/// Guards against calls that go on to a dependency which hangs, each for its whole timeout.
+#[test]
+fn a_dependency_that_accepts_and_never_answers_opens_the_breaker_until_a_probe_is_answered() {
+    let (mut server, link) = ServerHarness::new("hang", &fleet_of_one("hang"));
+    let lines = LogLines::of(&mut server.server);
+    let mut worker = Worker { link, last_notice: 0 };
+    let mut gateway = server.connect_gateway();
+    for first in [1, 1 + BATCH] {
+        play_batch_without_answers(&server, &mut worker, &mut gateway, first);
+    }
+    let opened = lines.next(&["circuit breaker"]);
+    assert!(opened.contains("shared dependency does not answer, circuit breaker open"), "{opened}");
+    let unanswered = accept_probe(&server.ledger);
+    let mut answered = accept_probe(&server.ledger);
+    answered.send("HTTP/1.1 409 Conflict\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n");
+    let closed = lines.next(&["circuit breaker"]);
+    assert!(closed.contains("circuit breaker closed"), "{closed}");
+    drop(unanswered);
+}
--- a/crates/hazelspur-server/tests/harness/mod.rs
+++ b/crates/hazelspur-server/tests/harness/mod.rs
@@ -11,6 +11,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub(crate) const SETTINGS: &str = r#"{"family-info":{"n-cores":2,"mem-limit-kb":100000,"run-factor":8,"stop-mode":"drop",
@@ -301,3 +302,34 @@
 pub(crate) fn id(req: u32) -> String {
     format!("{req:016x}")
 }
+
+/// The server's log lines as they arrive.
+pub(crate) struct LogLines(Receiver<String>);
+
+impl LogLines {
+    pub(crate) fn of(server: &mut Child) -> Self {
+        let (to, from) = channel();
+        let stderr = server.stderr.take().expect("piped");
+        std::thread::spawn(move || {
+            BufReader::new(stderr).lines().map_while(Result::ok).for_each(|line| drop(to.send(line)));
+        });
+        Self(from)
+    }
+
+    /// The next line that contains one of these texts, without its time.
+    pub(crate) fn next(&self, words: &[&str]) -> String {
+        loop {
+            let line = self.0.recv_timeout(TIMEOUT).unwrap_or_else(|_| panic!("no line with {words:?}"));
+            if words.iter().any(|word| line.contains(word)) {
+                return line.split_once(' ').map_or("", |(_, text)| text).to_string();
+            }
+        }
+    }
+}
+
+/// Writes an operator's file; returns the shell command that names it to the server.
+pub(crate) fn operator_file(name: &str, text: &str) -> String {
+    let path = config_file(name).with_extension("star");
+    std::fs::write(&path, text).expect("a file");
+    format!("export HAZELSPUR_FILE={};", path.display())
+}
--- a/crates/hazelspur-server/tests/settings_reload.rs
+++ b/crates/hazelspur-server/tests/settings_reload.rs
@@ -4,43 +4,10 @@
 
 use harness::*;
 use std::fmt::Write as _;
-use std::io::{BufRead, BufReader};
-use std::process::Child;
-use std::sync::mpsc::{Receiver, channel};
 
-/// The server's log lines as they arrive.
-struct LogLines(Receiver<String>);
-
-impl LogLines {
-    fn of(server: &mut Child) -> Self {
-        let (to, from) = channel();
-        let stderr = server.stderr.take().expect("piped");
-        std::thread::spawn(move || {
-            BufReader::new(stderr).lines().map_while(Result::ok).for_each(|line| drop(to.send(line)));
-        });
-        Self(from)
-    }
-
-    /// The next line that contains one of these texts, without its time.
-    fn next(&self, words: &[&str]) -> String {
-        loop {
-            let line = self.0.recv_timeout(TIMEOUT).unwrap_or_else(|_| panic!("no line with {words:?}"));
-            if words.iter().any(|word| line.contains(word)) {
-                return line.split_once(' ').map_or("", |(_, text)| text).to_string();
-            }
-        }
-    }
-
-    fn next_reload_result(&self) -> String {
-        self.next(&["reload refused", "settings changed"])
-    }
-}
-
-/// Writes an operator's file; returns the shell command that names it to the server.
-fn operator_file(name: &str, text: &str) -> String {
-    let path = config_file(name).with_extension("star");
-    std::fs::write(&path, text).expect("a file");
-    format!("export HAZELSPUR_FILE={};", path.display())
+/// The next line that says what came of a reload.
+fn next_reload_result(lines: &LogLines) -> String {
+    lines.next(&["reload refused", "settings changed"])
 }
 
 const SETTINGS_MAY_CHANGE: &str = "reload(settings = True)\n";
@@ -71,7 +38,7 @@
     let new =
         old.replace(PAY, STATS).replace(r#"{"name":"b","quota-rps":50}"#, r#"{"name":"c","quota-rps":9}"#);
     server.reload(&new);
-    let _ = writeln!(server.trace, "{}", lines.next_reload_result());
+    let _ = writeln!(server.trace, "{}", next_reload_result(&lines));
     for (n, class, owner) in [(2, "pay", "a"), (3, "view", "b")] {
         gateway.send(&format!("{}\n", request(n, n, class, &format!(",\"owner\":\"{owner}\""))));
         gateway.record_next(&mut server.trace);
@@ -82,7 +49,7 @@
         gateway.record_next(&mut server.trace);
     }
     server.reload(&old);
-    let _ = writeln!(server.trace, "{}", lines.next_reload_result());
+    let _ = writeln!(server.trace, "{}", next_reload_result(&lines));
     server.start_run(&mut gateway, &mut link, &request(5, 5, "pay", ",\"owner\":\"b\""));
     expect_test::expect![[r#"
         runtime < sync 0
@@ -117,7 +84,7 @@
     for (which, without) in without.iter().enumerate() {
         for config in [without, &old] {
             server.reload(config);
-            let _ = writeln!(server.trace, "{}", lines.next_reload_result());
+            let _ = writeln!(server.trace, "{}", next_reload_result(&lines));
         }
         // In the first round both belong to the removed class, in the second those of tenant b to the removed tenant.
         for (n, owner) in [(3, "a"), (4, "b")] {
@@ -180,7 +147,7 @@
     ];
     for (n, edit) in (1..).zip(edits) {
         server.reload(&moved(edit));
-        let line = lines.next_reload_result();
+        let line = next_reload_result(&lines);
         let line = line.split_once("ROUTER_CONFIG: ").map_or(line.clone(), |(before, rest)| {
             format!("{before}ROUTER_CONFIG: FILE{}", &rest[rest.find(": ").expect("a reason")..])
         });
@@ -228,7 +195,7 @@
     let old = read_config(&server);
     for new in [old.replace(PAY, STATS), old.replace("\"importance\":1", "\"importance\":2")] {
         server.reload(&new);
-        let _ = writeln!(server.trace, "{}", lines.next_reload_result());
+        let _ = writeln!(server.trace, "{}", next_reload_result(&lines));
     }
     gateway.send(&format!("{}\n", request(1, 1, "stats", ",\"owner\":\"a\"")));
     gateway.record_next(&mut server.trace);
@@ -251,7 +218,7 @@
     let mut link = server.accept_worker_link();
     let old = read_config(&server);
     server.reload(&old.replace(PAY, STATS));
-    let _ = writeln!(server.trace, "{}", lines.next_reload_result());
+    let _ = writeln!(server.trace, "{}", next_reload_result(&lines));
     link.send("ready hot 1000\r\n");
     link.record_next(&mut server.trace);
     let mut gateway = server.connect_gateway();
@@ -259,7 +226,7 @@
     server.signal("-TERM");
     let _ = writeln!(server.trace, "{}", lines.next(&["mode draining"]));
     server.reload(&old);
-    let _ = writeln!(server.trace, "{}", lines.next_reload_result());
+    let _ = writeln!(server.trace, "{}", next_reload_result(&lines));
     link.send(&success_notice(1, 1));
     gateway.record_next(&mut server.trace);
     gateway.record_next(&mut server.trace);
