Test doubles: WorkerState and DependencyState in place of Town and Books

The state of the worker double is `WorkerState`, that of the dependency double `DependencyState`, both read by `state()`; its changes of concurrency are a struct in place of a tuple, and `concurrent_calls`, `max_concurrent_calls`, `max_mean_concurrency` say what was `out`, `most_out`, `most_on_average`. No behaviour changes.

--- a/crates/hazelspur-fault-harness/src/endings/run.rs
+++ b/crates/hazelspur-fault-harness/src/endings/run.rs
@@ -98,7 +98,7 @@
         self.broker.until(SETTLING_TIMEOUT, |state| !state.consumed("orders") && state.unsettled() == 0);
         sleep(OBSERVATION_INTERVAL);
         let lost = figure(log, "unproven");
-        breaches(&self.broker.state(), &self.worker.town(), &self.expected, lost)
+        breaches(&self.broker.state(), &self.worker.state(), &self.expected, lost)
     }
 
     /// Plays the timeline; SIGTERM is sent at its time. Returns just before and just after its sending.
@@ -129,11 +129,11 @@
             Operation::BeginSuspension if spans.suspensions.begin() => server.signal("-STOP"),
             Operation::EndSuspension if spans.suspensions.end() => server.signal("-CONT"),
             Operation::BeginRefusal if spans.refusals.begin() => {
-                let mut worker = self.worker.town();
+                let mut worker = self.worker.state();
                 worker.refuses_links = true;
                 worker.break_link();
             }
-            Operation::EndRefusal if spans.refusals.end() => self.worker.town().refuses_links = false,
+            Operation::EndRefusal if spans.refusals.end() => self.worker.state().refuses_links = false,
             Operation::CutBroker => self.broker.cut(),
             // Another span of the kind goes on.
             Operation::BeginSuspension
@@ -193,7 +193,7 @@
     let log = log_of(&scenery.folder);
     let queue_breaches = scenery.queue_breaches(&log);
     let back = if interrupted.load(Ordering::Relaxed) { None } else { come_back(program, &scenery, plan)? };
-    let worker = scenery.worker.town();
+    let worker = scenery.worker.state();
     let evidence = Evidence {
         notice_ms: notice.after_ms,
         kill_ms: notice.before_ms.saturating_add_signed(plan.stop_ms),
--- a/crates/hazelspur-fault-harness/src/lightweight/member.rs
+++ b/crates/hazelspur-fault-harness/src/lightweight/member.rs
@@ -129,7 +129,7 @@
     called: Timestamp,
     /// Its place among those of this process.
     of: usize,
-    books: Rc<RefCell<Counted>>,
+    counters: Rc<RefCell<Counted>>,
 }
 
 impl Member {
@@ -161,11 +161,11 @@
         let opened = datagram::open(&self.key, &self.installation, at.wall, bytes);
         let number = opened.as_ref().map_or(0, |datagram| datagram.sequence);
         let taken = opened.and_then(|datagram| self.node.receive(at, &datagram));
-        let mut books = self.books.borrow_mut();
-        let of = books.came.entry(from).or_default();
+        let mut counters = self.counters.borrow_mut();
+        let of = counters.came.entry(from).or_default();
         of.traffic.add(1, bytes.len() as u64);
         of.number = of.number.max(number);
-        let mine = &mut books.members[self.of];
+        let mine = &mut counters.members[self.of];
         mine.heard.add(1, bytes.len() as u64);
         mine.dropped += u64::from(taken.is_err());
     }
@@ -185,12 +185,12 @@
         while let Some(OutgoingDatagram { address: to, datagram }) = self.node.next_datagram(at) {
             let bytes = datagram::seal(&self.key, &datagram);
             let went = self.socket.try_send_to(&bytes, to);
-            let mut books = self.books.borrow_mut();
+            let mut counters = self.counters.borrow_mut();
             if went.is_ok() {
-                books.members[self.of].sent.add(1, bytes.len() as u64);
-                books.went.entry(to).or_default().add(1, bytes.len() as u64);
+                counters.members[self.of].sent.add(1, bytes.len() as u64);
+                counters.went.entry(to).or_default().add(1, bytes.len() as u64);
             } else {
-                books.members[self.of].unsent += 1;
+                counters.members[self.of].unsent += 1;
             }
         }
         while self.node.membership.next_event().is_some() {}
@@ -223,15 +223,15 @@
 
 async fn obey(task: Task, mut orders: mpsc::Receiver<Order>) -> anyhow::Result<()> {
     let (go, gone) = watch::channel(false);
-    let books = Rc::new(RefCell::new(Counted::default()));
-    books.borrow_mut().members = vec![Count::default(); task.count];
+    let counters = Rc::new(RefCell::new(Counted::default()));
+    counters.borrow_mut().members = vec![Count::default(); task.count];
     let key = Key::from_text(KEY).map_err(anyhow::Error::msg)?;
     let installation = Installation::new(INSTALLATION).ok_or(anyhow::anyhow!("installation"))?;
     for of in 0..task.count {
         let (number, fleet) = (task.first + of, task.fleet.clone());
         let at = fleet.talks_at(number);
         let socket = UdpSocket::bind(at).await.map_err(|e| anyhow::anyhow!("{at}: {e}"))?;
-        let (books, key, mut gone) = (books.clone(), key.clone(), gone.clone());
+        let (counters, key, mut gone) = (counters.clone(), key.clone(), gone.clone());
         tokio::task::spawn_local(async move {
             if gone.wait_for(|gone| *gone).await.is_err() || fleet.is_silent(number) {
                 return std::future::pending().await;
@@ -250,7 +250,7 @@
             );
             let (looked, called) = (Timestamp::default(), Timestamp::default());
             let member =
-                Member { socket, key, installation, node, guidance, clock, looked, called, of, books };
+                Member { socket, key, installation, node, guidance, clock, looked, called, of, counters };
             member.run().await
         });
     }
@@ -261,7 +261,7 @@
                 go.send_replace(true);
                 tell(&Counted::default())?;
             }
-            Order::Count => tell(&books.borrow())?,
+            Order::Count => tell(&counters.borrow())?,
         }
     }
     Ok(())
--- a/crates/hazelspur-fault-harness/src/run.rs
+++ b/crates/hazelspur-fault-harness/src/run.rs
@@ -155,15 +155,15 @@
 
 fn evidence(bed: &TestFleet, (began_ms, tries, views, last): Seen) -> Evidence {
     let ran = bed.runtimes.iter().map(|runtime| {
-        let town = runtime.town();
+        let worker_state = runtime.state();
         let name = |body: &Vec<u8>| String::from_utf8_lossy(body).into_owned();
         Ran {
-            started: town.started.clone(),
-            runs: town.runs.iter().map(|(body, runs)| (name(body), runs.len())).collect(),
-            most_running: town.most_running,
+            started: worker_state.started.clone(),
+            runs: worker_state.runs.iter().map(|(body, runs)| (name(body), runs.len())).collect(),
+            most_running: worker_state.most_running,
         }
     });
-    let books = bed.ledger.books();
+    let state = bed.ledger.state();
     Evidence {
         servers: bed.plan.servers,
         faults: bed.plan.script.0.clone(),
@@ -174,9 +174,9 @@
         lives: bed.lives.clone(),
         views,
         last,
-        effects: books.effects.clone(),
-        most_calls: books.most_out,
-        calls_on_average: books.most_on_average(CALLS_OVER),
+        effects: state.effects.clone(),
+        most_calls: state.max_concurrent_calls,
+        calls_on_average: state.max_mean_concurrency(CALLS_OVER),
         grace_ms: GRACE_MS,
         stop_ms: STOP_MS,
         most_memory_kb: MEMORY_KB,
--- a/crates/hazelspur-fault-harness/src/test_fleet.rs
+++ b/crates/hazelspur-fault-harness/src/test_fleet.rs
@@ -314,7 +314,7 @@
                     self.start(of)?;
                 }
             }
-            (Kind::Slower(by), begins) => self.ledger.books().slow = if begins { by as f64 } else { 1.0 },
+            (Kind::Slower(by), begins) => self.ledger.state().slow = if begins { by as f64 } else { 1.0 },
             _ => {}
         }
         Ok(())
--- a/crates/hazelspur-server/benches/queues.rs
+++ b/crates/hazelspur-server/benches/queues.rs
@@ -87,7 +87,7 @@
 fn free_shop() -> Shop {
     let shop = Shop::consuming(FREE, Pace { cores: 64, ..Pace::default() }, "orders");
     shop.broker.state().forgetful = true;
-    shop.runtime.town().forgetful = true;
+    shop.runtime.state().forgetful = true;
     shop
 }
 
--- a/crates/hazelspur-server/tests/helpers/mod.rs
+++ b/crates/hazelspur-server/tests/helpers/mod.rs
@@ -188,7 +188,7 @@
                 std::thread::sleep(time);
             }
             _ => {
-                let _town = self.runtime.town();
+                let _town = self.runtime.state();
                 std::thread::sleep(time);
             }
         }
@@ -225,7 +225,7 @@
     pub(crate) fn breaches(&self, may_lose: usize) -> Vec<String> {
         hazelspur_test_doubles::checker::breaches(
             &self.broker.state(),
-            &self.runtime.town(),
+            &self.runtime.state(),
             &self.expected,
             may_lose,
         )
@@ -233,9 +233,11 @@
 
     /// How often each body was run, in order of the bodies.
     pub(crate) fn runs(&self) -> String {
-        let town = self.runtime.town();
-        let runs =
-            town.runs.iter().map(|(body, runs)| format!("{} {}", String::from_utf8_lossy(body), runs.len()));
+        let worker_state = self.runtime.state();
+        let runs = worker_state
+            .runs
+            .iter()
+            .map(|(body, runs)| format!("{} {}", String::from_utf8_lossy(body), runs.len()));
         runs.collect::<Vec<_>>().join(", ")
     }
 
--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -189,9 +189,9 @@
         let queue = format!("queue(name = \"orders\", window = \"fixed\", most = 8, settle = {settle:?})\n");
         let mut shop = Shop::consuming(&queue, Pace::default(), "orders");
         {
-            let mut town = shop.runtime.town();
-            town.refuses_links = true;
-            town.break_link();
+            let mut worker_state = shop.runtime.state();
+            worker_state.refuses_links = true;
+            worker_state.break_link();
         }
         let short = Sent { sent_ms: Some(now_ms()), waits_ms: Some(500), ..Sent::default() };
         shop.publish("orders", "view", "short view", short);
@@ -200,9 +200,9 @@
         shop.publish("orders", "book", "long book", long);
         let times_are_over = short.sent_ms.zip(short.waits_ms).map(|(sent, waits)| sent + waits + 50);
         shop.broker.until(SOON, |_| Some(now_ms()) >= times_are_over);
-        shop.runtime.town().refuses_links = false;
+        shop.runtime.state().refuses_links = false;
         assert!(shop.settled(&["orders"]));
-        assert!(shop.broker.until(SOON, |_| !shop.runtime.town().runs.is_empty()), "nothing ran");
+        assert!(shop.broker.until(SOON, |_| !shop.runtime.state().runs.is_empty()), "nothing ran");
         let said = shop.leave();
         assert_eq!(shop.breaches(0), Vec::<String>::new(), "{settle}\n{}", said.text);
         let seen = (shop.runs(), shop.waiting("dead"), said.errors());
@@ -267,14 +267,14 @@
     }
     let mut started = 0;
     shop.broker.until(SOON, |_| {
-        started = shop.runtime.town().runs.len();
+        started = shop.runtime.state().runs.len();
         started >= 2
     });
     shop.signal("-TERM");
     assert!(shop.broker.until(SOON, |state| !state.consumed("orders")), "its consumer is not cancelled");
     shop.broker.cut();
     let said = shop.ended();
-    let runs = shop.runtime.town().runs.len();
+    let runs = shop.runtime.state().runs.len();
     let answered = shop.waiting("answers").matches("acked").count();
     assert_eq!(said.status, Some(0), "{}", said.text);
     assert!(started >= 2 && answered == runs, "{runs} ran, {answered} answered\n{}", said.text);
@@ -293,7 +293,7 @@
         (0..12).for_each(|n| shop.publish("orders", "book", &format!("m{n:02}"), Sent::default()));
         let mut started = 0;
         shop.broker.until(SOON, |_| {
-            started = shop.runtime.town().runs.len();
+            started = shop.runtime.state().runs.len();
             started >= 3
         });
         shop.kill();
@@ -314,7 +314,7 @@
     let second = Broker::start();
     second.declare("orders", None);
     (0..2).for_each(|n| shop.publish("orders", "view", &format!("m{n}"), Sent::default()));
-    shop.broker.until(SOON, |_| shop.runtime.town().runs.len() == 2);
+    shop.broker.until(SOON, |_| shop.runtime.state().runs.len() == 2);
     shop.brokers(&[&second]);
     shop.write_files(1500);
     shop.signal("-HUP");
--- a/crates/hazelspur-simulator/src/path/process.rs
+++ b/crates/hazelspur-simulator/src/path/process.rs
@@ -120,7 +120,7 @@
 pub fn runtime(run_ms: u64) -> Runtime {
     let pace = Pace { run_ms, calls: false, fails: 0, cores: 64, over_ms: 0 };
     let runtime = Runtime::start("127.0.0.1:0", pace);
-    runtime.town().forgetful = true;
+    runtime.state().forgetful = true;
     runtime
 }
 
--- a/crates/hazelspur-test-doubles/src/checker.rs
+++ b/crates/hazelspur-test-doubles/src/checker.rs
@@ -1,7 +1,7 @@
 //! Checks the rules against what the test doubles counted, independently of the server.
 
 use crate::broker::{MessageEnd, SettledBy, State};
-use crate::runtime::Town;
+use crate::runtime::WorkerState;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What must hold for a message that was published, known by its body.
@@ -17,7 +17,7 @@
 /// a message acked that never ran (of which `may_lose` are allowed where acks go before runs).
 pub fn breaches(
     state: &State,
-    town: &Town,
+    worker_state: &WorkerState,
     expected: &BTreeMap<Vec<u8>, Expected>,
     may_lose: usize,
 ) -> Vec<String> {
@@ -40,7 +40,7 @@
     }
     for (body, terms) in expected {
         let name = String::from_utf8_lossy(body);
-        let runs = town.runs.get(body).map_or(&[][..], |runs| runs);
+        let runs = worker_state.runs.get(body).map_or(&[][..], |runs| runs);
         if terms.once && runs.len() > 1 {
             found.push(format!("{name} ran {} times", runs.len()));
         }
@@ -50,7 +50,7 @@
             found.push(format!("{name} began {} ms after its time", late - until));
         }
     }
-    let lost = lost(state, town, expected.keys());
+    let lost = lost(state, worker_state, expected.keys());
     if lost.len() > may_lose {
         let names: Vec<_> = lost.iter().map(|body| String::from_utf8_lossy(body)).collect();
         found.push(format!("acked and never run: {}; {may_lose} may be lost", names.join(" ")));
@@ -59,7 +59,11 @@
 }
 
 /// Bodies of which every copy was acked, though none ran.
-fn lost<'a>(state: &State, town: &Town, bodies: impl Iterator<Item = &'a Vec<u8>>) -> Vec<&'a Vec<u8>> {
+fn lost<'a>(
+    state: &State,
+    worker_state: &WorkerState,
+    bodies: impl Iterator<Item = &'a Vec<u8>>,
+) -> Vec<&'a Vec<u8>> {
     let mut ends: BTreeMap<&Vec<u8>, BTreeSet<Option<MessageEnd>>> = BTreeMap::new();
     for (serial, body) in &state.bodies {
         ends.entry(body).or_default().insert(state.ends.get(serial).copied().flatten());
@@ -67,5 +71,5 @@
     let all_acked = |body: &&Vec<u8>| {
         ends.get(body).is_some_and(|ends| ends.iter().all(|e| *e == Some(MessageEnd::Acked)))
     };
-    bodies.filter(all_acked).filter(|body| !town.runs.contains_key(*body)).collect()
+    bodies.filter(all_acked).filter(|body| !worker_state.runs.contains_key(*body)).collect()
 }
--- a/crates/hazelspur-test-doubles/src/ledger.rs
+++ b/crates/hazelspur-test-doubles/src/ledger.rs
@@ -16,48 +16,56 @@
 /// Recorded changes of the number of concurrent calls.
 const MAX_CHANGES: usize = 100_000;
 
+/// A change of the number of concurrent calls.
+#[derive(Clone, Copy, Debug)]
+struct ConcurrencyChange {
+    at: Instant,
+    /// How many there are from then on.
+    calls: usize,
+}
+
 /// What the dependency does and has counted.
 #[derive(Debug)]
-pub struct Books {
+pub struct DependencyState {
     /// Calls that it serves at once without slowing down.
     pub slots: usize,
     /// The usual time of a call, in milliseconds.
     pub call_ms: f64,
     /// The factor by which all calls are slower now.
     pub slow: f64,
-    out: usize,
+    concurrent_calls: usize,
     /// The highest number of concurrent calls so far.
-    pub most_out: usize,
-    /// When the number of concurrent calls changed, and to what.
-    changes: Vec<(Instant, usize)>,
+    pub max_concurrent_calls: usize,
+    changes: Vec<ConcurrencyChange>,
     /// Calls that took effect, by the reference that they carried.
     pub effects: BTreeMap<String, u32>,
 }
 
-impl Books {
-    fn change(&mut self, out: usize) {
-        (self.out, self.most_out) = (out, self.most_out.max(out));
+impl DependencyState {
+    fn change(&mut self, calls: usize) {
+        self.concurrent_calls = calls;
+        self.max_concurrent_calls = self.max_concurrent_calls.max(calls);
         if self.changes.len() < MAX_CHANGES {
-            self.changes.push((Instant::now(), out));
+            self.changes.push(ConcurrencyChange { at: Instant::now(), calls });
         }
     }
 
     /// The highest mean of concurrent calls over any time of this length.
-    pub fn most_on_average(&self, over: Duration) -> f64 {
-        let Some((first, _)) = self.changes.first() else { return 0.0 };
+    pub fn max_mean_concurrency(&self, over: Duration) -> f64 {
+        let Some(first) = self.changes.first() else { return 0.0 };
         // Call-seconds up to each change: between two changes the number stands.
         let mut sums = vec![0.0];
         for two in self.changes.windows(2) {
-            let took = (two[1].0 - two[0].0).as_secs_f64() * two[0].1 as f64;
+            let took = (two[1].at - two[0].at).as_secs_f64() * two[0].calls as f64;
             sums.push(sums[sums.len() - 1] + took);
         }
         let (mut from, mut most) = (0, 0.0f64);
-        for (to, (at, _)) in self.changes.iter().enumerate() {
-            while *at - self.changes[from].0 > over {
+        for (to, change) in self.changes.iter().enumerate() {
+            while change.at - self.changes[from].at > over {
                 from += 1;
             }
             // The stretch may begin within the step before: that counts whole.
-            let before = sums[from.saturating_sub(usize::from(*at - *first > over))];
+            let before = sums[from.saturating_sub(usize::from(change.at - first.at > over))];
             most = most.max((sums[to] - before) / over.as_secs_f64());
         }
         most
@@ -68,7 +76,7 @@
 pub struct Ledger {
     /// Where it listens.
     pub address: SocketAddr,
-    books: Arc<Mutex<Books>>,
+    state: Arc<Mutex<DependencyState>>,
 }
 
 impl Ledger {
@@ -81,29 +89,29 @@
         let listener = TcpListener::bind(address).expect("the address is free");
         let address = listener.local_addr().expect("an address");
         assert!(address.ip().is_loopback(), "test doubles stay on loopback");
-        let books = Books {
+        let state = DependencyState {
             slots,
             call_ms,
             slow: 1.0,
-            out: 0,
-            most_out: 0,
+            concurrent_calls: 0,
+            max_concurrent_calls: 0,
             changes: Vec::new(),
             effects: BTreeMap::new(),
         };
-        let books = Arc::new(Mutex::new(books));
-        let at = books.clone();
+        let state = Arc::new(Mutex::new(state));
+        let at = state.clone();
         spawn(move || {
             for stream in listener.incoming().flatten() {
                 let at = at.clone();
                 spawn(move || serve(&at, &stream));
             }
         });
-        Self { address, books }
+        Self { address, state }
     }
 
     /// Its state, locked.
-    pub fn books(&self) -> MutexGuard<'_, Books> {
-        self.books.lock().expect("no panic before")
+    pub fn state(&self) -> MutexGuard<'_, DependencyState> {
+        self.state.lock().expect("no panic before")
     }
 }
 
@@ -125,23 +133,23 @@
     true
 }
 
-fn serve(books: &Mutex<Books>, stream: &TcpStream) {
+fn serve(state: &Mutex<DependencyState>, stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
     let mut reader = BufReader::new(stream);
     while let Some((reference, _)) = crate::http::read_call(&mut reader) {
         let takes = {
-            let mut books = books.lock().expect("no panic before");
-            let out = books.out + 1;
-            books.change(out);
-            let crowd = (books.out as f64 / books.slots.max(1) as f64).max(1.0);
-            Duration::from_secs_f64(books.call_ms * books.slow * crowd * crowd / 1000.0)
+            let mut state = state.lock().expect("no panic before");
+            let calls = state.concurrent_calls + 1;
+            state.change(calls);
+            let crowd = (state.concurrent_calls as f64 / state.slots.max(1) as f64).max(1.0);
+            Duration::from_secs_f64(state.call_ms * state.slow * crowd * crowd / 1000.0)
         };
         let cancelled = !wait_for_caller(stream, takes.min(MAX_CALL));
         {
-            let mut books = books.lock().expect("no panic before");
-            let out = books.out - 1;
-            books.change(out);
-            *books.effects.entry(reference).or_default() += 1;
+            let mut state = state.lock().expect("no panic before");
+            let calls = state.concurrent_calls - 1;
+            state.change(calls);
+            *state.effects.entry(reference).or_default() += 1;
         }
         if cancelled {
             return;
--- a/crates/hazelspur-test-doubles/src/runtime.rs
+++ b/crates/hazelspur-test-doubles/src/runtime.rs
@@ -51,7 +51,7 @@
 
 /// What the worker runs and has counted.
 #[derive(Default)]
-pub struct Town {
+pub struct WorkerState {
     /// How requests run now.
     pub pace: Pace,
     /// When the starts of the runs of each body can have come at the earliest, in Unix milliseconds.
@@ -76,7 +76,7 @@
 pub struct Runtime {
     /// Where it listens.
     pub address: SocketAddr,
-    town: Arc<Mutex<Town>>,
+    worker_state: Arc<Mutex<WorkerState>>,
 }
 
 impl Runtime {
@@ -89,34 +89,34 @@
         let listener = TcpListener::bind(address).expect("the address is free");
         let address = listener.local_addr().expect("an address");
         assert!(address.ip().is_loopback(), "test doubles stay on loopback");
-        let town = Arc::new(Mutex::new(Town { pace, ..Town::default() }));
-        let at = town.clone();
+        let worker_state = Arc::new(Mutex::new(WorkerState { pace, ..WorkerState::default() }));
+        let at = worker_state.clone();
         spawn(move || {
             for stream in listener.incoming().flatten() {
                 let at = at.clone();
                 spawn(move || serve(&at, &stream));
             }
         });
-        let worked = Arc::downgrade(&town);
+        let worked = Arc::downgrade(&worker_state);
         spawn(move || {
             let mut before = Instant::now();
-            while let Some(town) = worked.upgrade() {
+            while let Some(worker_state) = worked.upgrade() {
                 let passed = std::mem::replace(&mut before, Instant::now()).elapsed();
-                town.lock().expect("no panic before").work(passed.as_secs_f64() * 1000.0);
-                drop(town);
+                worker_state.lock().expect("no panic before").work(passed.as_secs_f64() * 1000.0);
+                drop(worker_state);
                 sleep(TICK);
             }
         });
-        Self { address, town }
+        Self { address, worker_state }
     }
 
     /// Its state, locked.
-    pub fn town(&self) -> MutexGuard<'_, Town> {
-        self.town.lock().expect("no panic before")
+    pub fn state(&self) -> MutexGuard<'_, WorkerState> {
+        self.worker_state.lock().expect("no panic before")
     }
 }
 
-impl Town {
+impl WorkerState {
     /// Whether nothing runs.
     pub fn idle(&self) -> bool {
         self.running.is_empty()
@@ -266,7 +266,7 @@
     }
 }
 
-fn serve(town: &Mutex<Town>, stream: &TcpStream) {
+fn serve(worker_state: &Mutex<WorkerState>, stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
     let _ = stream.set_write_timeout(Some(WRITE_TIMEOUT));
     let mut lines = BufReader::new(ArrivalReader::new(stream));
@@ -283,11 +283,11 @@
             body.truncate(body.len() - 2);
         }
         let arrived_after_ms = lines.get_ref().arrived_after_ms();
-        let mut town = town.lock().expect("no panic before");
-        if town.refuses_links {
+        let mut worker_state = worker_state.lock().expect("no panic before");
+        if worker_state.refuses_links {
             return;
         }
-        town.take(&words, body, arrived_after_ms, stream);
+        worker_state.take(&words, body, arrived_after_ms, stream);
         line.clear();
     }
 }
--- a/crates/hazelspur-test-doubles/tests/checker.rs
+++ b/crates/hazelspur-test-doubles/tests/checker.rs
@@ -5,7 +5,7 @@
 use amq_protocol::protocol::{AMQPClass, channel, connection};
 use hazelspur_test_doubles::broker::{Broker, MessageEnd};
 use hazelspur_test_doubles::checker::{Expected, breaches};
-use hazelspur_test_doubles::runtime::Town;
+use hazelspur_test_doubles::runtime::WorkerState;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -81,10 +81,10 @@
     broker
 }
 
-fn found(broker: &Broker, town: &Town, names: &[(&str, Expected)]) -> String {
+fn found(broker: &Broker, worker_state: &WorkerState, names: &[(&str, Expected)]) -> String {
     let expected: BTreeMap<Vec<u8>, Expected> =
         names.iter().map(|(name, terms)| (name.as_bytes().to_vec(), terms.clone())).collect();
-    breaches(&broker.state(), town, &expected, 0).join("\n")
+    breaches(&broker.state(), worker_state, &expected, 0).join("\n")
 }
 
 #[test]
@@ -94,24 +94,24 @@
     client.wait("Deliver");
     client.ack(1);
     assert!(broker.until(Duration::from_secs(5), |state| state.acks == 1));
-    let mut town = Town::default();
-    town.runs.insert(b"a".to_vec(), vec![1]);
-    assert_eq!(found(&broker, &town, &[("a", Expected::default())]), "");
+    let mut worker_state = WorkerState::default();
+    worker_state.runs.insert(b"a".to_vec(), vec![1]);
+    assert_eq!(found(&broker, &worker_state, &[("a", Expected::default())]), "");
     client.ack(1);
     client.ack(7);
     assert!(broker.until(Duration::from_secs(5), |state| state.faults.len() == 2));
     expect_test::expect![[r#"
         ack of tag 1 that is not open on channel 1
         ack of tag 7 that is not open on channel 1"#]]
-    .assert_eq(&found(&broker, &town, &[("a", Expected::default())]));
+    .assert_eq(&found(&broker, &worker_state, &[("a", Expected::default())]));
 }
 
 #[test]
 fn runs_too_many_and_too_late_and_messages_lost_are_found() {
     let broker = published(&["twice", "late", "lost", "vanished"]);
-    let mut town = Town::default();
-    town.runs.insert(b"twice".to_vec(), vec![1, 2]);
-    town.runs.insert(b"late".to_vec(), vec![900]);
+    let mut worker_state = WorkerState::default();
+    worker_state.runs.insert(b"twice".to_vec(), vec![1, 2]);
+    worker_state.runs.insert(b"late".to_vec(), vec![900]);
     let mut state = broker.state();
     let queue = state.queues.get_mut("orders").expect("declared");
     queue.ready.retain(|message| message.body != b"vanished" && message.body != b"lost");
@@ -124,7 +124,11 @@
         late began 100 ms after its time
         twice ran 2 times
         acked and never run: lost; 0 may be lost"#]]
-    .assert_eq(&found(&broker, &town, &[("twice", once), ("late", early), ("lost", Expected::default())]));
+    .assert_eq(&found(
+        &broker,
+        &worker_state,
+        &[("twice", once), ("late", early), ("lost", Expected::default())],
+    ));
 }
 
 #[test]
--- a/crates/hazelspur-test-doubles/tests/runtime.rs
+++ b/crates/hazelspur-test-doubles/tests/runtime.rs
@@ -11,7 +11,7 @@
 fn run_time_ms(worker: &Runtime, body: &[u8]) -> u64 {
     let until = Instant::now() + Duration::from_secs(5);
     loop {
-        if let Some(times) = worker.town().runs.get(body) {
+        if let Some(times) = worker.state().runs.get(body) {
             return times[0];
         }
         assert!(Instant::now() < until, "it never ran");
@@ -30,7 +30,7 @@
     let worker = Runtime::start("127.0.0.1:0", Pace::default());
     let mut link = TcpStream::connect(worker.address).expect("it listens");
     link.write_all(b"sync 0\r\n").expect("the worker reads");
-    let suspended = worker.town();
+    let suspended = worker.state();
     start(&mut link, "first");
     let sent_ms = now_ms();
     sleep(Duration::from_millis(100));
