A run starts only if it still may at the moment of its start

Callers saw: a message of a broker began after its expiration (`m01 began 98 ms after its time`), and a request could start although its deadline had passed, where the server stood still between the permission or the decision and the start.

Cause: the expiration was checked with a margin of 80 ms when the run was requested and when its fence was answered; several tasks and, since commands were written after the next look at input, a pass of the dispatcher lay between that and the writing. Decisions by the input watermark widened it to all requests.

Change: `start_if_permitted` looks at the time just before the start: a request past its deadline is rejected, a permitted message is confirmed by its ingress (`DeliveryTracker::confirm_start`) and settled as expired where it is late. The worker link writes commands in the turn in which they are given.

Tests: a_message_that_expires_between_its_permission_and_its_start_never_runs, a_request_whose_deadline_passed_before_its_start_is_rejected_and_never_starts.

--- a/crates/hazelspur-deliveries/src/tracker/run.rs
+++ b/crates/hazelspur-deliveries/src/tracker/run.rs
@@ -94,22 +94,38 @@
             return;
         }
         if self.is_expired(now, id) {
+            self.resolve_run(id, false);
             return self.expire_after_ack(now, id);
         }
         self.begin_run(id);
     }
 
+    /// The permitted run of a request is about to start for the first time. The host may have stood still since
+    /// the permission: returns false where the message has expired, which then never runs.
+    pub fn confirm_start(&mut self, now: Timestamp, id: DeliveryId) -> bool {
+        let is_running =
+            self.deliveries.get(&id).is_some_and(|delivery| delivery.state == DeliveryState::Running);
+        if !is_running || !self.is_expired(now, id) {
+            return true;
+        }
+        if self.settles_before_run(id) {
+            self.expire_after_ack(now, id);
+        } else {
+            self.finish(now, id, DeliveryOutcome::Expired, &[].into());
+        }
+        false
+    }
+
     /// The message cannot be rejected any more: its ack was read. A copy of it is settled in its place, unless
     /// expired messages are acknowledged anyway.
     fn expire_after_ack(&mut self, now: Timestamp, id: DeliveryId) {
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         if self.queues[delivery.queue.0].settlements.expired == Settlement::Ack {
             self.counters.acked_without_run += 1;
-            return self.expire_before_run(now, id);
+            return self.finish(now, id, DeliveryOutcome::Expired, &[].into());
         }
         delivery.outcome = DeliveryOutcome::Expired;
         self.gates[delivery.queue.0].delivery_finished(now, delivery.submitted_at);
-        self.resolve_run(id, false);
         self.begin_publishing(now, id, Publication::ExpiredCopy);
     }
 
--- a/crates/hazelspur-deliveries/tests/tracker/traces.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/traces.rs
@@ -76,6 +76,39 @@
     .assert_eq(&actions(&mut tracker, 0));
 }
 
+/// Guards against a run that starts late since the process stood still between the permission and the start.
+#[test]
+fn a_message_that_expires_between_its_permission_and_its_start_never_runs() {
+    let mut seen = String::new();
+    for (name, idempotency, settles_before_run) in
+        [("settled after", Idempotent, false), ("settled before", NonIdempotent, true)]
+    {
+        for start_at in [419, 420] {
+            let mut tracker = new_tracker(SettlementTable::default(), settles_before_run);
+            tracker.set_publishing_ready(true);
+            let expiring =
+                ReceivedDelivery { deadline: Some(at(500)), ..received(tag(1, 1), "a", idempotency) };
+            let id = tracker.delivery_received(at(0), expiring);
+            tracker.run_requested(at(300), id);
+            actions(&mut tracker, 300);
+            tracker.fence_answered(at(310), id);
+            actions(&mut tracker, 310);
+            let may_start = tracker.confirm_start(at(start_at), id);
+            seen += &format!("{name}, start at {start_at}: {may_start}\n{}", actions(&mut tracker, start_at));
+        }
+    }
+    expect_test::expect![[r#"
+        settled after, start at 419: true
+        settled after, start at 420: false
+        420 Reject(Tag {(1), channel: 1, tag: 1 })
+        420 Release { id: (1), outcome: Expired }
+        settled before, start at 419: true
+        settled before, start at 420: false
+        420 PublishExpired { id: (1) }
+    "#]]
+    .assert_eq(&seen);
+}
+
 /// Guards against a message that is lost between its ack and its run, and against a second copy of it.
 #[test]
 fn an_expired_copy_that_is_not_confirmed_is_counted_and_not_published_again() {
--- a/crates/hazelspur-server/src/ingress/amqp/request.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/request.rs
@@ -36,25 +36,26 @@
             return self.request_finished(id, DeliveryOutcome::Failed, &[]);
         };
         let responder = DeliveryResponder { consumer: self.this(), id };
+        let received = ReceivedRequest {
+            request_class: queued.class_id,
+            tenant: queued.tenant,
+            session: queued.session,
+            client: client_of(message),
+            deadline: None,
+            size_kb: queued.size_kb,
+            sent_at: now,
+        };
         let lifecycle = RequestLifecycle {
             services: self.services.clone(),
             request,
             class: queued.class.clone(),
             body: message.body.clone(),
+            deadline: received.response_due(&queued.class),
             retry_of,
             may_have_run: false,
             responder: Responder::new(responder, dispatcher.clone()),
             events,
         };
-        let received = ReceivedRequest {
-            request_class: queued.class_id,
-            tenant: queued.tenant,
-            session: queued.session,
-            client: client_of(message),
-            deadline: None,
-            size_kb: queued.size_kb,
-            sent_at: now,
-        };
         tokio::task::spawn_local(lifecycle.admit(&received).run());
     }
 
@@ -128,4 +129,10 @@
         self.consumer.input_notification.notify_one();
         RunPermission::Awaiting(permitted)
     }
+
+    fn confirm_start(&mut self) -> bool {
+        let may_start = self.consumer.tracker.borrow_mut().confirm_start(self.consumer.now(), self.id);
+        self.consumer.input_notification.notify_one();
+        may_start
+    }
 }
--- a/crates/hazelspur-server/src/ingress/gateway/request.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/request.rs
@@ -105,25 +105,26 @@
         let events = dispatcher.register(request).ok_or(ProtocolError::RequestInProgress)?;
         let retry_of = self.lookup_retry(connection, decoded).inspect_err(|_| dispatcher.remove(request))?;
         let responder = GatewayResponder::new(connection.clone(), decoded.id, request);
+        let received = ReceivedRequest {
+            request_class: decoded.class_id,
+            tenant: params.tenant,
+            session: params.subject.as_deref().map(SessionKey::of),
+            client: params.client,
+            deadline: times.deadline,
+            size_kb: params.size_kb,
+            sent_at: times.sent_at,
+        };
         let lifecycle = RequestLifecycle {
             services: self.services.clone(),
             request,
             class: class.clone(),
             body: params.body.clone(),
+            deadline: received.response_due(class),
             retry_of,
             may_have_run: false,
             responder: Responder::new(responder, dispatcher.clone()),
             events,
         };
-        let received = ReceivedRequest {
-            request_class: decoded.class_id,
-            tenant: params.tenant,
-            session: params.subject.as_deref().map(SessionKey::of),
-            client: params.client,
-            deadline: times.deadline,
-            size_kb: params.size_kb,
-            sent_at: times.sent_at,
-        };
         tokio::task::spawn_local(lifecycle.admit(&received).run());
         Ok(())
     }
--- a/crates/hazelspur-server/src/request/lifecycle.rs
+++ b/crates/hazelspur-server/src/request/lifecycle.rs
@@ -49,6 +49,13 @@
     pub sent_at: Timestamp,
 }
 
+impl ReceivedRequest {
+    /// When its response is due.
+    pub fn response_due(&self, class: &RequestClass) -> Timestamp {
+        self.deadline.unwrap_or(self.sent_at + class.request_timeout)
+    }
+}
+
 /// One request from its receipt to its final response.
 pub struct RequestLifecycle {
     /// What its task works with.
@@ -59,6 +66,8 @@
     pub class: Rc<RequestClass>,
     /// The body that the worker gets.
     pub body: Rc<[u8]>,
+    /// When its response is due; it does not start later.
+    pub deadline: Timestamp,
     /// The attempt that it repeats, if any.
     pub retry_of: Option<RetryOf>,
     /// Whether it may have run; if so, no other attempt with its key may run.
@@ -210,27 +219,38 @@
         State::Running(run)
     }
 
-    /// Starts the run once the ingress permits it; without permission it never runs.
+    /// Starts the run once the ingress permits it; without permission it never runs. The process may have stood
+    /// still since the decision and since the permission, so that the time is looked at again after each.
     async fn start_if_permitted(&mut self) -> State {
         if !self.services.worker.is_synchronized() {
             return State::AwaitingWorker;
         }
-        if let RunPermission::Awaiting(permitted) = self.responder.run_permission()
-            && !permitted.await.unwrap_or(false)
-        {
-            let request = self.request;
-            self.services.dispatcher.report(|controller, now| {
-                controller.request_abandoned(request);
-                controller.run_finished(now, request, Outcome::NeverStarted);
-            });
-            self.responder.release();
-            return State::Finished;
+        if self.services.dispatcher.clock.now() >= self.deadline {
+            return self.give_up_unstarted();
+        }
+        let is_permitted = match self.responder.run_permission() {
+            RunPermission::Granted => true,
+            RunPermission::Awaiting(permitted) => permitted.await.unwrap_or(false),
+        };
+        if !is_permitted || !self.may_have_run && !self.responder.confirm_start() {
+            return self.withdraw_unstarted();
         }
         self.may_have_run = true;
         self.services.worker.start(self.request, self.class.name.clone(), self.body.clone());
         State::Running(Run::new())
     }
 
+    /// Ends a request that its ingress has settled otherwise.
+    fn withdraw_unstarted(&mut self) -> State {
+        let request = self.request;
+        self.services.dispatcher.report(|controller, now| {
+            controller.request_abandoned(request);
+            controller.run_finished(now, request, Outcome::NeverStarted);
+        });
+        self.responder.release();
+        State::Finished
+    }
+
     fn await_original(&self) -> State {
         let dispatcher = &self.services.dispatcher;
         let completion = match &self.retry_of {
--- a/crates/hazelspur-server/src/request/responder.rs
+++ b/crates/hazelspur-server/src/request/responder.rs
@@ -30,6 +30,10 @@
     fn run_permission(&mut self) -> RunPermission {
         RunPermission::Granted
     }
+    /// The run starts at once if it still may; otherwise the ingress settles the request and it never runs.
+    fn confirm_start(&mut self) -> bool {
+        true
+    }
     /// The worker knows this request, so its client sends genuine requests.
     fn known_to_worker(&mut self) {}
 }
@@ -57,6 +61,11 @@
         self.sink.run_permission()
     }
 
+    /// Asks the ingress, just before the start, whether a permitted run may still start.
+    pub fn confirm_start(&mut self) -> bool {
+        self.sink.confirm_start()
+    }
+
     /// Notifies the ingress that the worker knows the request.
     pub fn known_to_worker(&mut self) {
         self.sink.known_to_worker();
--- a/crates/hazelspur-server/src/upstream/worker/link.rs
+++ b/crates/hazelspur-server/src/upstream/worker/link.rs
@@ -235,8 +235,9 @@
         loop {
             write.write_all(&out).await?;
             out.clear();
+            // Commands of tasks that are ready already go out with the first one. None waits for the next turn, in
+            // which a start could be late.
             self.out_notification.notified().await;
-            tokio::task::yield_now().await;
             std::mem::swap(&mut out, &mut *self.out.borrow_mut());
         }
     }
--- a/crates/hazelspur-server/tests/event_loop/decisions.rs
+++ b/crates/hazelspur-server/tests/event_loop/decisions.rs
@@ -117,9 +117,19 @@
         let (request_class, class) =
             self.catalog.borrow().find_request_class("view").expect("in the settings");
         let (tenant, _) = self.catalog.borrow().find_tenant(None).expect("the default tenant");
+        let received = ReceivedRequest {
+            request_class,
+            tenant,
+            session: None,
+            client: ClientId(1),
+            deadline: Some(now + REQUEST_TIMEOUT),
+            size_kb: 1.0,
+            sent_at: now,
+        };
         let lifecycle = RequestLifecycle {
             services: self.services.clone(),
             request,
+            deadline: received.response_due(&class),
             class,
             body: Rc::from(&b"hello"[..]),
             retry_of: None,
@@ -127,15 +137,6 @@
             responder: Responder::new(RecordingSink(Some(sender)), dispatcher.clone()),
             events: dispatcher.register(request).expect("a new id"),
         };
-        let received = ReceivedRequest {
-            request_class,
-            tenant,
-            session: None,
-            client: ClientId(1),
-            deadline: Some(now + REQUEST_TIMEOUT),
-            size_kb: 1.0,
-            sent_at: now,
-        };
         spawn_local(lifecycle.admit(&received).run());
         response
     }
@@ -176,6 +177,27 @@
     assert_eq!(response, Response::Success(b"done".to_vec()));
 }
 
+/// Guards against a run whose request is past its deadline, since the process stood still after the decision's time.
+#[test]
+fn a_request_whose_deadline_passed_before_its_start_is_rejected_and_never_starts() {
+    let (response, commands) = run_in_event_loop(async |clock: Rc<Clock>| {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let server = TestServer::start(&clock, &listener);
+        let (mut link, _) = listener.accept().await.expect("the link");
+        link.write_all(b"ready hot 1000\r\nload link1 0 0\r\n").await.expect("written");
+        server.services.worker.synchronized().await;
+        let response = server.submit(clock.now());
+        std::thread::sleep(to_std(REQUEST_TIMEOUT + PAST_DEADLINE));
+        let response = response.await.expect("a response");
+        clock.sleep(Duration::from_ms(20)).await;
+        let mut commands = vec![0; 4096];
+        let count = link.try_read(&mut commands).expect("commands");
+        (response, String::from_utf8_lossy(&commands[..count]).into_owned())
+    });
+    assert_eq!(response, Response::Rejected);
+    assert!(commands.starts_with("sync 0") && !commands.contains("start"), "{commands}");
+}
+
 #[test]
 fn a_run_that_ends_after_the_deadline_is_late() {
     let response = run_in_event_loop(async |clock: Rc<Clock>| {
