The soak of endings says how often each kind of step was drawn

An empty cell of the plans is seen in the summary; progress is one line that is redrawn on a terminal and a line every ten seconds elsewhere.

--- a/crates/hazelspur-fault-harness/src/endings/command.rs
+++ b/crates/hazelspur-fault-harness/src/endings/command.rs
@@ -2,15 +2,15 @@
 
 use super::checker::{Breach, Evidence, Rule};
 use super::client::Answer;
-use super::plan::Plan;
+use super::plan::{Action, Plan};
 use super::run::play;
 use clap::Args;
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::signal::unix::SignalKind;
 
 /// The most seeds of one call.
@@ -23,6 +23,8 @@
 const MAX_PRINTED: usize = 5;
 /// Runs that shrinking may take.
 const MAX_SHRINKING_RUNS: usize = 60;
+/// Time between two lines of progress where standard error is no terminal.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(10);
 /// Set by an interrupt: no run is begun any more, and those under way end their processes.
 static INTERRUPTED: AtomicBool = AtomicBool::new(false);
 
@@ -65,6 +67,10 @@
     pub by_rule: BTreeMap<Rule, usize>,
     /// Requests by their answer; those without are `None`.
     answers: BTreeMap<&'static str, usize>,
+    /// Steps of all plans that were played, by kind.
+    steps: BTreeMap<&'static str, usize>,
+    /// When progress was last shown.
+    progress_shown_at: Option<Instant>,
     /// Servers that came back, and those that did so in time.
     back: usize,
     back_in_time: usize,
@@ -135,7 +141,7 @@
 
     fn note(&self, summary: &mut Summary, program: &Path, plan: &Plan, evidence: &Evidence) {
         let breaches = evidence.breaches();
-        summary.add(evidence, &breaches);
+        summary.add(plan, evidence, &breaches);
         if breaches.is_empty() {
             return;
         }
@@ -180,8 +186,9 @@
 }
 
 impl Summary {
-    fn add(&mut self, evidence: &Evidence, breaches: &[Breach]) {
+    fn add(&mut self, plan: &Plan, evidence: &Evidence, breaches: &[Breach]) {
         self.played += 1;
+        plan.steps.iter().for_each(|step| *self.steps.entry(step.action.kind()).or_default() += 1);
         breaches.iter().for_each(|breach| *self.by_rule.entry(breach.rule).or_default() += 1);
         let named = [
             ("succeeded", evidence.count(Answer::Success)),
@@ -194,10 +201,17 @@
         self.back_in_time += usize::from(evidence.ready_after.is_some_and(|after| after <= READY_TIME));
     }
 
-    fn show_progress(&self, seeds: u64) {
+    fn show_progress(&mut self, seeds: u64) {
         let (played, failed) = (self.played + self.unplayed.len() as u64, self.failed.len());
-        eprint!("\r{played} of {seeds} seeds, {failed} failed ");
-        let _ = std::io::stderr().flush();
+        let mut stderr = std::io::stderr();
+        // Progress that can't be shown is no failure of the soak.
+        if stderr.is_terminal() {
+            let _ = write!(stderr, "\r{played} of {seeds} seeds, {failed} failed ");
+            let _ = stderr.flush();
+        } else if self.progress_shown_at.is_none_or(|shown_at| shown_at.elapsed() >= PROGRESS_INTERVAL) {
+            self.progress_shown_at = Some(Instant::now());
+            let _ = writeln!(stderr, "{played} of {seeds} seeds, {failed} failed");
+        }
     }
 
     /// Whether all seeds were played and all rules held.
@@ -207,13 +221,15 @@
     }
 
     fn report(&self, seeds: u64) -> String {
-        let Self { played, unplayed, failed, by_rule, answers, back, back_in_time } = self;
+        let Self { played, unplayed, failed, by_rule, answers, back, back_in_time, .. } = self;
+        let steps = Action::KINDS.map(|kind| format!("{} {kind}", self.steps.get(kind).unwrap_or(&0)));
         let answers: Vec<String> = answers.iter().map(|(name, count)| format!("{count} {name}")).collect();
         let mut text = format!(
-            "\n{played} of {seeds} seeds played, {} failed {failed:?}\nrequests: {}\n\
+            "\n{played} of {seeds} seeds played, {} failed {failed:?}\nrequests: {}\nsteps: {}\n\
              ready again within {} s: {back_in_time} of {back}\n",
             failed.len(),
             answers.join(", "),
+            steps.join("; "),
             READY_TIME.as_secs()
         );
         by_rule.iter().for_each(|(rule, count)| text += &format!("breaches of {rule:?}: {count}\n"));
--- a/crates/hazelspur-fault-harness/src/endings/plan.rs
+++ b/crates/hazelspur-fault-harness/src/endings/plan.rs
@@ -77,6 +77,35 @@
     CutBroker,
 }
 
+impl Action {
+    /// The names of all kinds of actions.
+    pub const KINDS: [&'static str; 8] = [
+        "SIGTERM again",
+        "SIGHUP, same file",
+        "SIGHUP, moved worker",
+        "SIGHUP, no file",
+        "SIGHUP, half a file",
+        "suspension",
+        "refused worker link",
+        "cut broker",
+    ];
+
+    /// The name of its kind.
+    pub fn kind(self) -> &'static str {
+        let index = match self {
+            Self::Term => 0,
+            Self::Hup(FileChange::Unchanged) => 1,
+            Self::Hup(FileChange::Moved) => 2,
+            Self::Hup(FileChange::Missing) => 3,
+            Self::Hup(FileChange::HalfWritten) => 4,
+            Self::Suspend(_) => 5,
+            Self::RefuseWorker(_) => 6,
+            Self::CutBroker => 7,
+        };
+        Self::KINDS[index]
+    }
+}
+
 /// An action and its time.
 #[derive(Clone, Copy, Debug)]
 pub struct Step {
--- a/crates/hazelspur-fault-harness/tests/endings.rs
+++ b/crates/hazelspur-fault-harness/tests/endings.rs
@@ -174,6 +174,14 @@
     }
 }
 
+#[test]
+fn every_kind_of_step_is_drawn() {
+    let plans: Vec<Plan> = (1..200).map(Plan::drawn).collect();
+    let drawn = |kind: &str| plans.iter().flat_map(|plan| &plan.steps).any(|step| step.action.kind() == kind);
+    let missing: Vec<&str> = Action::KINDS.into_iter().filter(|kind| !drawn(kind)).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
 #[test]
 fn impossible_options_are_refused_with_their_bounds() {
     let refused = |server: &str, options: &[&str]| {
