A retry whose original ends without a run before the retry is decided is rejected

What callers saw: a retry with an idempotency key got -32000 (may have run) though neither it nor its original had run, where the original ended between the retry's receipt and its decision, as when a suspended server finds both at once.

Cause: a retry subscribed to its original only with the controller's decision; an original that had ended without a run by then had left no trace and counted as one that may have run. Now a retry takes the place of its original's outcome when it is received.

Looked for elsewhere: a finished original's completion is stored with its key and was found before.

--- a/crates/hazelspur-server/src/ingress/amqp/request.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/request.rs
@@ -75,10 +75,10 @@
             body: message.body.clone(),
             trusted: true,
         };
-        let deduplication = &self.services.dispatcher.deduplication;
-        match deduplication.borrow_mut().received(now, attempt) {
+        let mut deduplication = self.services.dispatcher.deduplication.borrow_mut();
+        match deduplication.received(now, attempt) {
             Lookup::First => Ok(None),
-            Lookup::RetryOf(original) => Ok(Some(RetryOf { key: key.clone(), original })),
+            Lookup::RetryOf(original) => Ok(Some(deduplication.retry_of(key.clone(), original))),
             Lookup::Conflict => Err(KeyConflict),
         }
     }
--- a/crates/hazelspur-server/src/ingress/gateway/request.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/request.rs
@@ -148,10 +148,10 @@
             body: params.body.clone(),
             trusted: connection.reputation.is_known_to_worker(),
         };
-        let deduplication = &self.services.dispatcher.deduplication;
-        match deduplication.borrow_mut().received(times.now, attempt) {
+        let mut deduplication = self.services.dispatcher.deduplication.borrow_mut();
+        match deduplication.received(times.now, attempt) {
             Lookup::First => Ok(None),
-            Lookup::RetryOf(original) => Ok(Some(RetryOf { key, original })),
+            Lookup::RetryOf(original) => Ok(Some(deduplication.retry_of(key, original))),
             Lookup::Conflict => Err(ProtocolError::IdempotencyKeyConflict),
         }
     }
--- a/crates/hazelspur-server/src/request/deduplication.rs
+++ b/crates/hazelspur-server/src/request/deduplication.rs
@@ -7,6 +7,7 @@
 use hazelspur::{
     Duration, Idempotency, Outcome, RequestClass, RequestClassId, RequestId, TenantId, Timestamp,
 };
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -88,6 +89,8 @@
     pub key: DeduplicationKey,
     /// The attempt that held the key when this one was received.
     pub original: RequestId,
+    /// How that attempt ended, if it was in progress then and has ended since.
+    outcome: Rc<OnceCell<Completion>>,
 }
 
 /// Whether a received attempt repeats another.
@@ -139,6 +142,8 @@
 struct Attempt {
     key: DeduplicationKey,
     waiting: Vec<RequestId>,
+    /// Set when it ends, for the retries that were received before.
+    outcome: Rc<OnceCell<Completion>>,
 }
 
 /// When the entry of a finished attempt is removed; ordered by time.
@@ -197,7 +202,8 @@
         let entry = Entry { request, owner, body, expires_at: None, completion: None };
         self.bytes += entry.size_bytes(&key);
         self.entries.insert(key.clone(), entry);
-        self.attempts.insert(request, Attempt { key, waiting: Vec::new() });
+        let attempt = Attempt { key, waiting: Vec::new(), outcome: Rc::default() };
+        self.attempts.insert(request, attempt);
     }
 
     /// The key that an attempt in progress holds, and its entry.
@@ -221,13 +227,23 @@
         }
     }
 
+    /// The attempt that a request received now repeats.
+    pub fn retry_of(&self, key: DeduplicationKey, original: RequestId) -> RetryOf {
+        let attempt = self.attempts.get(&original).filter(|attempt| attempt.key == key);
+        let outcome = attempt.map(|attempt| attempt.outcome.clone()).unwrap_or_default();
+        RetryOf { key, original, outcome }
+    }
+
     /// The completion of the original attempt, if that has finished; else `request` is notified of it later.
     pub fn subscribe(&mut self, retry: &RetryOf, request: RequestId) -> Option<Completion> {
-        let RetryOf { key, original } = retry;
+        let RetryOf { key, original, outcome } = retry;
         let entry = self.entries.get(key).filter(|entry| entry.request == *original);
         if let Some(completion) = entry.and_then(|entry| entry.completion.clone()) {
             return Some(completion);
         }
+        if let Some(completion) = outcome.get() {
+            return Some(completion.clone());
+        }
         match self.attempts.get_mut(original).filter(|attempt| attempt.key == *key) {
             Some(attempt) => {
                 attempt.waiting.push(request);
@@ -248,7 +264,7 @@
             Some(removal) => _ = self.removals.insert(removal),
             None => self.release(request),
         }
-        self.end_attempt(request)
+        self.end_attempt(request, completion)
     }
 
     /// Stores a completion for later retries; `None` where nothing is stored.
@@ -287,11 +303,14 @@
     /// Ends an attempt that never ran, so that the next may; returns the retries to notify.
     pub fn never_ran(&mut self, request: RequestId) -> Vec<RequestId> {
         self.release(request);
-        self.end_attempt(request)
+        self.end_attempt(request, &Completion::never_ran())
     }
 
-    fn end_attempt(&mut self, request: RequestId) -> Vec<RequestId> {
-        self.attempts.remove(&request).map(|attempt| attempt.waiting).unwrap_or_default()
+    fn end_attempt(&mut self, request: RequestId, completion: &Completion) -> Vec<RequestId> {
+        let Some(attempt) = self.attempts.remove(&request) else { return Vec::new() };
+        // It ends once.
+        let _ = attempt.outcome.set(completion.clone());
+        attempt.waiting
     }
 
     fn remove_expired(&mut self, now: Timestamp) {
--- a/crates/hazelspur-server/tests/deduplication.rs
+++ b/crates/hazelspur-server/tests/deduplication.rs
@@ -251,6 +251,27 @@
     .assert_eq(&server.trace);
 }
 
+/// Guards against a retry that is failed since its original ended between its receipt and its decision.
+#[test]
+fn retry_received_together_with_the_end_of_an_original_that_never_ran_is_rejected() {
+    let (mut server, mut link) = ServerHarness::new("together", "");
+    let mut gateway = server.connect_gateway();
+    server.start_run(&mut gateway, &mut link, &request(1, 1, "book", r#","opkey":"k""#));
+    server.signal("-STOP");
+    gateway.send(&format!("{}\n", request(2, 2, "book", r#","opkey":"k""#)));
+    link.send(&format!("nack start {}\r\n", id(1)));
+    server.signal("-CONT");
+    let mut responses = [gateway.record_next(&mut server.trace), gateway.record_next(&mut server.trace)];
+    responses.sort();
+    assert_eq!(
+        responses,
+        [
+            r#"{"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"failed"}}"#,
+            r#"{"jsonrpc":"2.0","id":2,"error":{"code":-32011,"message":"refused"}}"#
+        ]
+    );
+}
+
 /// Request ids may be used again after their request is finished.
 #[test]
 fn reused_request_id_does_not_mix_up_keys() {
