A turn of the event loop ends only when all input that had come is handled

What callers saw: a request could be found late, and a call time out, though what it waited for had arrived in time, where it was behind more than 1,024 events, or behind a task that yields or uses up its budget of 128 operations; and no decision at all was made while tasks kept each other ready.

Cause: one look of the runtime brings at most 1,024 events, and a turn looked once; a task that is put off wakes the event loop only after the next look, so that the loop took it for idle and advanced the watermark; a turn without end never advanced it.

Now a turn looks until its input marker is reported, a mark placed behind all events that are pending when it begins; tasks are polled outside the runtime's scheduler, where one that is put off is woken at once; readers of untrusted input take in a turn what their socket can hold; a turn that stays busy for a second of processor time ends. Nothing waiting for a time or a decision: no turn, and no second look.

--- a/crates/hazelspur-server/src/clock.rs
+++ b/crates/hazelspur-server/src/clock.rs
@@ -45,6 +45,8 @@
     turn_began: Cell<Timestamp>,
     /// The beginning of the last turn whose input is reported.
     time: Cell<Timestamp>,
+    /// Turns whose input is reported, which is how often the watermark was set.
+    turns: Cell<u64>,
     waiters: Cell<usize>,
     advanced: Notify,
 }
@@ -130,6 +132,11 @@
         self.watermark.turn_began.get()
     }
 
+    /// Turns of the event loop whose input is reported.
+    pub fn turns(&self) -> u64 {
+        self.watermark.turns.get()
+    }
+
     /// A turn begins: the look at input that follows finds all that has arrived by now.
     pub(crate) fn begin_turn(&self) {
         self.watermark.turn_began.set(self.now());
@@ -138,6 +145,7 @@
     /// Advances the watermark: what had arrived before the present turn has been read and reported.
     pub(crate) fn input_is_reported(&self) {
         self.watermark.time.set(self.turn_began());
+        self.watermark.turns.set(self.watermark.turns.get().wrapping_add(1));
         self.watermark.advanced.notify_waiters();
     }
 
@@ -150,7 +158,7 @@
     pub async fn input_reported(&self) {
         let _waiter = WatermarkWaiter::register(&self.watermark.waiters);
         self.watermark.advanced.notified().await;
-        // A turn with too many ready tasks ends before all that were notified have run.
+        // What was notified may run only after the next turn has begun.
         while self.input_watermark() < self.turn_began() {
             self.watermark.advanced.notified().await;
         }
--- a/crates/hazelspur-server/src/fleet/transport.rs
+++ b/crates/hazelspur-server/src/fleet/transport.rs
@@ -6,6 +6,7 @@
 use crate::fleet::coordinator::{Coordinator, UnknownLimitError};
 use crate::fleet::event_log::EventLog;
 use crate::process::phases::{Phase, Phases};
+use crate::read_quota::ReadQuota;
 use crate::request::dispatcher::Dispatcher;
 use crate::upstream::dependency::{CallReach, ReachabilityObserver, is_answering};
 use crate::upstream::endpoints::UpstreamEndpoints;
@@ -14,14 +15,17 @@
 use hazelspur_fleet::datagram::{self, MAX_DATAGRAM_BYTES};
 use hazelspur_fleet::membership::OutgoingDatagram;
 use hazelspur_fleet::{Clocks, FleetNode, Generation, Installation, Key, MemberName};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::net::{TcpStream, UdpSocket};
 
-/// Datagrams that are read before other tasks have their turn.
-const MAX_READS_PER_TURN: usize = 64;
+/// Datagrams that are read before the timers, and other tasks, have their turn.
+const MAX_READS_PER_STEP: usize = 64;
+/// What even an empty datagram takes of the socket's buffer, in bytes; in truth more.
+const MIN_DATAGRAM_CHARGE: usize = 256;
 /// Longest time between two looks at this server's load and at due log lines.
 const MAX_IDLE: Duration = Duration::from_ms(250);
 /// Timeout for the connection of a probe.
@@ -141,6 +145,7 @@
     /// Sends and receives datagrams and acts on timers, for as long as the process runs.
     pub async fn run(self: Rc<Self>) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
+        let quota = ReadQuota::default();
         let is_leaving = |phase| !matches!(phase, Phase::Waiting | Phase::Serving);
         loop {
             self.step();
@@ -149,7 +154,8 @@
                 biased;
                 received = self.socket.recv_from(&mut buffer) => {
                     let length = received.ok().map(|(length, _)| length);
-                    self.receive_all(length, &mut buffer);
+                    let charge = self.receive_all(length, &mut buffer);
+                    quota.take(&self.dispatcher.clock, charge, SockRef::from(&self.socket)).await;
                     tokio::task::yield_now().await;
                 }
                 () = self.dispatcher.clock.sleep(wait) => {}
@@ -161,16 +167,21 @@
         }
     }
 
-    /// Takes the datagram in the buffer and those that have arrived meanwhile.
-    fn receive_all(&self, length: Option<usize>, buffer: &mut [u8]) {
+    /// Takes the datagram in the buffer and those that have arrived meanwhile, up to a number; returns what they
+    /// took of the socket's buffer.
+    fn receive_all(&self, length: Option<usize>, buffer: &mut [u8]) -> usize {
+        let mut charge = MIN_DATAGRAM_CHARGE;
         if let Some(length) = length {
             self.receive(&buffer[..length]);
+            charge = charge.max(length);
         }
-        for _ in 1..MAX_READS_PER_TURN {
+        for _ in 1..MAX_READS_PER_STEP {
             let Ok((length, _)) = self.socket.try_recv_from(buffer) else { break };
             self.receive(&buffer[..length]);
+            charge += length.max(MIN_DATAGRAM_CHARGE);
         }
         self.step();
+        charge
     }
 
     fn receive(&self, bytes: &[u8]) {
--- a/crates/hazelspur-server/src/ingress/gateway/connection_task.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/connection_task.rs
@@ -4,9 +4,11 @@
 
 use super::connection::{GatewayConnection, Stage};
 use super::server::{ConnectionId, GatewayServer};
+use crate::read_quota::ReadQuota;
 use crate::request::event::RequestEvent;
 use hazelspur::{Duration, RequestId};
 use hazelspur_parsers::Buffer;
+use socket2::SockRef;
 use std::io::Read;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -126,21 +128,24 @@
         connection: &Rc<GatewayConnection>,
         input: &mut Buffer,
     ) -> ReadEnd {
+        let clock = &self.services.dispatcher.clock;
+        let quota = ReadQuota::default();
         loop {
-            match reader.read_buf(input.spare_capacity()).await {
+            let count = match reader.read_buf(input.spare_capacity()).await {
                 Ok(0) => return ReadEnd::PeerFinished,
-                Ok(_) => {}
+                Ok(count) => count,
                 Err(_) => return ReadEnd::Broken,
-            }
+            };
             let errors_before = connection.reputation.protocol_errors();
             self.process_lines(connection, input);
             if connection.reputation.is_blocked() {
                 return ReadEnd::CloseRequested;
             }
             if connection.reputation.protocol_errors() > errors_before {
-                self.services.dispatcher.clock.sleep(PROTOCOL_ERROR_PAUSE).await;
+                clock.sleep(PROTOCOL_ERROR_PAUSE).await;
             }
             connection.output.queued_below(MAX_QUEUED_BYTES).await;
+            quota.take(clock, count, SockRef::from(reader.as_ref())).await;
         }
     }
 
@@ -153,7 +158,7 @@
         input: &mut Buffer,
     ) -> bool {
         let (mut chunk, mut received) = ([0; READ_CHUNK_BYTES], 0);
-        let socket = socket2::SockRef::from(reader.as_ref());
+        let socket = SockRef::from(reader.as_ref());
         while received < MAX_FINAL_READ_BYTES && !connection.reputation.is_blocked() {
             let Ok(count @ 1..) = (&*socket).read(&mut chunk) else { break };
             input.spare_capacity().extend_from_slice(&chunk[..count]);
--- a/crates/hazelspur-server/src/ingress/gateway/server.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/server.rs
@@ -4,6 +4,7 @@
 use super::eviction::EvictionReason;
 use crate::process::descriptors::Descriptors;
 use crate::process::phases::{OpenCounts, Phase, Phases};
+use crate::read_quota::ReadQuota;
 use crate::request::lifecycle::Services;
 use hazelspur::{Catalog, Duration};
 use std::cell::{Cell, RefCell};
@@ -20,6 +21,8 @@
 const MIN_ACCEPT_PAUSE: Duration = Duration::from_ms(10);
 /// Longest pause after a failed accept.
 const MAX_ACCEPT_PAUSE: Duration = Duration::from_ms(160);
+/// The most connections that the system keeps for a listener until they are accepted.
+const MAX_PENDING_CONNECTIONS: usize = 1025;
 /// Log lines on protocol errors per maintenance round; further ones are counted.
 pub(super) const MAX_ERROR_LINES_PER_ROUND: u32 = 4;
 
@@ -107,7 +110,7 @@
     /// Accepts connections until the process closes, and then those that the system has accepted already.
     pub async fn accept_connections(self: Rc<Self>) {
         let closing = |phase| !matches!(phase, Phase::Waiting | Phase::Serving | Phase::Draining);
-        let mut failures = AcceptFailures::default();
+        let (mut failures, quota) = (AcceptFailures::default(), ReadQuota::default());
         loop {
             let accepted = tokio::select! {
                 () = self.phases.reached(closing) => break,
@@ -120,6 +123,7 @@
                     }
                     failures = AcceptFailures::default();
                     self.clone().add_connection(stream);
+                    quota.take_units(&self.services.dispatcher.clock, 1, MAX_PENDING_CONNECTIONS).await;
                 }
                 Err(error) => self.accept_failed(&mut failures, &error).await,
             }
--- a/crates/hazelspur-server/src/main.rs
+++ b/crates/hazelspur-server/src/main.rs
@@ -48,7 +48,7 @@
     let clock = Rc::new(Clock::apart_from_system_ms(inputs.options.clock_apart_ms));
     let tasks = LocalSet::new();
     let serving = tasks.run_until(process::serve(inputs, clock.clone(), signals));
-    runtime.block_on(EventLoop::new(clock, serving))
+    EventLoop::new(clock, serving).run(&runtime)?
 }
 
 fn read_inputs(options: ServeOptions) -> Result<StartInputs, StartError> {
--- a/crates/hazelspur-server/src/process/descriptors.rs
+++ b/crates/hazelspur-server/src/process/descriptors.rs
@@ -4,7 +4,7 @@
 use nix::sys::resource::{Resource, getrlimit};
 
 /// Standard streams 3, epoll and its waker 2, signals 2, listener 1, worker link 1 and one connecting 1,
-/// report 1, broker 1 and one connecting 1, gossip 1, a probe of the dependency 1, one in reserve.
+/// report 1, broker 1 and one connecting 1, gossip 1, a probe of the dependency 1, the input marker 1.
 const RESERVED: usize = 16;
 /// The most connections to the dependency, in use or idle.
 const MAX_CALLS: usize = 64;
--- a/crates/hazelspur-server/tests/event_loop/main.rs
+++ b/crates/hazelspur-server/tests/event_loop/main.rs
@@ -3,6 +3,7 @@
 
 mod decisions;
 mod timeouts;
+mod turns;
 
 use hazelspur_server::clock::Clock;
 use hazelspur_server::event_loop::EventLoop;
@@ -20,7 +21,7 @@
     let clock = Rc::new(Clock::default());
     let tasks = LocalSet::new();
     let work = tasks.run_until(test(clock.clone()));
-    runtime.block_on(EventLoop::new(clock, work))
+    EventLoop::new(clock, work).run(&runtime).expect("a descriptor")
 }
 
 /// Both ends of a connection: the event loop's, and a blocking one.
--- /dev/null
+++ b/crates/hazelspur-server/tests/event_loop/turns.rs
@@ -0,0 +1,264 @@
+//! What belongs to a turn: all input that had come, however much it is, and all that the tasks do with it.
+
+use super::{connected_pair, run_in_event_loop};
+use hazelspur::Duration;
+use hazelspur_server::clock::{Clock, TimedOut, to_std};
+use std::cell::Cell;
+use std::io::Write;
+use std::net::TcpStream as StdTcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, spawn_local};
+
+/// Several times what one look of the runtime's driver brings, and a task's budget of operations.
+const MANY: usize = 10_000;
+/// The same where a connection takes two descriptors of a process that may have 20,000.
+const MANY_CONNECTIONS: usize = 7000;
+/// The same beside another test's connections.
+const SEVERAL_CONNECTIONS: usize = 2100;
+/// How long what is awaited may take.
+const LIMIT: Duration = Duration::from_ms(300);
+/// For how long the thread is kept, past the limit.
+const BLOCKED: Duration = Duration::from_ms(400);
+/// Within this time a wait of `LIMIT` ends, whatever input there is.
+const MAX_WAIT_DURING_FLOOD: std::time::Duration = std::time::Duration::from_secs(10);
+
+/// Connections whose own ends are awaited, a byte each, by tasks that wait for `LIMIT`.
+struct AwaitedConnections {
+    peers: Vec<StdTcpStream>,
+    waiting: Vec<JoinHandle<bool>>,
+}
+
+impl AwaitedConnections {
+    /// Opens the connections; the limit of each begins with the signal.
+    fn open(clock: &Rc<Clock>, count: usize, begin: &Rc<tokio::sync::Notify>) -> Self {
+        let (mut peers, mut waiting) = (Vec::new(), Vec::new());
+        for _ in 0..count {
+            let (mut stream, peer) = connected_pair();
+            peers.push(peer);
+            let (clock, begin) = (clock.clone(), begin.clone());
+            waiting.push(spawn_local(async move {
+                begin.notified().await;
+                clock.timeout(LIMIT, stream.read_u8()).await.is_ok()
+            }));
+        }
+        Self { peers, waiting }
+    }
+
+    fn write_to_each(&mut self) {
+        self.peers.iter_mut().for_each(|peer| peer.write_all(b"x").expect("written"));
+    }
+
+    async fn timed_out(self) -> usize {
+        let mut count = 0;
+        for task in self.waiting {
+            count += usize::from(!task.await.expect("no panic"));
+        }
+        count
+    }
+}
+
+/// Reads so many bytes one by one, sends a message for each to a task, which tells a third after the last.
+fn relayed_one_by_one(
+    mut stream: TcpStream,
+    count: usize,
+    messages_per_byte: usize,
+) -> oneshot::Receiver<()> {
+    let (sender, mut receiver) = unbounded_channel();
+    let (done, all_received) = oneshot::channel();
+    spawn_local(async move {
+        for _ in 0..count {
+            stream.read_u8().await.expect("a byte");
+            (0..messages_per_byte).for_each(|_| sender.send(()).expect("it is received"));
+        }
+        stream
+    });
+    spawn_local(async move {
+        for _ in 0..count * messages_per_byte {
+            receiver.recv().await.expect("a message");
+        }
+        done.send(()).expect("it is awaited");
+    });
+    all_received
+}
+
+/// Lets every task that is ready go on until it waits.
+async fn let_others_wait(clock: &Clock) {
+    clock.sleep(Duration::from_ms(1)).await;
+}
+
+/// How many of so many connections timed out though a byte had come on each, while the thread was kept.
+fn timed_out_of(count: usize) -> usize {
+    run_in_event_loop(async |clock: Rc<Clock>| {
+        let begin = Rc::new(tokio::sync::Notify::new());
+        let mut connections = AwaitedConnections::open(&clock, count, &begin);
+        let_others_wait(&clock).await;
+        begin.notify_waiters();
+        let_others_wait(&clock).await;
+        let began = Instant::now();
+        connections.write_to_each();
+        std::thread::sleep(to_std(BLOCKED).saturating_sub(began.elapsed()));
+        connections.timed_out().await
+    })
+}
+
+#[test]
+fn input_on_more_connections_than_one_look_brings_counts_before_the_end_of_a_timeout() {
+    assert_eq!(timed_out_of(MANY_CONNECTIONS), 0);
+}
+
+/// Whether bytes that are read one by one are relayed in time; a third task awaits the last message.
+fn relayed_in_time(bytes: usize, messages_per_byte: usize) -> Result<(), TimedOut> {
+    run_in_event_loop(async |clock: Rc<Clock>| {
+        let (stream, mut peer) = connected_pair();
+        let relayed = relayed_one_by_one(stream, bytes, messages_per_byte);
+        let_others_wait(&clock).await;
+        let waiting = clock.clone();
+        let waiting = spawn_local(async move { waiting.timeout(LIMIT, relayed).await });
+        let_others_wait(&clock).await;
+        peer.write_all(&vec![1; bytes]).expect("written");
+        std::thread::sleep(to_std(BLOCKED));
+        waiting.await.expect("no panic").map(|received| received.expect("all were received"))
+    })
+}
+
+#[test]
+fn a_task_that_uses_up_its_budget_of_reads_counts_before_the_end_of_a_timeout() {
+    assert_eq!([300, MANY].map(|bytes| relayed_in_time(bytes, 1)), [Ok(()); 2]);
+}
+
+#[test]
+fn a_task_that_uses_up_its_budget_of_messages_counts_before_the_end_of_a_timeout() {
+    assert_eq!([300, MANY].map(|messages| relayed_in_time(1, messages)), [Ok(()); 2]);
+}
+
+#[test]
+fn a_task_that_yields_counts_before_the_end_of_a_timeout() {
+    let result = run_in_event_loop(async |clock: Rc<Clock>| {
+        let (mut stream, mut peer) = connected_pair();
+        let reading = spawn_local(async move {
+            stream.read_u8().await.expect("a byte");
+            for _ in 0..MANY {
+                tokio::task::yield_now().await;
+            }
+        });
+        let waiting = clock.clone();
+        let waiting =
+            spawn_local(async move { waiting.timeout(LIMIT, reading).await.map(|read| read.is_ok()) });
+        let_others_wait(&clock).await;
+        peer.write_all(b"x").expect("written");
+        std::thread::sleep(to_std(BLOCKED));
+        waiting.await.expect("no panic")
+    });
+    assert_eq!(result, Ok(true));
+}
+
+#[test]
+fn many_connections_and_many_messages_together_count_before_the_end_of_a_timeout() {
+    let (timed_out, relayed) = run_in_event_loop(async |clock: Rc<Clock>| {
+        let begin = Rc::new(tokio::sync::Notify::new());
+        let (stream, mut peer) = connected_pair();
+        let relayed = relayed_one_by_one(stream, MANY, 1);
+        let (waiting, begun) = (clock.clone(), begin.clone());
+        let relayed = spawn_local(async move {
+            begun.notified().await;
+            waiting.timeout(LIMIT, relayed).await.is_ok()
+        });
+        let mut connections = AwaitedConnections::open(&clock, SEVERAL_CONNECTIONS, &begin);
+        let_others_wait(&clock).await;
+        begin.notify_waiters();
+        let_others_wait(&clock).await;
+        connections.write_to_each();
+        peer.write_all(&[1; MANY]).expect("written");
+        std::thread::sleep(to_std(BLOCKED));
+        (connections.timed_out().await, relayed.await.expect("no panic"))
+    });
+    assert_eq!((timed_out, relayed), (0, true));
+}
+
+/// A peer that writes without end to a connection until it is dropped.
+struct Flood {
+    ended: Arc<AtomicBool>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Flood {
+    fn start(mut peer: StdTcpStream) -> Self {
+        let ended = Arc::new(AtomicBool::new(false));
+        let is_over = ended.clone();
+        let thread = std::thread::spawn(move || {
+            while !is_over.load(Ordering::Relaxed) && peer.write_all(&[1; 4096]).is_ok() {}
+        });
+        Self { ended, thread: Some(thread) }
+    }
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::Relaxed);
+        let thread = self.thread.take().expect("dropped once");
+        thread.join().expect("no panic");
+    }
+}
+
+/// How long a wait of `LIMIT` takes while a task reads a flood.
+fn wait_beside_flood(read: impl AsyncFn(&Clock, TcpStream) + 'static) -> std::time::Duration {
+    run_in_event_loop(async |clock: Rc<Clock>| {
+        let (stream, peer) = connected_pair();
+        let flooded = clock.clone();
+        let reader = spawn_local(async move { read(&flooded, stream).await });
+        let _flood = Flood::start(peer);
+        let began = Instant::now();
+        clock.sleep(LIMIT).await;
+        let took = began.elapsed();
+        // Closes the connection, which ends the flood.
+        reader.abort();
+        let _ = reader.await;
+        took
+    })
+}
+
+#[test]
+fn a_flood_that_a_task_reads_byte_by_byte_does_not_keep_timeouts_from_their_end() {
+    let took = wait_beside_flood(async |_, mut stream| while stream.read_u8().await.is_ok() {});
+    assert!(took >= to_std(LIMIT) && took < MAX_WAIT_DURING_FLOOD, "{took:?}");
+}
+
+#[test]
+fn tasks_that_wake_each_other_without_end_do_not_keep_timeouts_from_their_end() {
+    let took = run_in_event_loop(async |clock: Rc<Clock>| {
+        let (there, here) = unbounded_channel();
+        let (back, there_again) = unbounded_channel();
+        let forward = |mut from: UnboundedReceiver<()>, to: tokio::sync::mpsc::UnboundedSender<()>| async move {
+            while from.recv().await.is_some_and(|()| to.send(()).is_ok()) {}
+        };
+        there.send(()).expect("it is received");
+        spawn_local(forward(here, back));
+        spawn_local(forward(there_again, there));
+        let began = Instant::now();
+        clock.sleep(LIMIT).await;
+        began.elapsed()
+    });
+    assert!(took < MAX_WAIT_DURING_FLOOD, "{took:?}");
+}
+
+#[test]
+fn a_reader_takes_in_a_turn_what_its_socket_can_hold_and_goes_on_in_the_next() {
+    let turns = Rc::new(Cell::new(0));
+    let counted = turns.clone();
+    let took = wait_beside_flood(async move |clock, mut stream| {
+        let quota = hazelspur_server::read_quota::ReadQuota::default();
+        let mut chunk = vec![0; 4096];
+        while let Ok(count @ 1..) = stream.read(&mut chunk).await {
+            quota.take(clock, count, socket2::SockRef::from(&stream)).await;
+            counted.set(clock.turns());
+        }
+    });
+    assert!(took < MAX_WAIT_DURING_FLOOD && turns.get() > 3, "{took:?}, {} turns", turns.get());
+}
