The soak of endings meets the instants for which it exists, and counts them

Its clients met no close: 0 of 4,000 requests crossed one, since a client that rested was rare and none sent after it had seen the end. Now each plan has three clients that rest until about the close and send then, also after it, and three that send before and during a suspension, which half of the plans have. New check: a request that ran and had no answer is lost, also where it crossed the close; planted in the checker's tests.

--- a/crates/hazelspur-fault-harness/src/endings/checker.rs
+++ b/crates/hazelspur-fault-harness/src/endings/checker.rs
@@ -102,6 +102,9 @@
                 found.push(Breach { rule, request, seen });
             };
             match &sent.answers[..] {
+                [] if self.started.contains_key(&sent.request) => {
+                    report(Rule::OneResponse, "ran, and had no answer".into());
+                }
                 [] if self.is_excused(connection, sent) => {}
                 [] => {
                     let at = sent.sent_ms as i64 - self.notice_ms as i64;
--- a/crates/hazelspur-fault-harness/src/endings/client.rs
+++ b/crates/hazelspur-fault-harness/src/endings/client.rs
@@ -159,7 +159,9 @@
         if client.read_pause_ms > 0 {
             sleep(Duration::from_millis(client.read_pause_ms));
         }
-        if read_available(&mut reader, &mut unread, &mut connection) {
+        let is_open = connection.closed_ms.is_none();
+        let has_ended = !is_open || read_available(&mut reader, &mut unread, &mut connection);
+        if has_ended && (!client.sends_after_close || pieces.peek().is_none()) {
             break;
         }
         while let Some(piece) = pieces.next_if(|piece| piece.at_ms <= now_ms()) {
--- a/crates/hazelspur-fault-harness/src/endings/command.rs
+++ b/crates/hazelspur-fault-harness/src/endings/command.rs
@@ -2,6 +2,7 @@
 
 use super::checker::{Breach, Evidence, Rule};
 use super::client::Answer;
+use super::instants::Instants;
 use super::plan::{Action, Plan};
 use super::run::play;
 use clap::Args;
@@ -67,6 +68,8 @@
     pub by_rule: BTreeMap<Rule, usize>,
     /// Requests by their answer; those without are `None`.
     answers: BTreeMap<&'static str, usize>,
+    /// Requests that met the instants that matter.
+    instants: Instants,
     /// Steps of all plans that were played, by kind.
     steps: BTreeMap<&'static str, usize>,
     /// When progress was last shown.
@@ -194,9 +197,9 @@
             ("succeeded", evidence.count(Answer::Success)),
             ("rejected", evidence.count(Answer::Rejected)),
             ("failed", evidence.count(Answer::Failed)),
-            ("crossed a close", evidence.requests().filter(|sent| sent.answers.is_empty()).count()),
         ];
         named.into_iter().for_each(|(name, count)| *self.answers.entry(name).or_default() += count);
+        self.instants.add(Instants::of(plan, evidence));
         self.back += 1;
         self.back_in_time += usize::from(evidence.ready_after.is_some_and(|after| after <= READY_TIME));
     }
@@ -221,11 +224,11 @@
     }
 
     fn report(&self, seeds: u64) -> String {
-        let Self { played, unplayed, failed, by_rule, answers, back, back_in_time, .. } = self;
+        let Self { played, unplayed, failed, by_rule, answers, instants, back, back_in_time, .. } = self;
         let steps = Action::KINDS.map(|kind| format!("{} {kind}", self.steps.get(kind).unwrap_or(&0)));
         let answers: Vec<String> = answers.iter().map(|(name, count)| format!("{count} {name}")).collect();
         let mut text = format!(
-            "\n{played} of {seeds} seeds played, {} failed {failed:?}\nrequests: {}\nsteps: {}\n\
+            "\n{played} of {seeds} seeds played, {} failed {failed:?}\nrequests: {}\ninstants: {instants}\nsteps: {}\n\
              ready again within {} s: {back_in_time} of {back}\n",
             failed.len(),
             answers.join(", "),
--- a/crates/hazelspur-fault-harness/src/endings/plan.rs
+++ b/crates/hazelspur-fault-harness/src/endings/plan.rs
@@ -13,6 +13,13 @@
 const SUSPENSION_MARGIN_MS: i64 = 300;
 /// Clients of a run without a crowd.
 const CLIENTS: u32 = 8;
+/// Clients of a run that rest until about the close of their connection.
+const RESTING_CLIENTS: u32 = 3;
+/// Clients of a run that send before and during a suspension that half of the runs have.
+const CLIENTS_AROUND_SUSPENSION: u32 = 3;
+/// Connections that rest are closed between these times, in milliseconds from the end of the grace period: so long
+/// after a goodbye message that goes out within one round of the server's maintenance.
+const RESTING_CLOSE_MS: [i64; 2] = [400, 520];
 /// Clients of a run with a crowd; all of them fit the descriptors of a server.
 const CROWD: u32 = 60;
 
@@ -124,6 +131,8 @@
     pub sends: Vec<Send>,
     /// How long it rests between two reads, in milliseconds.
     pub read_pause_ms: u64,
+    /// Whether it sends what is due although the server has closed, as one does whom the close has not reached yet.
+    pub sends_after_close: bool,
 }
 
 /// All that happens in one run.
@@ -160,7 +169,7 @@
     }
 
     fn message(&mut self) -> Message {
-        let class = [Class::View, Class::Book, Class::Pay][self.below(3) as usize];
+        let class = self.class();
         match self.below(6) {
             0 => Message::Check,
             1 => Message::Halves(class, self.time(20, 500)),
@@ -175,7 +184,36 @@
         let mut sends: Vec<Send> = sends.collect();
         sends.sort_by_key(|send| send.at_ms);
         let read_pause_ms = if self.one_in(8) { 120 } else { 0 };
-        Client { at_ms, sends, read_pause_ms }
+        Client { at_ms, sends, read_pause_ms, sends_after_close: false }
+    }
+
+    /// A client whose connection rests from before the notice, and whose request meets the close.
+    fn resting_client(&mut self) -> Client {
+        let at_ms = self.time(-LEAD_MS, 0);
+        let class = self.class();
+        let [first_ms, last_ms] = RESTING_CLOSE_MS;
+        let meets_close_ms = GRACE_MS + self.time(first_ms, last_ms);
+        let send = |at_ms, message| Send { at_ms, message, key: 0 };
+        let sends = vec![send(at_ms, Message::Check), send(meets_close_ms, Message::Whole(class))];
+        Client { at_ms, sends, read_pause_ms: 0, sends_after_close: true }
+    }
+
+    /// A suspension that begins while requests still run.
+    fn early_suspension(&mut self) -> Step {
+        let at_ms = self.time(-250, GRACE_MS - 150);
+        Step { at_ms, action: Action::Suspend(self.time(60, 200)) }
+    }
+
+    /// A client that sends a request shortly before a moment and one shortly after it.
+    fn client_around(&mut self, moment_ms: i64) -> Client {
+        let times = [moment_ms - self.time(2, 20), moment_ms + self.time(10, 50)];
+        let mut send = |at_ms| Send { at_ms, message: Message::Whole(self.class()), key: self.below(12) };
+        let sends = times.map(&mut send).to_vec();
+        Client { at_ms: -LEAD_MS, sends, read_pause_ms: 0, sends_after_close: false }
+    }
+
+    fn class(&mut self) -> Class {
+        [Class::View, Class::Book, Class::Pay][self.below(3) as usize]
     }
 
     fn send(&mut self, from_ms: i64, stop_ms: i64) -> Send {
@@ -216,8 +254,14 @@
         let run_ms = [0, 15, 60, 200][chance.below(4) as usize];
         let queued_messages = if chance.one_in(3) { 10 } else { 0 };
         let mut steps: Vec<Step> = (0..chance.below(5)).map(|_| chance.step(stop_ms)).collect();
+        let mut clients: Vec<Client> = (0..clients).map(|_| chance.client(stop_ms)).collect();
+        clients.extend((0..RESTING_CLIENTS).map(|_| chance.resting_client()));
+        let early = chance.early_suspension();
+        clients.extend((0..CLIENTS_AROUND_SUSPENSION).map(|_| chance.client_around(early.at_ms)));
+        if chance.one_in(2) {
+            steps.push(early);
+        }
         steps.sort_by_key(|step| step.at_ms);
-        let clients = (0..clients).map(|_| chance.client(stop_ms)).collect();
         Self { seed, stop_ms, run_ms, queued_messages, steps, clients }
     }
 
@@ -241,7 +285,7 @@
 
     /// Whether many clients are there at once.
     pub fn has_crowd(&self) -> bool {
-        self.clients.len() > CLIENTS as usize
+        self.clients.len() > (CLIENTS + RESTING_CLIENTS + CLIENTS_AROUND_SUSPENSION) as usize
     }
 }
 
--- a/crates/hazelspur-fault-harness/tests/endings.rs
+++ b/crates/hazelspur-fault-harness/tests/endings.rs
@@ -2,6 +2,7 @@
 
 use hazelspur_fault_harness::endings::checker::{Evidence, Rule};
 use hazelspur_fault_harness::endings::client::{Answer, Connection, Sent};
+use hazelspur_fault_harness::endings::instants::Instants;
 use hazelspur_fault_harness::endings::plan::{Action, Class, Plan, Step};
 use hazelspur_fault_harness::endings::server::{End, MAX_DESCRIPTORS, MAX_MEMORY_MB};
 use hazelspur_fault_harness::endings::timeline::{Operation, OverlappingSpans, TimedOperation, timeline};
@@ -75,6 +76,36 @@
     assert_eq!(found(|run| run.connections[0].closed_ms = None), [Rule::OneResponse]);
 }
 
+/// Guards against a request that is read after the close and forwarded.
+#[test]
+fn a_request_that_crossed_the_close_and_ran_is_lost() {
+    assert_eq!(
+        found(|run| run.started.extend([("c".into(), NOTICE_MS + 300)])),
+        [Rule::OneResponse, Rule::GracePeriod]
+    );
+}
+
+#[test]
+fn the_instants_that_a_run_reached_are_counted() {
+    let steps = vec![Step { at_ms: -99, action: Action::Suspend(10) }];
+    let plan = Plan { steps, ..Plan::drawn(1) };
+    let mut evidence = good();
+    let in_suspension = sent("d", NOTICE_MS - 95);
+    evidence.started.insert("d".into(), NOTICE_MS - 80);
+    evidence.started.insert("a".into(), NOTICE_MS - 100);
+    evidence.connections[0].sent.extend([
+        in_suspension,
+        sent("e", NOTICE_MS + 299),
+        sent("f", NOTICE_MS + 301),
+    ]);
+    let expected =
+        Instants { crossed_close: 1, at_end_of_grace: 1, sent_in_suspension: 1, ran_across_suspension: 1 };
+    let reached = Instants::of(&plan, &evidence);
+    assert_eq!((reached, reached.all_reached()), (expected, true));
+    evidence.connections.clear();
+    assert!(!Instants::of(&plan, &evidence).all_reached());
+}
+
 #[test]
 fn a_run_past_the_grace_period_is_found() {
     let run_late = |run: &mut Evidence| {
--- a/crates/hazelspur-server/tests/endings.rs
+++ b/crates/hazelspur-server/tests/endings.rs
@@ -1,5 +1,6 @@
 //! A short soak of endings: drawn plans, whose clients use their connections until the kill.
 
+use hazelspur_fault_harness::endings::instants::Instants;
 use hazelspur_fault_harness::endings::plan::Plan;
 use hazelspur_fault_harness::endings::run::play;
 use std::path::Path;
@@ -10,22 +11,30 @@
 const SEEDS: u64 = 40;
 const JOBS: usize = 4;
 
-/// What a seed breaks, with the server's log; `None` where all rules hold.
-fn failure(seed: u64) -> Option<String> {
+/// What a run came to.
+struct Played {
+    instants: Instants,
+    /// What it broke, with the server's log; `None` where all rules hold.
+    failure: Option<String>,
+}
+
+fn played(seed: u64) -> Played {
     let plan = Plan::drawn(seed);
     let program = Path::new(env!("CARGO_BIN_EXE_hazelspur-server"));
     let evidence =
         play(program, &plan, &AtomicBool::new(false)).unwrap_or_else(|why| panic!("{plan}: {why:#}"));
     let breaches = evidence.breaches();
     let holds = breaches.is_empty() && evidence.ready_after.is_some();
-    (!holds)
-        .then(|| format!("{plan}\n{breaches:#?}\nready after {:?}\n{}", evidence.ready_after, evidence.log))
+    let failure = (!holds)
+        .then(|| format!("{plan}\n{breaches:#?}\nready after {:?}\n{}", evidence.ready_after, evidence.log));
+    Played { instants: Instants::of(&plan, &evidence), failure }
 }
 
 #[test]
 fn drains_under_drawn_signals_faults_and_crowds_keep_the_rules() {
     let next = AtomicU64::new(1);
     let failures = Mutex::new(Vec::new());
+    let instants = Mutex::new(Instants::default());
     std::thread::scope(|scope| {
         for _ in 0..JOBS {
             scope.spawn(|| {
@@ -34,12 +43,15 @@
                     if seed > SEEDS {
                         break;
                     }
-                    let failure = failure(seed);
-                    failures.lock().expect("no panic before").extend(failure);
+                    let played = played(seed);
+                    instants.lock().expect("no panic before").add(played.instants);
+                    failures.lock().expect("no panic before").extend(played.failure);
                 }
             });
         }
     });
     let failures = failures.into_inner().expect("no panic before");
     assert!(failures.is_empty(), "{} seeds failed, the first one:\n{}", failures.len(), failures[0]);
+    let instants = instants.into_inner().expect("no panic before");
+    assert!(instants.all_reached(), "not each instant was reached: {instants}");
 }
