A duplicate whose tag is lost with its channel is left to the broker, not requeued

Cause: when a channel is lost, an original that has not run is left to the broker and its duplicates are requeued, by tags that are lost with the same channel but were not marked yet. Now duplicates are handled first.

Evidence: the new trace and the exploration of all event orders, which now takes any settlement after a loss for stale, were red before (`a stale tag is used: [Deliver, Deliver, RejectRequest, ConnectionLost, Reconnect, Deliver, Deliver, ConnectionLost]`) and are green.

--- a/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
+++ b/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
@@ -21,10 +21,18 @@
             let uses_tag = delivery.unsettled || delivery.state == DeliveryState::AwaitingFence;
             uses_tag && is_lost(&delivery.tag)
         });
-        affected.into_iter().for_each(|id| self.tag_lost(id));
+        // Duplicates first: an original that ends here requeues the others, whose tags are not lost.
+        let (duplicates, others): (Vec<_>, Vec<_>) =
+            affected.into_iter().partition(|id| self.is_duplicate(*id));
+        duplicates.into_iter().chain(others).for_each(|id| self.tag_lost(id));
         self.drop_excess_replies();
     }
 
+    fn is_duplicate(&self, id: DeliveryId) -> bool {
+        let state = self.deliveries.get(&id).map(|delivery| delivery.state);
+        matches!(state, Some(DeliveryState::DuplicateOf(_)))
+    }
+
     fn tag_lost(&mut self, id: DeliveryId) {
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         delivery.unsettled = false;
--- a/crates/hazelspur-deliveries/tests/tracker/event_orders.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/event_orders.rs
@@ -187,7 +187,7 @@
                 }
                 DeliveryAction::Release { .. } => {}
                 DeliveryAction::Ack(tag) | DeliveryAction::Reject(tag) | DeliveryAction::Requeue(tag)
-                    if tag.connection.0 != self.connection =>
+                    if tag.connection.0 != self.connection || !self.connected =>
                 {
                     panic!("a stale tag is used: {:?}", self.events)
                 }
--- a/crates/hazelspur-deliveries/tests/tracker/traces.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/traces.rs
@@ -4,8 +4,8 @@
 use hazelspur::Duration;
 use hazelspur::Idempotency::{Idempotent, IdempotentWithKey, NonIdempotent};
 use hazelspur_deliveries::{
-    ConnectionNumber, DeliveryId, DeliveryOutcome, DeliveryTracker, QueueId, ReceivedDelivery, Settlement,
-    SettlementTable,
+    ConnectionNumber, DeliveryId, DeliveryOutcome, DeliveryTag, DeliveryTracker, QueueId, ReceivedDelivery,
+    Settlement, SettlementTable,
 };
 
 const REJECTED: DeliveryOutcome = DeliveryOutcome::Rejected(Duration::from_ms(300));
@@ -302,6 +302,31 @@
     .assert_eq(&seen);
 }
 
+/// Guards against a duplicate that is requeued by a lost tag because its original is handled before it.
+#[test]
+fn a_lost_channel_takes_the_tags_of_duplicates_with_it() {
+    let mut tracker = new_tracker(SettlementTable::default(), false);
+    for number in 1..=2 {
+        tracker.delivery_received(at(0), received(tag(1, number), "a", IdempotentWithKey));
+    }
+    let other_channel = DeliveryTag { channel: 2, ..tag(1, 1) };
+    tracker.delivery_received(at(0), received(other_channel, "a", IdempotentWithKey));
+    actions(&mut tracker, 0);
+    tracker.channel_lost(ConnectionNumber(1), 1);
+    let mut seen = actions(&mut tracker, 1);
+    let counters = tracker.counters();
+    seen += &format!("requeued {}, left to the broker {}\n", counters.requeued, counters.left_to_broker);
+    expect_test::expect![[r#"
+        1 Release { id: (2), outcome: Expired }
+        1 Abandon((1))
+        1 Requeue(Tag {(1), channel: 2, tag: 1 })
+        1 Release { id: (3), outcome: Expired }
+        1 Release { id: (1), outcome: Expired }
+        requeued 1, left to the broker 2
+    "#]]
+    .assert_eq(&seen);
+}
+
 #[test]
 fn a_retry_copy_that_is_not_confirmed_is_requeued_later_instead() {
     let table = SettlementTable { rejected: Settlement::PublishRetry, ..SettlementTable::default() };
