Tests of the event loop take no ports, and refusing addresses stay reserved

Cause: the event loop's new tests opened 9,100 TCP connections with a listener each, 27,000 ports with their ends, of 28,232; whatever ran at that time or a minute later found none. Now they use pairs of Unix sockets.

No check is changed.

--- a/crates/hazelspur-server/tests/dependency_calls.rs
+++ b/crates/hazelspur-server/tests/dependency_calls.rs
@@ -8,8 +8,9 @@
 
 #[test]
 fn refused_calls_are_given_up_after_the_allowed_attempts() {
-    let (mut server, mut link) = ServerHarness::new("refused", "");
-    server.ledger = listener().0;
+    let refusing = refusing_address();
+    let (mut server, mut link) =
+        ServerHarness::new_with("refused", "", |config| with_ledger(&config, &refusing));
     let mut gateway = server.connect_gateway();
     server.start_run(&mut gateway, &mut link, &request(1, 1, "view", ""));
     link.send(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
@@ -133,10 +134,12 @@
 /// A response without the call may have some value, but the worker's protocol has no command for it.
 #[test]
 fn run_with_an_optional_call_does_not_wait_for_it_forever() {
-    let skips =
-        |config: String| config.replace("\"run-factor\"", "\"class-skip-worth\":[0.5,0],\"run-factor\"");
+    let refusing = refusing_address();
+    let skips = |config: String| {
+        let config = config.replace("\"run-factor\"", "\"class-skip-worth\":[0.5,0],\"run-factor\"");
+        with_ledger(&config, &refusing)
+    };
     let (mut server, mut link) = ServerHarness::new_with("skips", "", skips);
-    server.ledger = listener().0;
     let (mut gateway, asked) = (server.connect_gateway(), Instant::now());
     server.start_run(&mut gateway, &mut link, &request(1, 1, "view", ""));
     link.send(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
--- a/crates/hazelspur-server/tests/event_loop/turns.rs
+++ b/crates/hazelspur-server/tests/event_loop/turns.rs
@@ -1,17 +1,17 @@
 //! What belongs to a turn: all input that had come, however much it is, and all that the tasks do with it.
 
-use super::{connected_pair, run_in_event_loop};
+use super::run_in_event_loop;
 use hazelspur::Duration;
 use hazelspur_server::clock::{Clock, TimedOut, to_std};
 use std::cell::Cell;
 use std::io::Write;
-use std::net::TcpStream as StdTcpStream;
+use std::os::unix::net::UnixStream as StdUnixStream;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::net::UnixStream;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, spawn_local};
@@ -29,9 +29,17 @@
 /// Within this time a wait of `LIMIT` ends, whatever input there is.
 const MAX_WAIT_DURING_FLOOD: std::time::Duration = std::time::Duration::from_secs(10);
 
+/// Both ends of a connection: the event loop's, and a blocking one. It takes no port, of which the system has not as
+/// many as these tests open connections.
+fn connected_pair() -> (UnixStream, StdUnixStream) {
+    let (own, peer) = StdUnixStream::pair().expect("two descriptors");
+    own.set_nonblocking(true).expect("a mode");
+    (UnixStream::from_std(own).expect("a stream"), peer)
+}
+
 /// Connections whose own ends are awaited, a byte each, by tasks that wait for `LIMIT`.
 struct AwaitedConnections {
-    peers: Vec<StdTcpStream>,
+    peers: Vec<StdUnixStream>,
     waiting: Vec<JoinHandle<bool>>,
 }
 
@@ -66,7 +74,7 @@
 
 /// Reads so many bytes one by one, sends a message for each to a task, which tells a third after the last.
 fn relayed_one_by_one(
-    mut stream: TcpStream,
+    mut stream: UnixStream,
     count: usize,
     messages_per_byte: usize,
 ) -> oneshot::Receiver<()> {
@@ -189,7 +197,7 @@
 }
 
 impl Flood {
-    fn start(mut peer: StdTcpStream) -> Self {
+    fn start(mut peer: StdUnixStream) -> Self {
         let ended = Arc::new(AtomicBool::new(false));
         let is_over = ended.clone();
         let thread = std::thread::spawn(move || {
@@ -208,7 +216,7 @@
 }
 
 /// How long a wait of `LIMIT` takes while a task reads a flood.
-fn wait_beside_flood(read: impl AsyncFn(&Clock, TcpStream) + 'static) -> std::time::Duration {
+fn wait_beside_flood(read: impl AsyncFn(&Clock, UnixStream) + 'static) -> std::time::Duration {
     run_in_event_loop(async |clock: Rc<Clock>| {
         let (stream, peer) = connected_pair();
         let flooded = clock.clone();
--- a/crates/hazelspur-server/tests/harness/mod.rs
+++ b/crates/hazelspur-server/tests/harness/mod.rs
@@ -282,9 +282,25 @@
 
 /// The same endpoints but for the registry.
 pub(crate) fn with_registry(config: &str, control: &str) -> String {
-    let (before, rest) = config.split_once("\"control\":\"").expect("a control plane");
+    with_endpoint(config, "control", control)
+}
+
+/// The same endpoints but for the dependency.
+pub(crate) fn with_ledger(config: &str, ledger: &str) -> String {
+    with_endpoint(config, "ledger", ledger)
+}
+
+fn with_endpoint(config: &str, key: &str, address: &str) -> String {
+    let key = format!("\"{key}\":\"");
+    let (before, rest) = config.split_once(&key).expect("the key");
     let (_, after) = rest.split_once('"').expect("an address");
-    format!("{before}\"control\":\"{control}\"{after}")
+    format!("{before}{key}{address}\"{after}")
+}
+
+/// An address that refuses connections until the test binary ends. A port of a listener that was closed may get
+/// another listener at any time.
+pub(crate) fn refusing_address() -> String {
+    reserve_address()
 }
 
 /// Waits until this long after a moment.
