--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -19,6 +19,7 @@
 struct State {
     answers: BTreeMap<u64, Vec<(Answer, u64)>>,
     closed: bool,
+    farewell: bool,
 }
 
 pub struct Gateway {
@@ -59,6 +60,9 @@
         let (reading, reader) = (shared.clone(), stream.try_clone().ok()?);
         spawn(move || {
             for line in BufReader::new(reader).lines().map_while(Result::ok) {
+                if line.contains("\"farewell\"") {
+                    reading.0.lock().expect("the state").farewell = true;
+                }
                 let Some(id) = between(&line, "\"id\":", ",").and_then(|id| id.parse().ok()) else {
                     continue;
                 };
@@ -101,6 +105,19 @@
         id
     }
 
+    /// Returns whether a new request may be sent: the connection is open and no farewell came on it.
+    pub fn is_usable(&self) -> bool {
+        let state = self.shared.0.lock().expect("the state");
+        !state.closed && !state.farewell
+    }
+
+    /// Tells the server that nobody waits for a request any more.
+    pub fn interrupt(&mut self, req: &str) {
+        let line =
+            format!("{{\"jsonrpc\":\"2.0\",\"method\":\"interrupt\",\"params\":{{\"req\":\"{req}\"}}}}\n");
+        let _ = self.writer.write_all(line.as_bytes());
+    }
+
     /// Returns the answers to a request so far, each with the Unix time of its arrival in milliseconds.
     pub fn answers(&self, id: u64) -> Vec<(Answer, u64)> {
         self.shared.0.lock().expect("the state").answers.get(&id).cloned().unwrap_or_default()
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -54,15 +54,14 @@
 }
 
 impl Case {
-    /// Reads the arguments: the repository, the folder of the case, an empty temporary folder.
+    /// Reads the arguments: the repository, the file of the record, an empty temporary folder.
     pub fn from_args() -> Self {
         let args: Vec<PathBuf> = std::env::args().skip(1).map(PathBuf::from).collect();
-        let [root, folder, temp] = args.as_slice() else {
-            eprintln!("usage: CASE ROOT CASE_FOLDER TEMP_FOLDER");
+        let [root, record, temp] = args.as_slice() else {
+            eprintln!("usage: CASE ROOT RECORD_FILE TEMP_FOLDER");
             exit(COULD_NOT_RUN);
         };
-        let record =
-            Record::create(&folder.join("record.txt")).unwrap_or_else(|e| could_not_run(&e.to_string()));
+        let record = Record::create(record).unwrap_or_else(|e| could_not_run(&e.to_string()));
         record.line(format!("disruption: {}", if trouble() { "on" } else { "off" }));
         Self { root: root.clone(), temp: temp.clone(), record }
     }
