Decide about many requests at once without a walk over all of them for each

Cause: each decision evaluated every rule anew, and most rules walked over all requests in hand. The server takes all decisions of a turn without a pause, so N requests that end at one time cost N walks: up to 6,428 ms in one piece.

Fix: a rule that may end or admit many requests finds them in one walk and uses them up one decision at a time, as long as time, inputs and state only make it apply to fewer (candidates.rs). Sums and counts are totals (request_totals.rs); queues, started requests and stored keys are ordered sets. The log names a round that took 100 ms or more.

--- a/crates/hazelspur-server/src/request/dispatcher.rs
+++ b/crates/hazelspur-server/src/request/dispatcher.rs
@@ -20,6 +20,9 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+/// Time of the decisions after one round of input from which they are logged.
+const LOGGED_DECISION_TIME: Duration = Duration::from_ms(100);
+
 /// Kind of a final response that is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Response {
@@ -239,12 +242,30 @@
         loop {
             self.input_notification.notified().await;
             self.clock.input_reported().await;
-            while let Some(decision) = self.next_decision() {
-                self.apply_decision(decision);
-            }
+            self.decide();
+        }
+    }
+
+    /// Requests and applies all decisions that are due, and logs if they kept the thread for long.
+    fn decide(&self) {
+        let began = self.clock.now();
+        let examined_before = self.examined_request_count();
+        let mut decisions = 0_u64;
+        while let Some(decision) = self.next_decision() {
+            self.apply_decision(decision);
+            decisions += 1;
+        }
+        let took = self.clock.now() - began;
+        if took >= LOGGED_DECISION_TIME {
+            let examined = self.examined_request_count() - examined_before;
+            log::warn!(ms = took.us() / 1000, decisions, examined; "decisions took long");
         }
     }
 
+    fn examined_request_count(&self) -> u64 {
+        self.controller.borrow().as_ref().map_or(0, AdmissionController::examined_request_count)
+    }
+
     fn next_decision(&self) -> Option<Decision> {
         self.expire_leases();
         let now = self.clock.input_watermark();
--- a/src/controller/inputs.rs
+++ b/src/controller/inputs.rs
@@ -27,6 +27,7 @@
 impl AdmissionController {
     /// Records and queues a received request. A request of an unknown class is rejected instead.
     pub fn request_received(&mut self, now: Timestamp, new: NewRequest) {
+        self.record_input();
         let class = self.catalog.borrow().request_class(new.class).cloned();
         let Some(class) = class else { return self.reject_unknown_class(new.id) };
         let request = self.build_request(now, &new, class);
@@ -124,24 +125,28 @@
 
     /// Records that the client of a request no longer waits for the response.
     pub fn request_abandoned(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get_mut(id) else { return };
-        request.awaits_response = false;
-        if !request.state.is_started() {
+        self.record_input();
+        let Some(request) = self.requests.get(id) else { return };
+        if request.state.is_started() {
+            self.requests.update(id, |request| request.awaits_response = false);
+        } else {
             self.requests.remove(id);
         }
     }
 
     /// Records that a run ended or was preempted.
     pub fn run_finished(&mut self, now: Timestamp, id: RequestId, outcome: Outcome) {
+        self.record_input();
         self.refill_budgets(now);
-        let request = self.requests.get_mut(id).filter(|request| !request.state.is_queued());
+        let request = self.requests.get(id).filter(|request| !request.state.is_queued());
         let Some(request) = request else { return };
         if request.state == RequestState::Calling {
             self.call_budget.charge_residual_load(self.settings.call_residual_load);
         }
         let was_started = request.state.is_started();
         if outcome == Outcome::Preempted && request.awaits_response && was_started {
-            request.return_to_queue(self.settings.preemption);
+            let preemption = self.settings.preemption;
+            self.requests.update(id, |request| request.return_to_queue(preemption));
             return self.requests.enqueue(id);
         }
         if outcome == Outcome::Ok && was_started {
@@ -166,22 +171,24 @@
 
     /// Records that a run needs a dependency call to continue.
     pub fn call_requested(&mut self, now: Timestamp, id: RequestId) {
-        let request = self.requests.get_mut(id).filter(|request| request.state == RequestState::Running);
-        if let Some(request) = request {
-            request.await_call(now);
+        self.record_input();
+        if self.requests.get(id).is_some_and(|request| request.state == RequestState::Running) {
+            self.requests.update(id, |request| request.await_call(now));
         }
     }
 
     /// Records that an attempt of a dependency call ended.
     pub fn call_finished(&mut self, now: Timestamp, id: RequestId, outcome: Outcome) {
+        self.record_input();
         self.refill_budgets(now);
-        let request = self.requests.get_mut(id).filter(|request| request.state == RequestState::Calling);
+        let request = self.requests.get(id).filter(|request| request.state == RequestState::Calling);
         let Some(request) = request else { return };
         let latency_s = (now - request.call.started_at).secs();
         match outcome {
             Outcome::Ok => {
                 self.call_budget.record_success(latency_s);
-                return request.resume_after_call(now);
+                self.requests.update(id, |request| request.resume_after_call(now));
+                return;
             }
             Outcome::TimedOut => {
                 self.call_budget.record_timeout(latency_s);
@@ -189,11 +196,12 @@
             }
             _ => {} // other failures say nothing about the latency of calls
         }
-        call_attempts::plan_retry(request, now, outcome);
+        self.requests.update(id, |request| call_attempts::plan_retry(request, now, outcome));
     }
 
     /// Records a timer tick and the runtime's gauges. A tick that comes early leaves the timer set.
     pub fn timer_tick(&mut self, now: Timestamp, gauges: RuntimeGauges) {
+        self.record_input();
         if self.next_tick.is_some_and(|at| at <= now) {
             self.next_tick = None;
         }
@@ -209,6 +217,7 @@
 
     /// Records a shutdown notice: the server stops at `stops_at`.
     pub fn shutdown_notice(&mut self, now: Timestamp, stops_at: Timestamp) {
+        self.record_input();
         self.shutdown = Some(Shutdown { notified_at: now, stops_at });
         self.log(ControllerEvent::Draining { requests: self.requests.len() });
         self.pending_decisions.push_back(Decision::SetHealth { active: false, cached: true });
@@ -217,6 +226,7 @@
     /// Sets a guidance value on which the servers of the fleet agreed; `None` clears a value that is no
     /// longer known.
     pub fn set_guidance(&mut self, now: Timestamp, key: GuidanceKey, value: Option<f64>) {
+        self.record_input();
         self.refill_budgets(now);
         self.guidance.set(key, value);
     }
@@ -228,6 +238,7 @@
     /// # Errors
     /// Returns an error that names the setting or entry at fault; in that case nothing has changed.
     pub fn apply_change(&mut self, now: Timestamp, change: &Change) -> Result<ChangeSummary, ConfigError> {
+        self.record_input();
         self.refill_budgets(now);
         let mut catalog = self.catalog.borrow_mut();
         catalog.check(now, change)?;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -6,6 +6,9 @@
 //! `None`. Inputs update the state; the rules are evaluated in `next_decision`. The controller does no I/O,
 //! reads no clock and is deterministic: the same inputs and seed give the same decisions. docs/design.md
 //! lists the rules and gives the reasons.
+//!
+//! A rule that may end or admit many requests at one time finds them in one walk and then uses them up one
+//! decision at a time ([`Candidates`]), so that a burst of requests does not cost a walk for each of them.
 
 mod inputs;
 mod reports;
@@ -15,6 +18,7 @@
 use crate::admission::power_test::{MAX_CYCLE, PowerTest};
 use crate::admission::sessions::ActiveSessions;
 use crate::arrivals::RecentArrivals;
+use crate::candidates::{CandidateScope, Candidates};
 use crate::config::catalog::Catalog;
 use crate::config::settings::ControllerSettings;
 use crate::dependency::call_budget::CallBudget;
@@ -22,7 +26,7 @@
 use crate::idle_connections::IdleTimeout;
 use crate::load_signal::AdvertisedCapacity;
 use crate::pcg::Pcg;
-use crate::rejection::RejectionHistory;
+use crate::rejection::{Rejection, RejectionHistory};
 use crate::request::RequestState;
 use crate::request_table::RequestTable;
 use crate::scheduling::class_profile::ClassProfiles;
@@ -31,11 +35,21 @@
 use crate::scheduling::warm_up::WarmUp;
 use crate::shutdown::Shutdown;
 use crate::tenant_quota::TenantTraffic;
-use crate::{ControllerEvent, Decision, FleetGuidance, Timestamp};
+use crate::{ControllerEvent, Decision, FleetGuidance, RequestId, Timestamp};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+/// Candidates of the rules that may end or admit many requests at one time.
+#[derive(Clone, Debug, Default)]
+struct RuleCandidates {
+    expiring: Candidates<RequestId>,
+    idempotency: Candidates<RequestId>,
+    awaiting_admission: Candidates<RequestId>,
+    without_token: Candidates<RequestId>,
+    late: Candidates<Rejection>,
+}
+
 /// The controller of one server: its settings, the state of its policies and its in-flight requests.
 pub struct AdmissionController {
     settings: ControllerSettings,
@@ -46,6 +60,9 @@
     cores: f64,
     random: Pcg,
     requests: RequestTable,
+    candidates: RuleCandidates,
+    /// Number of inputs received.
+    input_count: u64,
     arrivals: RecentArrivals,
     rejections: RejectionHistory,
     sessions: ActiveSessions,
@@ -96,6 +113,8 @@
             cores: settings.cores,
             random: Pcg::new(seed),
             requests: RequestTable::default(),
+            candidates: RuleCandidates::default(),
+            input_count: 0,
             arrivals: RecentArrivals::default(),
             rejections: RejectionHistory::default(),
             sessions: ActiveSessions::default(),
@@ -146,6 +165,17 @@
         self.admission_rate.refill(now);
     }
 
+    /// Counts an input. Every input calls this first, since any of them may change what a rule applies to.
+    fn record_input(&mut self) {
+        self.input_count += 1;
+    }
+
+    /// Returns the scope within which candidates that a rule finds now stay complete.
+    fn candidate_scope(&self, now: Timestamp) -> CandidateScope {
+        let change_count = self.requests.change_count();
+        CandidateScope { now, input_count: self.input_count, change_count }
+    }
+
     fn log(&mut self, event: ControllerEvent) {
         self.pending_decisions.push_back(Decision::Log(event));
     }
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -3,7 +3,6 @@
 use super::AdmissionController;
 use crate::load_signal::{self, LoadReport};
 use crate::rejection::RejectionReason;
-use crate::statistics::mean;
 use crate::{TenantId, Timestamp};
 use std::collections::BTreeMap;
 
@@ -11,8 +10,7 @@
     /// Returns how many requests this server could hold, queued and running, and still answer within their
     /// latency objectives.
     pub fn spare_capacity(&self, now: Timestamp) -> f64 {
-        let objectives = self.requests.iter().map(|request| request.class.latency_objective.secs());
-        let mean_objective_s = mean(objectives).unwrap_or(0.0);
+        let mean_objective_s = self.requests.totals().mean_latency_objective_s().unwrap_or(0.0);
         let target = self.concurrency(now).target;
         load_signal::spare_capacity(target, mean_objective_s, self.arrivals.mean_expected_run_s())
     }
@@ -45,6 +43,12 @@
         self.rejections.counts()
     }
 
+    /// Returns the number of requests that the rules have examined since the start: a measure of the cost of
+    /// decisions that does not depend on the machine.
+    pub fn examined_request_count(&self) -> u64 {
+        self.requests.examined_count()
+    }
+
     /// Returns the number of requests that one rule has rejected or failed since the start.
     pub fn rejection_count(&self, reason: RejectionReason) -> u64 {
         self.rejections.count_of(reason)
--- a/src/controller/rules.rs
+++ b/src/controller/rules.rs
@@ -16,7 +16,7 @@
 use crate::scheduling::late_rejection::{CallEstimate, LateRejectionRule};
 use crate::scheduling::next_runnable::NextRunRule;
 use crate::scheduling::{TIMER_TICK, preemption, slowdown};
-use crate::{ClientId, Decision, Duration, Timestamp, load_signal};
+use crate::{ClientId, Decision, Duration, RequestId, Timestamp, load_signal};
 
 impl AdmissionController {
     /// Ends the control cycle if it is over, and adjusts the admission rate by its result.
@@ -37,14 +37,20 @@
             is_stopping: self.shutdown.is_some_and(|shutdown| shutdown.is_stopping(now)),
             can_preempt: preemption::is_supported(self.settings.preemption),
         };
-        let rejection = expiry.first(&self.requests)?;
+        let scope = self.candidate_scope(now);
+        let Self { requests, candidates, .. } = self;
+        if candidates.expiring.is_stale(scope) {
+            candidates.expiring.replace(scope, expiry.all(requests));
+        }
+        let id = candidates.expiring.first(|id| expiry.rejection(requests, id).is_some())?;
+        let rejection = expiry.rejection(requests, id)?;
         self.reject(now, rejection)
     }
 
     /// Preempts a run whose response nobody awaits: the client is gone, or the request has been failed.
     pub(super) fn preempt_unawaited_run(&mut self, now: Timestamp) -> Option<Decision> {
         let id = preemption::first_unawaited_run(&self.requests, now, self.settings.preemption)?;
-        self.requests.get_mut(id)?.preempted_at = Some(now);
+        self.requests.update(id, |request| request.preempted_at = Some(now))?;
         Some(Decision::Preempt(id))
     }
 
@@ -57,13 +63,16 @@
     /// Stores the idempotency key of a request before it runs, and answers a retry from its original.
     pub(super) fn apply_idempotency(&mut self, now: Timestamp) -> Option<Decision> {
         loop {
-            let rule = IdempotencyRule { now, settings: &self.settings, memory: self.memory_use() };
-            match rule.next_step(&self.requests)? {
-                IdempotencyStep::TreatAsOriginal(id) => self.requests.get_mut(id)?.retry_of = None,
-                IdempotencyStep::SkipKey(id) => self.requests.get_mut(id)?.is_key_handled = true,
+            match self.next_idempotency_step(now)? {
+                IdempotencyStep::TreatAsOriginal(id) => {
+                    self.requests.update_without_new_candidates(id, |request| request.retry_of = None)?;
+                }
+                IdempotencyStep::SkipKey(id) => self.requests.set_key_handled(id),
                 IdempotencyStep::AnswerFromOriginal(id) => {
                     self.requests.dequeue(id);
-                    self.requests.get_mut(id)?.state = RequestState::AwaitingOriginal;
+                    let await_original =
+                        |request: &mut Request| request.state = RequestState::AwaitingOriginal;
+                    self.requests.update_without_new_candidates(id, await_original)?;
                     return Some(Decision::AnswerFromOriginal(id));
                 }
                 IdempotencyStep::RejectForMemory(request) => {
@@ -71,7 +80,7 @@
                     return self.reject(now, Rejection { request, reason });
                 }
                 IdempotencyStep::StoreKey { request, window } => {
-                    self.requests.get_mut(request)?.is_key_handled = true;
+                    self.requests.set_key_handled(request);
                     self.stored_keys.store(request, now + window);
                     return Some(Decision::StoreKey { request, window });
                 }
@@ -79,12 +88,23 @@
         }
     }
 
+    fn next_idempotency_step(&mut self, now: Timestamp) -> Option<IdempotencyStep> {
+        let scope = self.candidate_scope(now);
+        let memory = self.memory_use();
+        let Self { requests, candidates, settings, .. } = self;
+        let rule = IdempotencyRule { now, settings, memory };
+        if candidates.idempotency.is_stale(scope) {
+            candidates.idempotency.replace(scope, rule.all(requests));
+        }
+        let id = candidates.idempotency.first(|id| rule.step(requests, id).is_some())?;
+        rule.step(requests, id)
+    }
+
     /// Ends a call that is not attempted any more: its run continues without the call, or fails.
     pub(super) fn end_failed_call(&mut self, now: Timestamp) -> Option<Decision> {
         let id = call_attempts::first_without_attempts(&self.requests, now, self.guidance.breaker_open)?;
-        let request = self.requests.get_mut(id)?;
-        if request.allows_degraded_response() {
-            request.resume_after_call(now);
+        if self.requests.get(id)?.allows_degraded_response() {
+            self.requests.update(id, |request| request.resume_after_call(now))?;
             return Some(Decision::SkipCall(id));
         }
         self.reject(now, Rejection { request: id, reason: RejectionReason::CallAttemptsExhausted })
@@ -100,8 +120,8 @@
         let calls = self.requests.count(RequestState::Calling) + 1.0;
         let id = call_start::next_call(&self.requests, now, &self.call_budget, limits)?;
         let time_to_exhaustion = self.call_budget.time_to_exhaustion(limits, calls);
-        let request = self.requests.get_mut(id)?;
-        request.start_call(now);
+        self.requests.update(id, |request| request.start_call(now))?;
+        let request = self.requests.get(id)?;
         let timeout = call_start::timeout(request, now, &self.call_budget, time_to_exhaustion);
         Some(Decision::StartCall { request: id, timeout })
     }
@@ -109,17 +129,50 @@
     /// Admits all requests that may pass, then rejects a request that has found no token in time. Requests of
     /// active sessions always pass; those of new sessions need a token while the admission rate limits.
     pub(super) fn apply_admission_rate(&mut self, now: Timestamp) -> Option<Decision> {
-        while let Some(id) = session_admission::next_to_admit(&self.requests, &self.admission_rate) {
+        while let Some(id) = self.next_to_admit(now) {
             self.admission_rate.take_token();
-            self.requests.get_mut(id)?.is_admitted = true;
+            self.requests.update_without_new_candidates(id, |request| request.is_admitted = true)?;
         }
-        let rejection = session_admission::first_without_token(&self.requests, now)?;
-        self.reject(now, rejection)
+        let scope = self.candidate_scope(now);
+        let Self { requests, candidates, .. } = self;
+        if candidates.without_token.is_stale(scope) {
+            candidates.without_token.replace(scope, session_admission::all_without_token(requests, now));
+        }
+        let still_waits = |id| requests.get(id).is_some_and(session_admission::awaits_admission);
+        let request = candidates.without_token.first(still_waits)?;
+        self.reject(now, Rejection { request, reason: RejectionReason::AdmissionRate })
+    }
+
+    /// Returns the request that is admitted next, if it may pass.
+    fn next_to_admit(&mut self, now: Timestamp) -> Option<RequestId> {
+        let scope = self.candidate_scope(now);
+        let Self { requests, candidates, admission_rate, .. } = self;
+        let waiting = &mut candidates.awaiting_admission;
+        if waiting.is_stale(scope) {
+            waiting.replace(scope, session_admission::all_awaiting_admission(requests));
+        }
+        let id = waiting.first(|id| requests.get(id).is_some_and(session_admission::awaits_admission))?;
+        requests
+            .get(id)
+            .is_some_and(|request| session_admission::may_pass(request, admission_rate))
+            .then_some(id)
     }
 
     /// Rejects a queued request that cannot succeed any more.
     pub(super) fn reject_late(&mut self, now: Timestamp) -> Option<Decision> {
-        let rule = LateRejectionRule {
+        let scope = self.candidate_scope(now);
+        if self.candidates.late.is_stale(scope) {
+            let late = self.late_rejection_rule(now).all(&self.requests);
+            self.candidates.late.replace(scope, late);
+        }
+        let Self { requests, candidates, .. } = self;
+        let is_queued = |id| requests.get(id).is_some_and(|request| request.state.is_queued());
+        let rejection = candidates.late.first(|rejection| is_queued(rejection.request))?;
+        self.reject(now, rejection)
+    }
+
+    fn late_rejection_rule(&self, now: Timestamp) -> LateRejectionRule<'_> {
+        LateRejectionRule {
             now,
             slowdown: self.slowdown.factor(now, self.cores, &self.requests),
             concurrency_target: self.concurrency(now).target,
@@ -131,9 +184,7 @@
             shutdown: self.shutdown,
             drain_grace_period: self.settings.drain_grace_period,
             profiles: &self.profiles,
-        };
-        let rejection = rule.first(&self.requests)?;
-        self.reject(now, rejection)
+        }
     }
 
     /// Runs the first runnable request in queue order, if the bounds on concurrent runs, the free memory and
@@ -152,11 +203,10 @@
         };
         let id = rule.choose(&self.requests)?;
         self.requests.dequeue(id);
-        let request = self.requests.get_mut(id)?;
-        if request.start_run(now) {
+        if self.requests.update(id, |request| request.start_run(now))? {
             self.power_test.record_started_run();
         }
-        if let Some(session) = request.session {
+        if let Some(session) = self.requests.get(id)?.session {
             self.sessions.record_run(now, session);
         }
         self.rejections.record_started();
@@ -226,8 +276,8 @@
         let retry_after = self.retry_after(now, client);
         if !state.is_started() {
             self.requests.remove(id);
-        } else if let Some(request) = self.requests.get_mut(id) {
-            request.awaits_response = false;
+        } else {
+            self.requests.update(id, |request| request.awaits_response = false)?;
         }
         if must_fail {
             return Some(Decision::Fail(id));
@@ -253,7 +303,7 @@
         if !self.settings.retry_after_supported {
             return Duration::ZERO;
         }
-        let queued_s: f64 = self.requests.queued().map(|request| request.expected_run_s).sum();
+        let queued_s = self.requests.totals().queued_run_s();
         let running_s = slowdown::remaining_run_s(now, &self.requests, slowdown::NO_SLOWDOWN);
         let inputs = RetryAfterInputs {
             work_s: running_s + queued_s,
--- a/src/dependency/call_attempts.rs
+++ b/src/dependency/call_attempts.rs
@@ -22,10 +22,12 @@
     now: Timestamp,
     is_breaker_open: bool,
 ) -> Option<RequestId> {
-    requests.first_received(|request| {
+    let is_without_attempts = |request: &&Request| {
         let skips_call = is_breaker_open && request.allows_degraded_response();
         is_ready(request, now) && (request.call.attempts >= MAX_ATTEMPTS || skips_call)
-    })
+    };
+    let without_attempts = requests.started().filter(is_without_attempts);
+    without_attempts.min_by_key(|request| request.sequence).map(|request| request.id)
 }
 
 /// Returns whether no further attempt may follow the one in progress.
--- a/src/dependency/call_start.rs
+++ b/src/dependency/call_start.rs
@@ -30,7 +30,7 @@
     if budget.is_insufficient(limits) || calls > max_calls {
         return None;
     }
-    let ready = requests.iter().filter(|request| call_attempts::is_ready(request, now));
+    let ready = requests.started().filter(|request| call_attempts::is_ready(request, now));
     ready.min_by(|a, b| queue_order::compare(a, b)).map(|request| request.id)
 }
 
--- a/src/idempotency.rs
+++ b/src/idempotency.rs
@@ -9,7 +9,7 @@
 use crate::request::{Request, RequestState};
 use crate::request_table::RequestTable;
 use crate::{Duration, RequestId, Timestamp};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A stored idempotency key.
 #[derive(Clone, Copy, Debug)]
@@ -21,7 +21,17 @@
 /// The keys in memory, in the order in which they were stored.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StoredKeys {
-    keys: VecDeque<StoredKey>,
+    keys: BTreeMap<u64, StoredKey>,
+    /// Positions in `keys` of the keys of each request.
+    positions: BTreeSet<KeyPosition>,
+    last_position: u64,
+}
+
+/// Position of a stored key, ordered by its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct KeyPosition {
+    request: RequestId,
+    position: u64,
 }
 
 impl StoredKeys {
@@ -32,19 +42,31 @@
 
     /// Removes expired keys from the front, up to the first one that has not expired.
     pub(crate) fn expire(&mut self, now: Timestamp) {
-        while self.keys.front().is_some_and(|key| key.expires_at <= now) {
-            self.keys.pop_front();
+        while let Some(first) = self.keys.first_entry().filter(|first| first.get().expires_at <= now) {
+            let position = *first.key();
+            let request = first.remove().request;
+            self.positions.remove(&KeyPosition { request, position });
         }
     }
 
     /// Records that the key of a request is stored.
     pub(crate) fn store(&mut self, request: RequestId, expires_at: Timestamp) {
-        self.keys.push_back(StoredKey { expires_at, request });
+        self.last_position += 1;
+        let position = self.last_position;
+        self.keys.insert(position, StoredKey { expires_at, request });
+        self.positions.insert(KeyPosition { request, position });
     }
 
-    /// Removes the key of a request.
+    /// Removes the keys stored under the id of a request.
     pub(crate) fn remove(&mut self, request: RequestId) {
-        self.keys.retain(|key| key.request != request);
+        let first = KeyPosition { request, position: 0 };
+        while let Some(found) = self.positions.range(first..).next().copied() {
+            if found.request != request {
+                return;
+            }
+            self.positions.remove(&found);
+            self.keys.remove(&found.position);
+        }
     }
 }
 
@@ -81,10 +103,14 @@
 }
 
 impl IdempotencyRule<'_> {
-    /// Returns the next step, for the first received request that needs one.
-    pub(crate) fn next_step(&self, requests: &RequestTable) -> Option<IdempotencyStep> {
-        let id = requests.first_received(|request| self.needs_step(request))?;
-        let request = requests.get(id)?;
+    /// Returns the requests that need a step, the first received first.
+    pub(crate) fn all(&self, requests: &RequestTable) -> Vec<RequestId> {
+        requests.matching_in_order_of_receipt(|request| self.needs_step(request))
+    }
+
+    /// Returns the next step for a request; `None` if it needs none.
+    pub(crate) fn step(&self, requests: &RequestTable, id: RequestId) -> Option<IdempotencyStep> {
+        let request = requests.get(id).filter(|request| self.needs_step(request))?;
         let Some(original) = request.retry_of else { return Some(self.store_key(id, request)) };
         Some(if is_original_of_pair(requests, id, request, original) {
             IdempotencyStep::TreatAsOriginal(id)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod arrivals;
+mod candidates;
 pub mod config;
 pub mod controller;
 pub mod decision;
@@ -25,6 +26,7 @@
 pub mod rejection;
 pub mod request;
 mod request_table;
+mod request_totals;
 mod retry_after;
 mod scheduling;
 mod shutdown;
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -2,9 +2,7 @@
 
 use crate::config::settings::ControllerSettings;
 use crate::rejection::{Rejection, RejectionReason};
-use crate::request::{Request, RequestState};
 use crate::request_table::RequestTable;
-use crate::scheduling::queue_order;
 
 /// Share of the worker process's memory that requests and stored keys may use.
 const USABLE_SHARE: f64 = 0.92;
@@ -20,12 +18,9 @@
     /// Returns the memory that these requests and stored keys use. A started or paused request takes more
     /// than a queued one.
     pub(crate) fn new(requests: &RequestTable, stored_keys: usize, settings: &ControllerSettings) -> Self {
-        let size_kb = |request: &Request| match request.state {
-            RequestState::Queued | RequestState::AwaitingOriginal => request.size_kb,
-            _ => request.size_kb * settings.run_memory_factor,
-        };
+        let totals = requests.totals();
+        let requests_kb = totals.waiting_kb() + totals.run_kb() * settings.run_memory_factor;
         let keys_kb = stored_keys as f64 * settings.key_memory_kb;
-        let requests_kb: f64 = requests.iter().map(size_kb).sum();
         Self { used_kb: keys_kb + requests_kb, limit_kb: settings.memory_kb * USABLE_SHARE }
     }
 
@@ -45,8 +40,7 @@
         if self.used_kb <= self.limit_kb {
             return None;
         }
-        let queued = requests.queued().filter(|request| !request.is_paused());
-        let last = queued.max_by(|a, b| queue_order::compare(a, b))?;
+        let last = requests.last_queued()?;
         Some(Rejection { request: last.id, reason: RejectionReason::MemoryLimit })
     }
 }
--- a/src/request.rs
+++ b/src/request.rs
@@ -58,11 +58,14 @@
     Running,
     /// Started; waiting until an attempt of its dependency call may start.
     AwaitingCall,
-    /// Started; waiting for an attempt of its dependency call to end.
+    /// Started; waiting for an attempt of its dependency call to end. The last state, see [`Self::COUNT`].
     Calling,
 }
 
 impl RequestState {
+    /// Number of states.
+    pub(crate) const COUNT: usize = Self::Calling as usize + 1;
+
     /// Returns whether the request is in a run queue.
     pub(crate) fn is_queued(self) -> bool {
         matches!(self, Self::Queued | Self::Paused)
--- a/src/scheduling/expiry.rs
+++ b/src/scheduling/expiry.rs
@@ -1,13 +1,13 @@
-//! Selects the request that must get its final response now: at its deadline, before the server stops, or
-//! when its run has no value any more.
+//! Selects the requests that must get their final response now: at their deadline, before the server stops,
+//! or when their run has no value any more.
 //!
 //! Invariant: every request is answered at least one timer tick before its deadline.
 
-use crate::Timestamp;
 use crate::rejection::{Rejection, RejectionReason};
 use crate::request::Request;
 use crate::request_table::RequestTable;
 use crate::scheduling::TIMER_TICK;
+use crate::{RequestId, Timestamp};
 
 /// Inputs of the rule besides the requests.
 #[derive(Clone, Copy, Debug)]
@@ -21,9 +21,13 @@
 }
 
 impl ExpiryRule {
-    /// Returns the first received request that must be answered now.
-    pub(crate) fn first(self, requests: &RequestTable) -> Option<Rejection> {
-        let request = requests.first_received(|request| self.reason(request).is_some())?;
+    /// Returns the requests that must be answered now, the first received first.
+    pub(crate) fn all(self, requests: &RequestTable) -> Vec<RequestId> {
+        requests.matching_in_order_of_receipt(|request| self.reason(request).is_some())
+    }
+
+    /// Returns the rejection of a request if it must be answered now.
+    pub(crate) fn rejection(self, requests: &RequestTable, request: RequestId) -> Option<Rejection> {
         let reason = self.reason(requests.get(request)?)?;
         Some(Rejection { request, reason })
     }
--- a/src/scheduling/late_rejection.rs
+++ b/src/scheduling/late_rejection.rs
@@ -1,5 +1,5 @@
-//! Late rejection: rejects a queued request that cannot succeed any more, judged by the work ahead of it in
-//! queue order.
+//! Late rejection: rejects the queued requests that cannot succeed any more, judged by the work ahead of them
+//! in queue order.
 //!
 //! A rejected request costs little and can go to another server; one that runs in vain takes the cores from
 //! others. In its early period, the first [`EARLY_SHARE_OF_TIMEOUT`] of its request timeout, a request needs
@@ -72,8 +72,9 @@
 }
 
 impl LateRejectionRule<'_> {
-    /// Returns the first queued request, in queue order, that cannot succeed or must not be served.
-    pub(crate) fn first(&self, requests: &RequestTable) -> Option<Rejection> {
+    /// Returns the queued requests that cannot succeed or must not be served, in queue order. The work ahead of
+    /// a request does not include that of requests returned before it.
+    pub(crate) fn all(&self, requests: &RequestTable) -> Vec<Rejection> {
         let awaiting_call = requests.count(RequestState::AwaitingCall);
         let mut ahead = WorkAhead {
             run_s: slowdown::remaining_run_s(self.now, requests, self.slowdown),
@@ -81,15 +82,17 @@
         };
         let mut queued: Vec<&Request> = requests.queued().collect();
         queued.sort_by(|a, b| queue_order::compare(a, b));
+        let mut rejections = Vec::new();
         for request in queued {
             let wait_s = self.wait_s(ahead, awaiting_call);
             if let Some(reason) = self.reason(request, wait_s) {
-                return Some(Rejection { request: request.id, reason });
+                rejections.push(Rejection { request: request.id, reason });
+                continue;
             }
             ahead.run_s += request.expected_run_s * self.slowdown;
             ahead.requests += 1.0;
         }
-        None
+        rejections
     }
 
     /// Returns the wait of a request behind this work, in seconds: the longer one of the waits for cores and
--- a/src/scheduling/preemption.rs
+++ b/src/scheduling/preemption.rs
@@ -1,7 +1,7 @@
 //! Selects the run to preempt: one whose response nobody awaits, where the runtime supports preemption.
 
 use crate::config::settings::Preemption;
-use crate::request::{Request, RequestState};
+use crate::request::Request;
 use crate::request_table::RequestTable;
 use crate::{Duration, RequestId, Timestamp};
 
@@ -25,7 +25,6 @@
     let is_due = |request: &Request| {
         request.preempted_at.is_none_or(|ordered| now - ordered > PREEMPTION_RETRY_INTERVAL)
     };
-    requests.first_received(|request| {
-        !request.awaits_response && request.state == RequestState::Running && is_due(request)
-    })
+    let unawaited = requests.running().filter(|request| !request.awaits_response && is_due(request));
+    unawaited.min_by_key(|request| request.sequence).map(|request| request.id)
 }
--- a/src/scheduling/queue_order.rs
+++ b/src/scheduling/queue_order.rs
@@ -1,6 +1,7 @@
 //! The order of the run queues: by value per expected work, in coarse steps, so that requests of nearly equal
 //! value run in the order of their latency objectives.
 
+use crate::Timestamp;
 use crate::config::settings::ValueUnit;
 use crate::request::Request;
 use std::cmp::Ordering;
@@ -39,11 +40,52 @@
     }
 }
 
-/// Compares two requests; the lesser one runs first. Paused requests come first, then the higher rank, the
-/// earlier end of the latency objective and the earlier receipt.
+/// Position of a request in queue order; the least one runs first. Paused requests come first, then the
+/// higher rank, the earlier end of the latency objective and the earlier receipt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QueuePosition {
+    is_paused: bool,
+    rank: f64,
+    objective_at: Timestamp,
+    sequence: u64,
+}
+
+impl QueuePosition {
+    /// Returns the position of a request in its present state.
+    pub(crate) fn of(request: &Request) -> Self {
+        Self {
+            is_paused: request.is_paused(),
+            rank: request.rank,
+            objective_at: request.objective_at,
+            sequence: request.sequence,
+        }
+    }
+}
+
+impl Ord for QueuePosition {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_pause = other.is_paused.cmp(&self.is_paused);
+        let by_rank = other.rank.total_cmp(&self.rank);
+        let by_objective = self.objective_at.cmp(&other.objective_at);
+        by_pause.then(by_rank).then(by_objective).then(self.sequence.cmp(&other.sequence))
+    }
+}
+
+impl PartialOrd for QueuePosition {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for QueuePosition {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for QueuePosition {}
+
+/// Compares two requests by their positions; the lesser one runs first.
 pub(crate) fn compare(a: &Request, b: &Request) -> Ordering {
-    let by_pause = b.is_paused().cmp(&a.is_paused());
-    let by_rank = b.rank.total_cmp(&a.rank);
-    let by_objective = a.objective_at.cmp(&b.objective_at);
-    by_pause.then(by_rank).then(by_objective).then(a.sequence.cmp(&b.sequence))
+    QueuePosition::of(a).cmp(&QueuePosition::of(b))
 }
