Remember possible duplicates, so that no copy of one runs

What callers saw: with settle = "after", a sender could get two outcomes for one message-id: doubtful, then acked or failed.

Cause: a redelivered message that may have run is settled as a possible duplicate, and this was not remembered. A copy with the same message-id that the broker had not delivered before was submitted and ran: a second run, where the first delivery had run elsewhere.

Fix: the outcome is kept in the message cache like that of a finished message, so that copies are settled alike.

Evidence: copy_of_a_possible_duplicate_does_not_run failed on (the copy was submitted) and passes.

--- a/crates/hazelspur-deliveries/src/tracker/delivery.rs
+++ b/crates/hazelspur-deliveries/src/tracker/delivery.rs
@@ -122,10 +122,10 @@
     }
 
     /// Returns whether a duplicate must not run after this outcome. A failed idempotent request may run
-    /// again.
+    /// again; a possible duplicate may have run before.
     pub(super) fn prevents_rerun(&self, outcome: DeliveryOutcome) -> bool {
         match outcome {
-            DeliveryOutcome::Succeeded => true,
+            DeliveryOutcome::Succeeded | DeliveryOutcome::PossibleDuplicate => true,
             DeliveryOutcome::Failed => self.must_run_once(),
             _ => false,
         }
--- a/crates/hazelspur-deliveries/tests/tracker/traces.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/traces.rs
@@ -420,3 +420,20 @@
     "#]]
     .assert_eq(&seen);
 }
+
+/// Guards against the run of a copy of a message that may have run before and was settled without a run, with
+/// which its sender got two outcomes.
+#[test]
+fn copy_of_a_possible_duplicate_does_not_run() {
+    let mut tracker = new_tracker(SettlementTable::default(), false);
+    let redelivered = ReceivedDelivery { redelivered: true, ..received(tag(1, 1), "a", IdempotentWithKey) };
+    tracker.delivery_received(at(0), redelivered);
+    tracker.delivery_received(at(1), received(tag(1, 2), "a", IdempotentWithKey));
+    expect_test::expect![[r#"
+        1 Reject(Tag {(1), channel: 1, tag: 1 })
+        1 Release { id: (1), outcome: PossibleDuplicate }
+        1 Reject(Tag {(1), channel: 1, tag: 2 })
+        1 Release { id: (2), outcome: PossibleDuplicate }
+    "#]]
+    .assert_eq(&actions(&mut tracker, 1));
+}
