Answer messages whose ack was sent and whose connection broke before the fence

It needs no drain: any lost connection does it.

Cause: what must not run twice is acknowledged and runs once the broker answers a fence. With the connection lost between, the broker may have read the ack; the tracker left the message to the broker as if it had not.

Fix: the delivery stays in hand (tracker/unproven_ack.rs). On the next connection its queue is read again for 0.5 s, in a drain too. A redelivery proves that the ack was not read and gets the outcome; without one the message is answered failed, or expired. It never runs.

Tests: the search over event orders has the users' rule as an invariant and failed on the old text with Deliver, ChooseRun, two BrokerReads, ConnectionLost; traces of eight cases; the real process in service and in a drain. The checker excuses an acknowledged message by its answer only, not by the server's own count of answered ones, and refuses replies of different outcomes: stricter than before, where any message was excused up to that count.

--- a/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
+++ b/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
@@ -1,5 +1,6 @@
 //! Loss of a channel or a connection: its tags can no longer be settled. Deliveries that have not run are
-//! left to the broker, which redelivers them; runs and replies go on without a tag.
+//! left to the broker, which redelivers them; runs and replies go on without a tag, and unproven acks wait for
+//! the redelivery.
 
 use super::delivery::{Delivery, DeliveryState, Publication};
 use super::{DeliveryAction, DeliveryTracker, MAX_PENDING_REPLIES};
@@ -43,14 +44,15 @@
                 self.actions.push_back(DeliveryAction::Abandon(id));
                 self.leave_to_broker(id);
             }
-            DeliveryState::AwaitingFence => self.fence_lost(id),
+            DeliveryState::AwaitingFence => self.fence_channel_lost(id),
             DeliveryState::Gated
             | DeliveryState::DuplicateOf(_)
             | DeliveryState::RequeueAt(_)
             | DeliveryState::Publishing { publication: Publication::RetryCopy { .. }, .. } => {
                 self.leave_to_broker(id);
             }
-            DeliveryState::Running
+            DeliveryState::AckUnproven
+            | DeliveryState::Running
             | DeliveryState::Publishing {
                 publication: Publication::Reply | Publication::ExpiredCopy, ..
             } => {}
--- a/crates/hazelspur-deliveries/src/tracker/counters.rs
+++ b/crates/hazelspur-deliveries/src/tracker/counters.rs
@@ -22,8 +22,9 @@
     /// Ended when their channel was lost, before their settlement or, if acknowledged first, before their
     /// run.
     pub left_to_broker: u64,
-    /// Acknowledged and never run: the connection broke before the fence was answered, or the deadline passed
-    /// after the ack and the message was not published again to its queue.
+    /// Acknowledged, never run and without a reply: the channel was lost before the fence was answered and no
+    /// redelivery has come, or the deadline passed after the ack and the message was not published again to
+    /// its queue.
     pub acked_without_run: u64,
     /// Replies that the broker did not accept or could not route, or that were dropped since too many waited.
     pub replies_lost: u64,
--- a/crates/hazelspur-deliveries/src/tracker/delivery.rs
+++ b/crates/hazelspur-deliveries/src/tracker/delivery.rs
@@ -31,6 +31,9 @@
     DuplicateOf(DeliveryId),
     /// Acknowledged; the run starts when the broker answers the fence.
     AwaitingFence,
+    /// Acknowledged, and the channel was lost before the fence was answered: the broker may have read the ack
+    /// or may deliver the message again. The request never runs.
+    AckUnproven,
     /// The run of the request was permitted and has not ended.
     Running,
     /// A message waits to be published (`sent_at` is `None`) or to be confirmed.
--- a/crates/hazelspur-deliveries/src/tracker/invariants.rs
+++ b/crates/hazelspur-deliveries/src/tracker/invariants.rs
@@ -15,6 +15,9 @@
     /// A delivery that was acknowledged before its run is unsettled.
     #[error("{0:?} awaits its fence but is unsettled")]
     UnsettledFence(DeliveryId),
+    /// A delivery whose ack is unproven is not among those that await a redelivery, or the reverse.
+    #[error("{0:?} has an unproven ack but awaits no redelivery, or the reverse")]
+    UnprovenAckNotAwaited(DeliveryId),
     /// A delivery that waits to run or to be requeued can no longer be settled.
     #[error("{0:?} has not run but can no longer be settled")]
     KeptWithoutTag(DeliveryId),
@@ -34,6 +37,9 @@
             if delivery.unsettled && !tags.insert(delivery.tag) {
                 return Err(InvariantViolation::SharedTag(*id));
             }
+            if (delivery.state == DeliveryState::AckUnproven) != self.unproven_acks.contains(id) {
+                return Err(InvariantViolation::UnprovenAckNotAwaited(*id));
+            }
             self.check_state(*id, delivery)?;
         }
         Ok(())
--- a/crates/hazelspur-deliveries/src/tracker/mod.rs
+++ b/crates/hazelspur-deliveries/src/tracker/mod.rs
@@ -9,10 +9,12 @@
 //!
 //! A request that must not run twice is settled before its run, in three steps: the ack; a fence, which is a
 //! method whose answer shows that the broker has read the ack; the run. Therefore a redelivered message has
-//! not run anywhere. The cost is that a process that dies between fence and run loses the message. A queue
+//! not run anywhere. The cost is that a process that dies between ack and run loses the message. A queue
 //! may be configured to settle after the run instead; then a redelivered message that is not in the cache may
 //! have run, and is settled as a possible duplicate.
 //!
+//! If the channel is lost between ack and fence, `unproven_ack` decides how the message ends.
+//!
 //! Invariants: those that `check_invariants` checks.
 
 mod action;
@@ -25,6 +27,7 @@
 mod run;
 mod settling;
 mod timers;
+mod unproven_ack;
 
 pub use action::DeliveryAction;
 pub use counters::DeliveryCounters;
@@ -37,7 +40,7 @@
 use crate::settlement::SettlementTable;
 use delivery::{Delivery, DeliveryState};
 use hazelspur::{Duration, Timestamp};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use timers::Timers;
 
 /// Time before its deadline at which a delivery expires. It is longer than the admission controller's timer
@@ -78,6 +81,8 @@
     actions: VecDeque<DeliveryAction>,
     publisher: PublisherState,
     publish_queue: VecDeque<DeliveryId>,
+    /// Deliveries in the state `AckUnproven`.
+    unproven_acks: BTreeSet<DeliveryId>,
     shutting_down: bool,
     counters: DeliveryCounters,
 }
@@ -95,6 +100,7 @@
             actions: VecDeque::new(),
             publisher: PublisherState::default(),
             publish_queue: VecDeque::new(),
+            unproven_acks: BTreeSet::new(),
             shutting_down: false,
             counters: DeliveryCounters::default(),
         }
@@ -119,7 +125,10 @@
             if let Some(action) = self.actions.pop_front() {
                 return Some(action);
             }
-            let progressed = self.run_next_timer(now) || self.open_gates(now) || self.publish_next(now);
+            let progressed = self.run_next_timer(now)
+                || self.advance_unproven_acks(now)
+                || self.open_gates(now)
+                || self.publish_next(now);
             if !progressed {
                 return None;
             }
@@ -135,9 +144,11 @@
         [gate_opens_at, self.timers.next()].into_iter().flatten().min()
     }
 
-    /// Returns the counters since the start of the process.
+    /// Returns the counters since the start of the process. Messages that still await their fence's answer or
+    /// their redelivery count as acknowledged without a run.
     pub fn counters(&self) -> DeliveryCounters {
-        self.counters
+        let acked_without_run = self.counters.acked_without_run + self.unproven_acks.len() as u64;
+        DeliveryCounters { acked_without_run, ..self.counters }
     }
 
     /// Returns the number of unsettled deliveries of a queue.
@@ -152,11 +163,12 @@
     }
 
     /// Returns whether a reply or a copy of an expired message is still to be published or confirmed, or a
-    /// running request may still produce one.
+    /// running request or an unproven ack may still produce one.
     pub fn has_pending_replies(&self) -> bool {
         let pending =
             |state: DeliveryState| state.is_publishing_without_tag() || state == DeliveryState::Running;
-        self.deliveries.values().any(|delivery| pending(delivery.state))
+        !self.queues_awaiting_redelivery().is_empty()
+            || self.deliveries.values().any(|delivery| pending(delivery.state))
     }
 
     fn select(&self, condition: impl Fn(&Delivery) -> bool) -> Vec<DeliveryId> {
--- a/crates/hazelspur-deliveries/src/tracker/publishing.rs
+++ b/crates/hazelspur-deliveries/src/tracker/publishing.rs
@@ -95,6 +95,7 @@
         if ready {
             return;
         }
+        self.restart_redelivery_waits();
         self.publish_queue.clear();
         self.give_up_unconfirmed_copies();
         for (id, delivery) in &mut self.deliveries {
--- a/crates/hazelspur-deliveries/src/tracker/receipt.rs
+++ b/crates/hazelspur-deliveries/src/tracker/receipt.rs
@@ -46,6 +46,9 @@
         }
         let known = message_id.as_deref().and_then(|message_id| self.message_cache.lookup(now, message_id));
         match known {
+            Some(MessageState::InProgress(first)) if self.end_wait_for_redelivery(first) => {
+                self.start_processing(now, id, received.redelivered);
+            }
             Some(MessageState::InProgress(first)) if self.deliveries.contains_key(&first) => {
                 self.attach_duplicate(first, id);
             }
@@ -72,7 +75,7 @@
     /// without a run if it has expired or may have run before.
     fn start_processing(&mut self, now: Timestamp, id: DeliveryId, redelivered: bool) {
         if self.shutting_down {
-            return self.requeue(id);
+            return self.requeue_during_shutdown(now, id);
         }
         if self.is_expired(now, id) {
             return self.finish(now, id, DeliveryOutcome::Expired, &[].into());
@@ -91,6 +94,17 @@
         self.submit_or_queue(now, id);
     }
 
+    fn requeue_during_shutdown(&mut self, now: Timestamp, id: DeliveryId) {
+        let queue = self.deliveries.get(&id).map(|delivery| delivery.queue);
+        let Some(at) = queue.and_then(|queue| self.requeue_after_wait(now, queue)) else {
+            return self.requeue(id);
+        };
+        if let Some(delivery) = self.deliveries.get_mut(&id) {
+            delivery.state = DeliveryState::RequeueAt(at);
+        }
+        self.set_timer(id, Some(at));
+    }
+
     /// Handles a duplicate of a message that is being processed. A running delivery that lost its tag takes
     /// over the tag of the duplicate; otherwise two copies of the message are unsettled here, and the
     /// duplicate is settled like the first one.
--- a/crates/hazelspur-deliveries/src/tracker/run.rs
+++ b/crates/hazelspur-deliveries/src/tracker/run.rs
@@ -136,10 +136,10 @@
         self.begin_publishing(now, id, Publication::ExpiredCopy);
     }
 
-    /// Records that the fence could not be sent or that its channel was lost: the request never runs.
-    pub fn fence_lost(&mut self, id: DeliveryId) {
+    /// Records that the fence could not be sent, and neither could the ack before it: the request never runs,
+    /// and the broker delivers its message again.
+    pub fn fence_not_sent(&mut self, id: DeliveryId) {
         if self.awaits_fence(id) {
-            self.counters.acked_without_run += 1;
             self.resolve_run(id, false);
             self.leave_to_broker(id);
         }
--- a/crates/hazelspur-deliveries/src/tracker/settling.rs
+++ b/crates/hazelspur-deliveries/src/tracker/settling.rs
@@ -135,6 +135,7 @@
     /// requeued.
     fn release(&mut self, id: DeliveryId) {
         let Some(mut delivery) = self.deliveries.remove(&id) else { return };
+        self.unproven_acks.remove(&id);
         self.timers.cancel(id, &mut delivery);
         if let Some(message_id) = &delivery.message_id {
             self.message_cache.release(message_id, id);
--- a/crates/hazelspur-deliveries/src/tracker/timers.rs
+++ b/crates/hazelspur-deliveries/src/tracker/timers.rs
@@ -70,6 +70,7 @@
                 self.finish(now, id, DeliveryOutcome::Expired, &[].into());
             }
             DeliveryState::RequeueAt(at) if at <= now => self.requeue(id),
+            DeliveryState::AckUnproven => self.give_up_redelivery(now, id),
             DeliveryState::Publishing { .. } if self.publisher.blocked_by_broker => {
                 self.set_timer(id, Some(now + CONFIRM_TIMEOUT));
             }
--- a/crates/hazelspur-deliveries/tests/tracker/event_orders.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/event_orders.rs
@@ -1,6 +1,7 @@
-//! Explores all orders of events, up to a depth, for two copies of one message on a broker that loses
+//! Explores all orders of events, up to a depth, for copies of one message on a broker that loses
 //! connections and redelivers. Checks after each event that the invariants hold, that no copy is lost or
-//! duplicated, and that a request that must not run twice has not run twice.
+//! duplicated, that a request that must not run twice has not run twice, and that a message that wants a reply
+//! is never gone from broker and tracker without a run or a reply.
 
 use crate::helpers::{at, new_tracker, received, tag};
 use hazelspur::{Duration, Idempotency, Timestamp};
@@ -28,7 +29,9 @@
     pending_fences: Vec<DeliveryId>,
     pending_confirms: Vec<DeliveryId>,
     run_count: u32,
-    removed_count: u32,
+    removed_count: usize,
+    /// Number of replies that the broker has read.
+    reply_count: u32,
     ms: u64,
     events: Vec<String>,
 }
@@ -67,6 +70,8 @@
     idempotency: Idempotency,
     settle_before_run: bool,
     wants_reply: bool,
+    /// Number of copies of the message in the queue at the start.
+    copies: usize,
     /// Whether the tracker is not notified of lost connections, a fault that makes it use a stale tag.
     stale_tag_fault: bool,
 }
@@ -78,7 +83,7 @@
             connection: 1,
             connected: true,
             last_tag: 0,
-            queued_copies: vec![false, false],
+            queued_copies: vec![false; case.copies],
             unsettled_tags: BTreeSet::new(),
             unread: Vec::new(),
             submitted: BTreeSet::new(),
@@ -88,6 +93,7 @@
             pending_confirms: Vec::new(),
             run_count: 0,
             removed_count: 0,
+            reply_count: 0,
             ms: 0,
             events: Vec::new(),
         }
@@ -140,6 +146,7 @@
                 self.last_tag = 0;
             }
             Event::TimePasses if self.ms == 0 => self.ms = 20,
+            Event::TimePasses if self.ms == 20 => self.ms = 1000,
             _ => return false,
         }
         if self.connected {
@@ -223,9 +230,11 @@
                 self.queued_copies.push(true);
             }
             DeliveryAction::Fence { id, .. } => self.pending_fences.push(id),
-            DeliveryAction::PublishReply { id, .. } | DeliveryAction::PublishRetry { id, .. } => {
-                self.pending_confirms.push(id)
+            DeliveryAction::PublishReply { id, .. } => {
+                self.reply_count += 1;
+                self.pending_confirms.push(id);
             }
+            DeliveryAction::PublishRetry { id, .. } => self.pending_confirms.push(id),
             _ => {}
         }
     }
@@ -243,9 +252,19 @@
             if !next.apply(case, event) {
                 continue;
             }
-            let copies = next.queued_copies.len() + next.unsettled_tags.len() + next.removed_count as usize;
-            assert_eq!(copies, 2, "a copy was lost or duplicated after the events {:?}", next.events);
-            // Both copies are the same message, so only one of them may run.
+            let copies = next.queued_copies.len() + next.unsettled_tags.len() + next.removed_count;
+            assert_eq!(
+                copies, case.copies,
+                "a copy was lost or duplicated after the events {:?}",
+                next.events
+            );
+            let is_gone = next.removed_count == case.copies && next.tracker.active() == 0;
+            assert!(
+                !case.wants_reply || !is_gone || next.run_count > 0 || next.reply_count > 0,
+                "the message has no outcome after the events {:?}",
+                next.events
+            );
+            // All copies are the same message, so only one of them may run.
             let must_run_once = case.idempotency != Idempotency::Idempotent;
             assert!(
                 !must_run_once || next.run_count <= 1,
@@ -268,8 +287,9 @@
     for idempotency in [Idempotency::Idempotent, Idempotency::IdempotentWithKey, Idempotency::NonIdempotent] {
         for settle_before_run in [true, false] {
             for wants_reply in [true, false] {
-                let orders =
-                    explore(Case { idempotency, settle_before_run, wants_reply, stale_tag_fault: false }, 9);
+                let case =
+                    Case { idempotency, settle_before_run, wants_reply, copies: 2, stale_tag_fault: false };
+                let orders = explore(case, 9);
                 assert!(orders > 1000);
                 seen += &format!(
                     "{idempotency:?} settle_before_run {settle_before_run} wants_reply {wants_reply}: {orders} orders\n"
@@ -280,6 +300,22 @@
     println!("{seen}");
 }
 
+/// Guards against a message that the broker has removed by its ack, and whose connection is lost before the
+/// fence is answered: it never ran, and its sender never heard of it.
+#[test]
+fn no_event_order_leaves_an_acknowledged_message_without_an_outcome() {
+    for idempotency in [Idempotency::IdempotentWithKey, Idempotency::NonIdempotent] {
+        let case = Case {
+            idempotency,
+            settle_before_run: true,
+            wants_reply: true,
+            copies: 1,
+            stale_tag_fault: false,
+        };
+        assert!(explore(case, 12) > 1000);
+    }
+}
+
 /// Shows that the checks detect a tracker that uses the tags of a lost connection.
 #[test]
 #[should_panic(expected = "a stale tag is used")]
@@ -289,6 +325,7 @@
             idempotency: Idempotency::Idempotent,
             settle_before_run: false,
             wants_reply: false,
+            copies: 2,
             stale_tag_fault: true,
         },
         6,
--- a/crates/hazelspur-deliveries/tests/tracker/traces.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/traces.rs
@@ -437,3 +437,114 @@
     "#]]
     .assert_eq(&actions(&mut tracker, 1));
 }
+
+/// Returns a tracker whose message "a" was acknowledged at 1 ms and whose connection was lost at 2 ms, before
+/// the fence was answered. At 10 ms messages can be published again.
+fn tracker_with_unproven_ack(received: ReceivedDelivery<'_>) -> DeliveryTracker {
+    let mut tracker = new_tracker(SettlementTable::default(), true);
+    let id = tracker.delivery_received(at(0), received);
+    actions(&mut tracker, 0);
+    tracker.run_requested(at(1), id);
+    actions(&mut tracker, 1);
+    tracker.connection_lost(ConnectionNumber(1));
+    tracker.set_publishing_ready(false);
+    tracker
+}
+
+/// Guards against an acknowledged message that neither runs nor gets an outcome when the connection is lost
+/// before the fence is answered. A redelivery proves that the broker had not read the ack.
+#[test]
+fn message_with_unproven_ack_is_answered_unless_it_is_redelivered() {
+    let keyed = ReceivedDelivery { wants_reply: true, ..received(tag(1, 1), "a", IdempotentWithKey) };
+    let redelivered = ReceivedDelivery { tag: tag(2, 1), redelivered: true, ..keyed };
+    let other = ReceivedDelivery { message_id: Some("b"), tag: tag(2, 2), ..keyed };
+    let cases = [
+        ("no redelivery", keyed, false, None),
+        ("redelivered", keyed, false, Some(redelivered)),
+        ("no reply wanted", ReceivedDelivery { wants_reply: false, ..keyed }, false, None),
+        ("expired", ReceivedDelivery { deadline: Some(at(400)), ..keyed }, false, None),
+        ("draining", keyed, true, None),
+        ("draining, redelivered", keyed, true, Some(redelivered)),
+        ("draining, another message", keyed, true, Some(other)),
+        ("draining, no reply wanted", ReceivedDelivery { wants_reply: false, ..keyed }, true, None),
+    ];
+    let mut seen = String::new();
+    for (name, received, drains, later) in cases {
+        let mut tracker = tracker_with_unproven_ack(received);
+        if drains {
+            tracker.shutdown_notice();
+        }
+        seen += &format!("{name}\n{}", actions(&mut tracker, 2));
+        tracker.set_publishing_ready(true);
+        seen += &actions(&mut tracker, 10);
+        if let Some(later) = later {
+            tracker.delivery_received(at(20), later);
+        }
+        for ms in [20, 319, 320, 509, 510, 520] {
+            seen += &actions(&mut tracker, ms);
+        }
+        seen +=
+            &format!("    in hand {}, unproven {}\n", tracker.active(), tracker.counters().acked_without_run);
+    }
+    expect_test::expect![[r#"
+        no redelivery
+        2 ResolveRun { id: (1), permitted: false }
+        510 PublishReply { id: (1), outcome: Failed, result: [] }
+            in hand 1, unproven 0
+        redelivered
+        2 ResolveRun { id: (1), permitted: false }
+        20 Release { id: (1), outcome: Expired }
+        20 Submit((2))
+            in hand 1, unproven 0
+        no reply wanted
+        2 ResolveRun { id: (1), permitted: false }
+        510 Release { id: (1), outcome: Failed }
+            in hand 0, unproven 1
+        expired
+        2 ResolveRun { id: (1), permitted: false }
+        320 PublishReply { id: (1), outcome: Expired, result: [] }
+            in hand 1, unproven 0
+        draining
+        2 ResolveRun { id: (1), permitted: false }
+        510 PublishReply { id: (1), outcome: Failed, result: [] }
+            in hand 1, unproven 0
+        draining, redelivered
+        2 ResolveRun { id: (1), permitted: false }
+        20 Release { id: (1), outcome: Expired }
+        20 Requeue(Tag {(2), channel: 1, tag: 1 })
+        20 Release { id: (2), outcome: Expired }
+            in hand 0, unproven 0
+        draining, another message
+        2 ResolveRun { id: (1), permitted: false }
+        510 Requeue(Tag {(2), channel: 1, tag: 2 })
+        510 Release { id: (2), outcome: Expired }
+        510 PublishReply { id: (1), outcome: Failed, result: [] }
+            in hand 1, unproven 0
+        draining, no reply wanted
+        2 ResolveRun { id: (1), permitted: false }
+        2 Release { id: (1), outcome: Failed }
+            in hand 0, unproven 1
+    "#]]
+    .assert_eq(&seen);
+}
+
+/// Guards against a wait for a redelivery that ends before the queue could be consumed again.
+#[test]
+fn wait_for_a_redelivery_begins_anew_on_the_next_connection() {
+    let keyed = ReceivedDelivery { wants_reply: true, ..received(tag(1, 1), "a", IdempotentWithKey) };
+    let mut tracker = tracker_with_unproven_ack(keyed);
+    let mut seen = actions(&mut tracker, 2);
+    tracker.set_publishing_ready(true);
+    seen += &actions(&mut tracker, 10);
+    tracker.set_publishing_ready(false);
+    seen += &actions(&mut tracker, 900);
+    tracker.set_publishing_ready(true);
+    for ms in [1000, 1499, 1500] {
+        seen += &actions(&mut tracker, ms);
+    }
+    expect_test::expect![[r#"
+        2 ResolveRun { id: (1), permitted: false }
+        1500 PublishReply { id: (1), outcome: Failed, result: [] }
+    "#]]
+    .assert_eq(&seen);
+}
--- a/crates/hazelspur-server/src/ingress/amqp/actions.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/actions.rs
@@ -39,7 +39,7 @@
             DeliveryAction::Fence { tag, id } => {
                 let sent = settle(connection, tag, |protocol| protocol.send_fence(tag.channel, id.0));
                 if !sent {
-                    self.tracker.borrow_mut().fence_lost(id);
+                    self.tracker.borrow_mut().fence_not_sent(id);
                 }
             }
             DeliveryAction::PublishReply { id, outcome, result } => {
--- a/crates/hazelspur-server/src/ingress/amqp/channels.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/channels.rs
@@ -8,6 +8,7 @@
 use super::consumer::AmqpConsumer;
 use hazelspur::{Duration, Timestamp};
 use hazelspur_amqp::ConnectionState;
+use hazelspur_deliveries::QueueId;
 use std::collections::BTreeMap;
 
 /// Delay after the first loss of a channel; doubled after each further one.
@@ -64,9 +65,9 @@
         attempted.collect()
     }
 
-    /// Removes the attempts of all other channels.
-    fn retain_only(&mut self, channel: u16) {
-        self.0.retain(|other, _| *other == channel);
+    /// Removes the attempts of the channels that are not needed.
+    fn retain(&mut self, is_needed: impl Fn(u16) -> bool) {
+        self.0.retain(|channel, _| is_needed(*channel));
     }
 
     /// Returns the time of the earliest attempt.
@@ -105,10 +106,16 @@
     }
 
     /// Cancels the consumers, and closes the connection once no delivery is in progress, or after
-    /// `BROKER_REMOVAL_TIMEOUT` if its broker was removed.
+    /// `BROKER_REMOVAL_TIMEOUT` if its broker was removed. Queues whose redeliveries are awaited are consumed
+    /// until these have come or are given up.
     fn wind_down(&self, connection: &mut BrokerConnection, now: Timestamp) {
+        let awaiting = self.tracker.borrow().queues_awaiting_redelivery();
+        let is_awaited =
+            |channel| self.queue_index(channel).is_some_and(|index| awaiting.contains(&QueueId(index)));
+        for channel in (1..self.publishing_channel()).filter(|channel| !is_awaited(*channel)) {
+            connection.protocol.cancel_consumer(channel);
+        }
         let cancelled_at = *connection.cancelled_at.get_or_insert_with(|| {
-            (1..self.publishing_channel()).for_each(|channel| connection.protocol.cancel_consumer(channel));
             log::info!(in_hand = self.tracker.borrow().active(), moving = self.broker_removed.get();
                 "consumers cancelled");
             now
@@ -118,7 +125,8 @@
         if settled || timed_out {
             connection.protocol.close(now);
         }
-        connection.channel_attempts.retain_only(self.publishing_channel());
+        let publishing = self.publishing_channel();
+        connection.channel_attempts.retain(|channel| channel == publishing || is_awaited(channel));
     }
 
     fn open_channel(&self, connection: &mut BrokerConnection, channel: u16) {
--- a/crates/hazelspur-server/tests/queues.rs
+++ b/crates/hazelspur-server/tests/queues.rs
@@ -353,6 +353,41 @@
     assert_eq!((state.unsettled(), state.ready("orders") + state.ready("answers") >= 4), (0, true));
 }
 
+/// Guards against a message that the broker has removed by its ack and that neither runs nor is answered, since
+/// the connection was lost before the fence was answered; in service and while the server drains.
+#[test]
+fn message_acked_before_a_lost_connection_is_answered() {
+    for drains in [false, true] {
+        let mut testbed = Testbed::new(ORDERS, WorkerSettings::default());
+        testbed.broker.declare("dead", None);
+        testbed.broker.declare("orders", Some("dead"));
+        testbed.broker.declare("answers", None);
+        testbed.start_with_stop_ms(3000);
+        assert!(testbed.broker.wait_until(WAIT_TIMEOUT, |state| state.has_consumer("orders")));
+        testbed.broker.state().ignores_fences = true;
+        let reply = MessageOptions { wants_reply: true, ..MessageOptions::default() };
+        testbed.publish("orders", "set-qty", "acked", reply);
+        assert!(testbed.broker.wait_until(WAIT_TIMEOUT, |state| state.acks == 1), "the ack was not sent");
+        if drains {
+            testbed.signal("-TERM");
+            let is_cancelled = testbed.broker.wait_until(WAIT_TIMEOUT, |state| !state.has_consumer("orders"));
+            assert!(is_cancelled, "consumer is not cancelled");
+        }
+        testbed.broker.state().ignores_fences = false;
+        testbed.broker.cut_connections();
+        if !drains {
+            let is_answered = testbed.broker.wait_until(WAIT_TIMEOUT, |state| state.ready("answers") > 0);
+            assert!(is_answered, "no answer");
+            testbed.signal("-TERM");
+        }
+        let exit = testbed.wait_for_exit();
+        let seen = (testbed.queue_contents("answers"), testbed.run_counts(), exit.sum_of_field("unproven"));
+        assert_eq!(seen, (" failed".into(), String::new(), 0), "drains: {drains}\n{}", exit.log);
+        assert_eq!(testbed.breaches(0), Vec::<String>::new());
+        assert_eq!(exit.error_lines(), 0, "{}", exit.log);
+    }
+}
+
 #[test]
 fn after_a_kill_no_non_idempotent_request_has_run_twice() {
     for settle in ["before", "after"] {
--- a/crates/hazelspur-test-doubles/src/broker/methods.rs
+++ b/crates/hazelspur-test-doubles/src/broker/methods.rs
@@ -145,6 +145,9 @@
         match class {
             AMQPClass::Basic(BasicMethod::Qos(qos)) => {
                 channel_state.prefetch = qos.prefetch_count;
+                if self.ignores_fences && channel_state.consumer.is_some() {
+                    return;
+                }
                 self.send_method(
                     connection_index,
                     channel,
--- a/crates/hazelspur-test-doubles/src/broker/state.rs
+++ b/crates/hazelspur-test-doubles/src/broker/state.rs
@@ -42,6 +42,8 @@
     /// Whether records of deliveries, bodies and acked messages are left out, so that memory stays bounded in
     /// long tests.
     pub discards_history: bool,
+    /// Whether a `basic.qos` on a channel with a consumer is read but not answered.
+    pub ignores_fences: bool,
     /// Number of messages that were acked.
     pub acks: u64,
     pub(super) last_serial: u64,
--- a/crates/hazelspur-test-doubles/src/checker.rs
+++ b/crates/hazelspur-test-doubles/src/checker.rs
@@ -3,6 +3,7 @@
 
 use crate::broker::{BrokerState, MessageEnd, SettledBy};
 use crate::worker::WorkerState;
+use amq_protocol::types::AMQPValue;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Rules for a published message, which is identified by its body.
@@ -16,9 +17,11 @@
 
 /// Returns a description of each breach: a protocol violation of a client, such as a settlement of a delivery
 /// tag that is not open; messages that are neither finished, queued nor unsettled; a message settled for good
-/// twice; a run too many; a run that began too late; messages acked that never ran.
+/// twice; a run too many; a run that began too late; messages acked that never ran and were not answered;
+/// messages with replies of different outcomes.
 ///
-/// Up to `may_lose` messages may be acked and never run, for servers that ack before the run.
+/// Up to `may_lose` messages may be acked, never run and not answered, for servers that ack before the run. A
+/// reply names its message by the correlation id, which senders choose equal to the body.
 pub fn breaches(
     state: &BrokerState,
     worker_state: &WorkerState,
@@ -54,7 +57,17 @@
             found.push(format!("{name} began {} ms after its time", late_ms - deadline_ms));
         }
     }
-    let lost = acked_but_never_run(state, worker_state, expected.keys());
+    let outcomes = reply_outcomes(state);
+    for (name, outcomes) in outcomes.iter().filter(|(_, outcomes)| outcomes.len() > 1) {
+        found.push(format!("{name} has replies of different outcomes: {outcomes:?}"));
+    }
+    let mut lost = acked_but_never_run(state, worker_state, expected.keys());
+    // Only a reply without a result is the outcome of a message that never ran.
+    let is_answered = |body: &[u8]| {
+        let outcomes = outcomes.get(&*String::from_utf8_lossy(body));
+        outcomes.is_some_and(|outcomes| !outcomes.contains("acked"))
+    };
+    lost.retain(|body| !is_answered(body));
     if lost.len() > may_lose {
         let names: Vec<_> = lost.iter().map(|body| String::from_utf8_lossy(body)).collect();
         found.push(format!("acked and never run: {}; {may_lose} may be lost", names.join(" ")));
@@ -62,6 +75,21 @@
     found
 }
 
+/// Returns the outcomes of the replies in all queues, by correlation id.
+fn reply_outcomes(state: &BrokerState) -> BTreeMap<String, BTreeSet<String>> {
+    let mut outcomes: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for message in state.queues.values().flat_map(|queue| &queue.ready) {
+        let headers = message.properties.headers().clone().unwrap_or_default();
+        if let Some(AMQPValue::LongString(outcome)) = headers.inner().get("x-outcome")
+            && let Some(correlation_id) = message.properties.correlation_id()
+        {
+            let outcome = String::from_utf8_lossy(outcome.as_bytes()).into_owned();
+            outcomes.entry(correlation_id.to_string()).or_default().insert(outcome);
+        }
+    }
+    outcomes
+}
+
 /// Returns the bodies of which every copy was acked, though none ran.
 fn acked_but_never_run<'a>(
     state: &BrokerState,
