Answer messages that were acknowledged although their fence could not be sent

Found by reading, as a related path of the lost fence; not seen on sockets.

Cause: ack and fence are two actions, and the connection refuses only the fence; the message was left to the broker.

Fix: the delivery takes the way of an unproven ack.

--- a/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
+++ b/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
@@ -44,7 +44,7 @@
                 self.actions.push_back(DeliveryAction::Abandon(id));
                 self.leave_to_broker(id);
             }
-            DeliveryState::AwaitingFence => self.fence_channel_lost(id),
+            DeliveryState::AwaitingFence => self.await_redelivery(id),
             DeliveryState::Gated
             | DeliveryState::DuplicateOf(_)
             | DeliveryState::RequeueAt(_)
--- a/crates/hazelspur-deliveries/src/tracker/run.rs
+++ b/crates/hazelspur-deliveries/src/tracker/run.rs
@@ -136,12 +136,11 @@
         self.begin_publishing(now, id, Publication::ExpiredCopy);
     }
 
-    /// Records that the fence could not be sent, and neither could the ack before it: the request never runs,
-    /// and the broker delivers its message again.
+    /// Records that the fence could not be sent, though the ack before it may have been: the request never
+    /// runs.
     pub fn fence_not_sent(&mut self, id: DeliveryId) {
         if self.awaits_fence(id) {
-            self.resolve_run(id, false);
-            self.leave_to_broker(id);
+            self.await_redelivery(id);
         }
     }
 
--- a/crates/hazelspur-deliveries/src/tracker/unproven_ack.rs
+++ b/crates/hazelspur-deliveries/src/tracker/unproven_ack.rs
@@ -22,9 +22,9 @@
 const REDELIVERY_WAIT: Duration = Duration::from_ms(500);
 
 impl DeliveryTracker {
-    /// Records that the channel of an unanswered fence is lost: the request never runs. A duplicate that can
-    /// still be settled carries the message on; otherwise the redelivery is awaited.
-    pub(super) fn fence_channel_lost(&mut self, id: DeliveryId) {
+    /// Ends the wait for a fence that will not be answered: the request never runs. A duplicate that can still
+    /// be settled carries the message on; otherwise the redelivery is awaited.
+    pub(super) fn await_redelivery(&mut self, id: DeliveryId) {
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         delivery.state = DeliveryState::AckUnproven;
         let has_duplicates = !delivery.duplicates.is_empty();
--- a/crates/hazelspur-deliveries/tests/tracker/traces.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/traces.rs
@@ -548,3 +548,27 @@
     "#]]
     .assert_eq(&seen);
 }
+
+/// Guards against an acknowledged message without an outcome when the connection has too many unanswered
+/// fences to send another one.
+#[test]
+fn message_whose_fence_cannot_be_sent_is_answered() {
+    let mut tracker = new_tracker(SettlementTable::default(), true);
+    tracker.set_publishing_ready(true);
+    let keyed = ReceivedDelivery { wants_reply: true, ..received(tag(1, 1), "a", IdempotentWithKey) };
+    let id = tracker.delivery_received(at(0), keyed);
+    tracker.run_requested(at(1), id);
+    let mut seen = actions(&mut tracker, 1);
+    tracker.fence_not_sent(id);
+    for ms in [2, 501, 502] {
+        seen += &actions(&mut tracker, ms);
+    }
+    expect_test::expect![[r#"
+        1 Submit((1))
+        1 Ack(Tag {(1), channel: 1, tag: 1 })
+        1 Fence { tag: Tag {(1), channel: 1, tag: 1 }, id: (1) }
+        2 ResolveRun { id: (1), permitted: false }
+        502 PublishReply { id: (1), outcome: Failed, result: [] }
+    "#]]
+    .assert_eq(&seen);
+}
