Await redeliveries of unproven acks until their queue is consumed again

Cause: the wait began when messages could be published.

Fix: the tracker is told when a queue is consumed, and the 0.5 s count from there, 2 s at most in service; in a drain they count from the publishing channel, which has to answer before the stop.

Evidence: wait_for_a_redelivery_begins_anew_on_the_next_connection, which has the late consumer now, and the search over event orders; both pass, as do the queue tests on sockets.

--- a/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
+++ b/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
@@ -9,6 +9,7 @@
 impl DeliveryTracker {
     /// Records that the connection and all its channels are lost.
     pub fn connection_lost(&mut self, connection: ConnectionNumber) {
+        self.consumed_queues.clear();
         self.handle_lost_tags(|tag| tag.connection == connection);
     }
 
--- a/crates/hazelspur-deliveries/src/tracker/mod.rs
+++ b/crates/hazelspur-deliveries/src/tracker/mod.rs
@@ -83,6 +83,7 @@
     publish_queue: VecDeque<DeliveryId>,
     /// Deliveries in the state `AckUnproven`.
     unproven_acks: BTreeSet<DeliveryId>,
+    consumed_queues: BTreeSet<QueueId>,
     shutting_down: bool,
     counters: DeliveryCounters,
 }
@@ -101,6 +102,7 @@
             publisher: PublisherState::default(),
             publish_queue: VecDeque::new(),
             unproven_acks: BTreeSet::new(),
+            consumed_queues: BTreeSet::new(),
             shutting_down: false,
             counters: DeliveryCounters::default(),
         }
@@ -115,6 +117,7 @@
     /// on every delivery that would be submitted.
     pub fn shutdown_notice(&mut self) {
         self.shutting_down = true;
+        self.restart_redelivery_waits();
         let waits = |d: &Delivery| matches!(d.state, DeliveryState::RequeueAt(_) | DeliveryState::Gated);
         self.select(waits).into_iter().for_each(|id| self.requeue(id));
     }
--- a/crates/hazelspur-deliveries/src/tracker/unproven_ack.rs
+++ b/crates/hazelspur-deliveries/src/tracker/unproven_ack.rs
@@ -17,9 +17,12 @@
 use hazelspur::{Duration, Timestamp};
 use std::collections::BTreeSet;
 
-/// Time for which a redelivery is awaited once messages can be consumed and published again. The broker puts
-/// its unacknowledged messages back before the others, so that they are delivered first.
+/// Time for which a redelivery is awaited once the queue is consumed again. The broker puts its
+/// unacknowledged messages back before the others, so that they are delivered first.
 const REDELIVERY_WAIT: Duration = Duration::from_ms(500);
+/// Maximum time for which a redelivery is awaited once messages can be published, while the queue is not
+/// consumed. Longer than the delay after which a lost channel is opened again.
+const MAX_REDELIVERY_WAIT: Duration = Duration::from_ms(2000);
 
 impl DeliveryTracker {
     /// Ends the wait for a fence that will not be answered: the request never runs. A duplicate that can still
@@ -50,13 +53,24 @@
             self.give_up_redelivery(now, id);
             return true;
         }
+        let is_short = self.shutting_down || self.consumed_queues.contains(&delivery.queue);
+        let waits_until = now + if is_short { REDELIVERY_WAIT } else { MAX_REDELIVERY_WAIT };
         let expires_at = delivery.deadline.map(|deadline| deadline.saturating_sub(EXPIRY_MARGIN));
-        let waits_until = now + REDELIVERY_WAIT;
         self.set_timer(id, Some(expires_at.map_or(waits_until, |expires_at| expires_at.min(waits_until))));
         true
     }
 
-    /// Stops the timers of all waits when the publishing channel is lost: they begin anew on the next one.
+    /// Records that a queue is consumed from now on, or no longer. The waits for its redeliveries begin anew.
+    pub fn set_consumed(&mut self, queue: QueueId, consumed: bool) {
+        if consumed {
+            self.consumed_queues.insert(queue);
+        } else {
+            self.consumed_queues.remove(&queue);
+        }
+        self.restart_redelivery_waits();
+    }
+
+    /// Stops the timers of all waits; they begin anew with the next action.
     pub(super) fn restart_redelivery_waits(&mut self) {
         let waiting: Vec<DeliveryId> = self.unproven_acks.iter().copied().collect();
         waiting.into_iter().for_each(|id| self.set_timer(id, None));
--- a/crates/hazelspur-server/src/ingress/amqp/events.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/events.rs
@@ -58,6 +58,7 @@
     fn channel_ready(&self, connection: &mut BrokerConnection, channel: u16) {
         match self.queue_index(channel) {
             Some(index) => {
+                self.tracker.borrow_mut().set_consumed(QueueId(index), true);
                 log::info!(queue = self.queues[index].name.as_str(); "consuming queue");
             }
             None => self.tracker.borrow_mut().set_publishing_ready(true),
@@ -73,10 +74,13 @@
         let queue = index.map_or(PUBLISHING_CHANNEL_NAME, |index| &self.queues[index].name);
         let again_ms = delay.us() / US_PER_MS;
         log::warn!(queue, closed = *closed, why:% = reason, again_ms; "channel closed or consumer cancelled");
+        let mut tracker = self.tracker.borrow_mut();
+        if let Some(index) = index {
+            tracker.set_consumed(QueueId(index), false);
+        }
         if !closed {
             return;
         }
-        let mut tracker = self.tracker.borrow_mut();
         match index {
             Some(_) => tracker.channel_lost(connection.number, *channel),
             None => tracker.publishing_channel_closed(now),
