Find and use the candidates of a rule in one call

Need: five rules repeated the same steps: is the list stale, find it anew, take the first that still applies.

--- a/src/candidates.rs
+++ b/src/candidates.rs
@@ -33,19 +33,18 @@
 }
 
 impl<T: Copy> Candidates<T> {
-    /// Returns whether candidates must be found anew for this scope.
-    pub(crate) fn is_stale(&self, scope: CandidateScope) -> bool {
-        self.scope != Some(scope)
-    }
-
-    /// Replaces the candidates by those found for a scope.
-    pub(crate) fn replace(&mut self, scope: CandidateScope, found: Vec<T>) {
-        self.scope = Some(scope);
-        self.found = found.into();
-    }
-
-    /// Drops candidates to which the rule no longer applies, and returns the first other one, which stays.
-    pub(crate) fn first(&mut self, still_applies: impl Fn(T) -> bool) -> Option<T> {
+    /// Returns the first candidate to which the rule still applies; it stays the first one until the rule no
+    /// longer applies. `find` finds the candidates, once in a scope.
+    pub(crate) fn first(
+        &mut self,
+        scope: CandidateScope,
+        find: impl FnOnce() -> Vec<T>,
+        still_applies: impl Fn(T) -> bool,
+    ) -> Option<T> {
+        if self.scope != Some(scope) {
+            self.scope = Some(scope);
+            self.found = find().into();
+        }
         while let Some(candidate) = self.found.front().copied() {
             if still_applies(candidate) {
                 return Some(candidate);
--- a/src/controller/rules.rs
+++ b/src/controller/rules.rs
@@ -39,10 +39,8 @@
         };
         let scope = self.candidate_scope(now);
         let Self { requests, candidates, .. } = self;
-        if candidates.expiring.is_stale(scope) {
-            candidates.expiring.replace(scope, expiry.all(requests));
-        }
-        let id = candidates.expiring.first(|id| expiry.rejection(requests, id).is_some())?;
+        let still_applies = |id| expiry.rejection(requests, id).is_some();
+        let id = candidates.expiring.first(scope, || expiry.all(requests), still_applies)?;
         let rejection = expiry.rejection(requests, id)?;
         self.reject(now, rejection)
     }
@@ -93,10 +91,8 @@
         let memory = self.memory_use();
         let Self { requests, candidates, settings, .. } = self;
         let rule = IdempotencyRule { now, settings, memory };
-        if candidates.idempotency.is_stale(scope) {
-            candidates.idempotency.replace(scope, rule.all(requests));
-        }
-        let id = candidates.idempotency.first(|id| rule.step(requests, id).is_some())?;
+        let needs_step = |id| rule.step(requests, id).is_some();
+        let id = candidates.idempotency.first(scope, || rule.all(requests), needs_step)?;
         rule.step(requests, id)
     }
 
@@ -135,11 +131,9 @@
         }
         let scope = self.candidate_scope(now);
         let Self { requests, candidates, .. } = self;
-        if candidates.without_token.is_stale(scope) {
-            candidates.without_token.replace(scope, session_admission::all_without_token(requests, now));
-        }
+        let find = || session_admission::all_without_token(requests, now);
         let still_waits = |id| requests.get(id).is_some_and(session_admission::awaits_admission);
-        let request = candidates.without_token.first(still_waits)?;
+        let request = candidates.without_token.first(scope, find, still_waits)?;
         self.reject(now, Rejection { request, reason: RejectionReason::AdmissionRate })
     }
 
@@ -147,27 +141,22 @@
     fn next_to_admit(&mut self, now: Timestamp) -> Option<RequestId> {
         let scope = self.candidate_scope(now);
         let Self { requests, candidates, admission_rate, .. } = self;
-        let waiting = &mut candidates.awaiting_admission;
-        if waiting.is_stale(scope) {
-            waiting.replace(scope, session_admission::all_awaiting_admission(requests));
-        }
-        let id = waiting.first(|id| requests.get(id).is_some_and(session_admission::awaits_admission))?;
-        requests
-            .get(id)
-            .is_some_and(|request| session_admission::may_pass(request, admission_rate))
-            .then_some(id)
+        let find = || session_admission::all_awaiting_admission(requests);
+        let still_waits = |id| requests.get(id).is_some_and(session_admission::awaits_admission);
+        let id = candidates.awaiting_admission.first(scope, find, still_waits)?;
+        let request = requests.get(id)?;
+        session_admission::may_pass(request, admission_rate).then_some(id)
     }
 
     /// Rejects a queued request that cannot succeed any more.
     pub(super) fn reject_late(&mut self, now: Timestamp) -> Option<Decision> {
         let scope = self.candidate_scope(now);
-        if self.candidates.late.is_stale(scope) {
-            let late = self.late_rejection_rule(now).all(&self.requests);
-            self.candidates.late.replace(scope, late);
-        }
-        let Self { requests, candidates, .. } = self;
-        let is_queued = |id| requests.get(id).is_some_and(|request| request.state.is_queued());
-        let rejection = candidates.late.first(|rejection| is_queued(rejection.request))?;
+        let mut late = std::mem::take(&mut self.candidates.late);
+        let find = || self.late_rejection_rule(now).all(&self.requests);
+        let is_queued = |id| self.requests.get(id).is_some_and(|request| request.state.is_queued());
+        let rejection = late.first(scope, find, |rejection| is_queued(rejection.request));
+        self.candidates.late = late;
+        let rejection = rejection?;
         self.reject(now, rejection)
     }
 
