--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,7 +8,7 @@
 //! lists the rules and gives the reasons.
 //!
 //! A rule that may end or admit many requests at one time finds them in one walk and then uses them up one
-//! decision at a time ([`Candidates`]), so that a burst of requests does not cost a walk for each of them.
+//! decision at a time (`Candidates`), so that a burst of requests does not cost a walk for each of them.
 
 mod inputs;
 mod reports;
