Keep requests by their order of receipt, which is quicker to compare than an id

Each walk over started requests looked each up by its id of 36 bytes, and sums converted to 128 bits in software.

Change: the table is kept by sequence, ids map to it; queues hold positions, which name their sequence; sums take 64-bit terms.

--- a/src/request_table.rs
+++ b/src/request_table.rs
@@ -11,17 +11,19 @@
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Requests of one run queue, in queue order.
-type RunQueue = BTreeMap<QueuePosition, RequestId>;
+/// Positions of the requests of one run queue, each of which names its request by the sequence.
+type RunQueue = BTreeSet<QueuePosition>;
 
-/// The in-flight requests by id, and the run queues.
+/// The in-flight requests, and the run queues.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RequestTable {
-    requests: BTreeMap<RequestId, Request>,
+    /// Requests by their position in the order of receipt, which is quicker to compare than an id.
+    requests: BTreeMap<u64, Request>,
+    sequences: BTreeMap<RequestId, u64>,
     short_queue: RunQueue,
     long_queue: RunQueue,
-    /// Requests that the runtime has started.
-    started: BTreeSet<RequestId>,
+    /// Sequences of the requests that the runtime has started.
+    started: BTreeMap<RequestId, u64>,
     totals: RequestTotals,
     last_sequence: u64,
     /// Number of changes after which a rule may apply to a request to which it did not apply before.
@@ -54,21 +56,22 @@
         let id = request.id;
         self.remove(id);
         self.totals.add(&request);
-        self.requests.insert(id, request);
+        self.sequences.insert(id, request.sequence);
+        self.requests.insert(request.sequence, request);
         self.enqueue(id);
     }
 
     /// Inserts a queued or paused request into its run queue.
     pub(crate) fn enqueue(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get(&id) else { return };
+        let Some(request) = self.get(id) else { return };
         let (length, position) = (request.run_length, QueuePosition::of(request));
-        self.queue_mut(length).insert(position, id);
+        self.queue_mut(length).insert(position);
         self.change_count += 1;
     }
 
     /// Removes a request from its run queue. Its state must still be that in which it was queued.
     pub(crate) fn dequeue(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get(&id) else { return };
+        let Some(request) = self.get(id) else { return };
         let (length, position) = (request.run_length, QueuePosition::of(request));
         self.queue_mut(length).remove(&position);
     }
@@ -83,7 +86,8 @@
     /// Removes a request from its run queue and from the table.
     pub(crate) fn remove(&mut self, id: RequestId) {
         self.dequeue(id);
-        let Some(request) = self.requests.remove(&id) else { return };
+        let Some(sequence) = self.sequences.remove(&id) else { return };
+        let Some(request) = self.requests.remove(&sequence) else { return };
         self.started.remove(&id);
         self.totals.subtract(&request);
     }
@@ -102,12 +106,12 @@
         id: RequestId,
         change: impl FnOnce(&mut Request) -> T,
     ) -> Option<T> {
-        let request = self.requests.get_mut(&id)?;
+        let request = self.requests.get_mut(self.sequences.get(&id)?)?;
         self.totals.subtract(request);
         let result = change(request);
         self.totals.add(request);
         if request.state.is_started() {
-            self.started.insert(id);
+            self.started.insert(id, request.sequence);
         } else {
             self.started.remove(&id);
         }
@@ -121,7 +125,7 @@
 
     /// Returns the in-flight request with this id.
     pub(crate) fn get(&self, id: RequestId) -> Option<&Request> {
-        self.requests.get(&id)
+        self.requests.get(self.sequences.get(&id)?)
     }
 
     /// Returns the number of in-flight requests.
@@ -134,14 +138,14 @@
         &self.totals
     }
 
-    /// Iterates over the in-flight requests in the order of ids.
+    /// Iterates over the in-flight requests in the order of receipt.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Request> {
         self.requests.values().inspect(|_| self.count_examined())
     }
 
     /// Iterates over the requests that the runtime has started, in the order of ids.
     pub(crate) fn started(&self) -> impl Iterator<Item = &Request> + Clone {
-        self.started.iter().map(|id| &self.requests[id]).inspect(|_| self.count_examined())
+        self.started.values().map(|sequence| &self.requests[sequence]).inspect(|_| self.count_examined())
     }
 
     /// Iterates over the requests that are on the cores or wait for disk, in the order of ids.
@@ -155,7 +159,7 @@
             RunLength::Short => &self.short_queue,
             RunLength::Long => &self.long_queue,
         };
-        queue.values().map(|id| &self.requests[id]).inspect(|_| self.count_examined())
+        queue.iter().map(|position| &self.requests[&position.sequence()]).inspect(|_| self.count_examined())
     }
 
     /// Iterates over the queue of short runs, then over that of long runs.
@@ -172,9 +176,7 @@
 
     /// Returns the matching requests, the first received first.
     pub(crate) fn matching_in_order_of_receipt(&self, matches: impl Fn(&Request) -> bool) -> Vec<RequestId> {
-        let mut matching: Vec<&Request> = self.iter().filter(|request| matches(request)).collect();
-        matching.sort_unstable_by_key(|request| request.sequence);
-        matching.into_iter().map(|request| request.id).collect()
+        self.iter().filter(|request| matches(request)).map(|request| request.id).collect()
     }
 
     /// Returns the number of requests in a state.
--- a/src/request_totals.rs
+++ b/src/request_totals.rs
@@ -5,9 +5,8 @@
 
 use crate::request::{Request, RequestState};
 
-/// Units of a sum per second or per kilobyte, so fine that a term loses no more than floating-point addition
-/// would.
-const SUM_UNITS: f64 = 1e15;
+/// Units of a sum per second or per kilobyte.
+const SUM_UNITS: f64 = 1e12;
 /// Microseconds per second.
 const US_PER_S: f64 = 1e6;
 
@@ -80,7 +79,7 @@
     }
 }
 
-/// Returns a size in kB or a time in seconds in units; zero for a negative figure.
+/// Returns a size in kB or a time in seconds in units, at most `u64::MAX`; zero for a negative figure.
 fn units(figure: f64) -> u128 {
-    (figure * SUM_UNITS) as u128
+    u128::from((figure * SUM_UNITS) as u64)
 }
--- a/src/scheduling/queue_order.rs
+++ b/src/scheduling/queue_order.rs
@@ -60,6 +60,11 @@
             sequence: request.sequence,
         }
     }
+
+    /// Returns the position of the request in the order of receipt.
+    pub(crate) fn sequence(&self) -> u64 {
+        self.sequence
+    }
 }
 
 impl Ord for QueuePosition {
