Never prolong the wait for a redelivery, and shorter names of tests

Cause: each loss and return of any queue's channel began all waits anew. A channel that is lost and opened again each second would have left a message unanswered as long as it lasted. Found by reading the change again; no caller saw it.

Fix: a wait ends 0.5 s after its own queue is consumed, 2 s after messages can be published at the latest; only the loss of the publishing channel begins it anew. flapping_channel_does_not_prolong_the_wait failed before (never answered in 8 s) and passes. It polls at no deadline between, as a slow host would.

--- a/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
+++ b/crates/hazelspur-deliveries/src/tracker/connection_loss.rs
@@ -1,6 +1,6 @@
 //! Loss of a channel or a connection: its tags can no longer be settled. Deliveries that have not run are
-//! left to the broker, which redelivers them; runs and replies go on without a tag, and unproven acks wait for
-//! the redelivery.
+//! left to the broker, which redelivers them; runs and replies go on without a tag, and unproven acks wait
+//! for the redelivery.
 
 use super::delivery::{Delivery, DeliveryState, Publication};
 use super::{DeliveryAction, DeliveryTracker, MAX_PENDING_REPLIES};
--- a/crates/hazelspur-deliveries/src/tracker/unproven_ack.rs
+++ b/crates/hazelspur-deliveries/src/tracker/unproven_ack.rs
@@ -25,8 +25,8 @@
 const MAX_REDELIVERY_WAIT: Duration = Duration::from_ms(2000);
 
 impl DeliveryTracker {
-    /// Ends the wait for a fence that will not be answered: the request never runs. A duplicate that can still
-    /// be settled carries the message on; otherwise the redelivery is awaited.
+    /// Ends the wait for a fence that will not be answered: the request never runs. A duplicate that can
+    /// still be settled carries the message on; otherwise the redelivery is awaited.
     pub(super) fn await_redelivery(&mut self, id: DeliveryId) {
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         delivery.state = DeliveryState::AckUnproven;
@@ -60,14 +60,20 @@
         true
     }
 
-    /// Records that a queue is consumed from now on, or no longer. The waits for its redeliveries begin anew.
-    pub fn set_consumed(&mut self, queue: QueueId, consumed: bool) {
-        if consumed {
-            self.consumed_queues.insert(queue);
-        } else {
-            self.consumed_queues.remove(&queue);
-        }
-        self.restart_redelivery_waits();
+    /// Records that a queue is consumed from now on: the waits for its redeliveries end soon. No wait is ever
+    /// prolonged, or a channel that is lost again and again would prolong it without end.
+    pub fn queue_consumed(&mut self, now: Timestamp, queue: QueueId) {
+        self.consumed_queues.insert(queue);
+        let ends_at = now + REDELIVERY_WAIT;
+        let ends_later =
+            |id: &DeliveryId| self.deliveries[id].queue == queue && self.deliveries[id].timer > Some(ends_at);
+        let shortened: Vec<DeliveryId> = self.unproven_acks.iter().copied().filter(ends_later).collect();
+        shortened.into_iter().for_each(|id| self.set_timer(id, Some(ends_at)));
+    }
+
+    /// Records that a queue is no longer consumed.
+    pub fn queue_not_consumed(&mut self, queue: QueueId) {
+        self.consumed_queues.remove(&queue);
     }
 
     /// Stops the timers of all waits; they begin anew with the next action.
--- a/crates/hazelspur-deliveries/tests/tracker/event_orders.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/event_orders.rs
@@ -151,7 +151,7 @@
         }
         if self.connected {
             self.tracker.set_publishing_ready(true);
-            self.tracker.set_consumed(QueueId(0), true);
+            self.tracker.queue_consumed(at(self.ms), QueueId(0));
         }
         self.events.push(format!("{event:?}"));
         self.run_actions();
@@ -304,7 +304,7 @@
 /// Guards against a message that the broker has removed by its ack, and whose connection is lost before the
 /// fence is answered: it never ran, and its sender never heard of it.
 #[test]
-fn no_event_order_leaves_an_acknowledged_message_without_an_outcome() {
+fn every_acknowledged_message_gets_an_outcome() {
     for idempotency in [Idempotency::IdempotentWithKey, Idempotency::NonIdempotent] {
         let case = Case {
             idempotency,
--- a/crates/hazelspur-deliveries/tests/tracker/traces.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/traces.rs
@@ -454,7 +454,7 @@
 /// Guards against an acknowledged message that neither runs nor gets an outcome when the connection is lost
 /// before the fence is answered. A redelivery proves that the broker had not read the ack.
 #[test]
-fn message_with_unproven_ack_is_answered_unless_it_is_redelivered() {
+fn unproven_ack_is_answered_unless_redelivered() {
     let keyed = ReceivedDelivery { wants_reply: true, ..received(tag(1, 1), "a", IdempotentWithKey) };
     let redelivered = ReceivedDelivery { tag: tag(2, 1), redelivered: true, ..keyed };
     let other = ReceivedDelivery { message_id: Some("b"), tag: tag(2, 2), ..keyed };
@@ -476,7 +476,7 @@
         }
         seen += &format!("{name}\n{}", actions(&mut tracker, 2));
         tracker.set_publishing_ready(true);
-        tracker.set_consumed(QueueId(0), true);
+        tracker.queue_consumed(at(10), QueueId(0));
         seen += &actions(&mut tracker, 10);
         if let Some(later) = later {
             tracker.delivery_received(at(20), later);
@@ -542,7 +542,7 @@
     seen += &actions(&mut tracker, 2100);
     tracker.set_publishing_ready(true);
     seen += &actions(&mut tracker, 3000);
-    tracker.set_consumed(QueueId(0), true);
+    tracker.queue_consumed(at(4000), QueueId(0));
     for ms in [4000, 4499, 4500] {
         seen += &actions(&mut tracker, ms);
     }
@@ -559,7 +559,7 @@
 fn message_whose_fence_cannot_be_sent_is_answered() {
     let mut tracker = new_tracker(SettlementTable::default(), true);
     tracker.set_publishing_ready(true);
-    tracker.set_consumed(QueueId(0), true);
+    tracker.queue_consumed(at(0), QueueId(0));
     let keyed = ReceivedDelivery { wants_reply: true, ..received(tag(1, 1), "a", IdempotentWithKey) };
     let id = tracker.delivery_received(at(0), keyed);
     tracker.run_requested(at(1), id);
@@ -577,3 +577,22 @@
     "#]]
     .assert_eq(&seen);
 }
+
+/// Guards against a message that is never answered, since a channel that is lost and opened again each second
+/// begins the wait anew each time, its own or that of another queue.
+#[test]
+fn flapping_channel_does_not_prolong_the_wait() {
+    for flapping in [QueueId(0), QueueId(1)] {
+        let keyed = ReceivedDelivery { wants_reply: true, ..received(tag(1, 1), "a", IdempotentWithKey) };
+        let mut tracker = tracker_with_unproven_ack(keyed);
+        tracker.set_publishing_ready(true);
+        let mut seen = actions(&mut tracker, 10);
+        for ms in (1000..9000).step_by(1000) {
+            tracker.queue_consumed(at(ms), flapping);
+            seen += &actions(&mut tracker, ms);
+            tracker.queue_not_consumed(flapping);
+            seen += &actions(&mut tracker, ms + 10);
+        }
+        assert!(seen.contains("PublishReply"), "{flapping:?}: {seen}");
+    }
+}
--- a/crates/hazelspur-server/src/ingress/amqp/events.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/events.rs
@@ -58,7 +58,7 @@
     fn channel_ready(&self, connection: &mut BrokerConnection, channel: u16) {
         match self.queue_index(channel) {
             Some(index) => {
-                self.tracker.borrow_mut().set_consumed(QueueId(index), true);
+                self.tracker.borrow_mut().queue_consumed(self.now(), QueueId(index));
                 log::info!(queue = self.queues[index].name.as_str(); "consuming queue");
             }
             None => self.tracker.borrow_mut().set_publishing_ready(true),
@@ -76,7 +76,7 @@
         log::warn!(queue, closed = *closed, why:% = reason, again_ms; "channel closed or consumer cancelled");
         let mut tracker = self.tracker.borrow_mut();
         if let Some(index) = index {
-            tracker.set_consumed(QueueId(index), false);
+            tracker.queue_not_consumed(QueueId(index));
         }
         if !closed {
             return;
--- a/tests/decision_cost.rs
+++ b/tests/decision_cost.rs
@@ -39,7 +39,7 @@
 /// Guards against a walk over all requests for each rejection, with which a few thousand requests at one time
 /// kept the server from reading and answering for seconds (docs/incidents/decisions-in-quadratic-time.md).
 #[test]
-fn burst_of_late_requests_is_rejected_without_a_walk_for_each() {
+fn burst_of_late_requests_costs_no_walk_each() {
     let mut harness = Harness::new("");
     receive_burst(&mut harness, |_| RequestSpec { size_kb: 1.0, ..RequestSpec::default() });
     let ended = decide_within_bound(&mut harness, "late");
@@ -48,7 +48,7 @@
 
 /// Guards against the same cost where the requests exceed the memory limit.
 #[test]
-fn burst_over_the_memory_limit_is_rejected_without_a_walk_for_each() {
+fn burst_over_memory_limit_costs_no_walk_each() {
     let mut harness = Harness::new("server.memory_kb=10000");
     receive_burst(&mut harness, |_| RequestSpec::default());
     let ended = decide_within_bound(&mut harness, "memory");
@@ -57,7 +57,7 @@
 
 /// Guards against the same cost where all requests must be answered before their deadline or before the stop.
 #[test]
-fn requests_that_expire_together_are_answered_without_a_walk_for_each() {
+fn requests_expiring_together_cost_no_walk_each() {
     let patient = |_| RequestSpec { size_kb: 1.0, cost_ms: Some(1), ..RequestSpec::default() };
     let settings = "op_types.0.target_latency_us=20000000 op_types.0.op_timeout_us=20000000";
     for stops in [false, true] {
@@ -78,7 +78,7 @@
 
 /// Guards against the same cost for the keys of a burst, and for its retries.
 #[test]
-fn burst_of_keyed_requests_and_their_retries_is_decided_without_a_walk_for_each() {
+fn burst_of_keys_and_retries_costs_no_walk_each() {
     let settings = "op_types.0.repeats=keyed op_types.0.window_us=60000000 server.key_kb=0.1 \
         op_types.0.target_latency_us=20000000 op_types.0.op_timeout_us=20000000";
     let mut harness = Harness::new(settings);
@@ -94,7 +94,7 @@
 
 /// Guards against the same cost where the requests of new sessions find no admission token.
 #[test]
-fn burst_without_admission_tokens_is_rejected_without_a_walk_for_each() {
+fn burst_without_tokens_costs_no_walk_each() {
     let mut harness = Harness::new("");
     harness.offer_load(8000, 9);
     harness.run_time = Duration::from_ms(300);
