Worker link: a call reply that may have been read is never given again

Cause: `give` names the run and not the call. After a break Run::resend gave the last reply again unless a gauge query had proved it read. Without that proof it may have been read all the same; a run that asked for its next call between the replay and the second give took it for that call's.

Evidence: call_reply_that_may_have_been_read_is_not_resent fails on the text before: `give 3 one` twice, the second time for the call `second`.

Why this works: a reply is written to one connection at most. It goes over the next one only if its batch of commands was never taken for writing (CommandQueue), so that no worker can have read it. What a break loses is answered `failed` in time instead of served by chance; `worker link up` counts the replies that nothing has proved read.

--- a/crates/hazelspur-server/src/upstream/worker/link.rs
+++ b/crates/hazelspur-server/src/upstream/worker/link.rs
@@ -6,15 +6,17 @@
 //! Invariant: commands are sent only while the connection is synchronized, which it is after the replay.
 //! Until then they wait in the run table.
 
+use super::command_queue::CommandQueue;
 use super::notices::Notices;
 use super::replay::Replay;
+use super::runs::{CallReply, LinkProgress};
 use super::state::{LinkState, WorkerStatus};
 use crate::clock::Clock;
 use crate::request::dispatcher::Dispatcher;
 use crate::upstream::endpoints::UpstreamEndpoints;
 use hazelspur::{Duration, RequestId, RuntimeGauges};
 use hazelspur_parsers::{Buffer, runtime};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -68,9 +70,7 @@
     /// Whether the replay of the connection has ended, so that commands are sent at once.
     is_synchronized: Cell<bool>,
     synchronized_notification: Notify,
-    /// Encoded commands that are to be written to the connection.
-    unsent_commands: RefCell<Vec<u8>>,
-    command_notification: Notify,
+    commands: CommandQueue,
 }
 
 impl WorkerLink {
@@ -86,8 +86,7 @@
             gauge_names,
             is_synchronized: Cell::new(false),
             synchronized_notification: Notify::new(),
-            unsent_commands: RefCell::default(),
-            command_notification: Notify::new(),
+            commands: CommandQueue::default(),
         }
     }
 
@@ -124,7 +123,12 @@
     /// Sends the reply of a dependency call to the run that requested it.
     pub fn send_call_reply(&self, request: RequestId, reply: Vec<u8>) {
         self.send(|out| runtime::write_call_reply(out, &request.to_string(), &reply));
-        self.state.runs.borrow_mut().record_call_reply(request, reply, self.state.gauge_query.latest());
+        let reply = CallReply {
+            body: reply,
+            batch: self.commands.current_batch(),
+            latest_gauge_query: self.state.gauge_query.latest(),
+        };
+        self.state.runs.borrow_mut().record_call_reply(request, reply);
     }
 
     fn clock(&self) -> &Clock {
@@ -133,8 +137,7 @@
 
     fn send(&self, write: impl FnOnce(&mut Vec<u8>)) {
         if self.is_synchronized.get() {
-            write(&mut self.unsent_commands.borrow_mut());
-            self.command_notification.notify_one();
+            self.commands.append(write);
         }
     }
 
@@ -181,9 +184,9 @@
         let _ = stream.set_nodelay(true);
         let connection = self.state.replay.begin();
         let (read, mut write) = stream.split();
-        // Discards commands for the former connection; unanswered ones are in the run table.
-        let mut out = std::mem::take(&mut *self.unsent_commands.borrow_mut());
-        out.clear();
+        // Unanswered commands are in the run table.
+        self.commands.discard();
+        let mut out = Vec::new();
         runtime::write_sync(&mut out, self.state.last_notice());
         if let Err(error) = write.write_all(&out).await {
             return error.into();
@@ -242,18 +245,21 @@
         loop {
             write.write_all(&out).await?;
             out.clear();
-            // Commands of other tasks that are ready are written together with the first. None waits for the
-            // next turn of the event loop, in which a start could be too late.
-            self.command_notification.notified().await;
-            std::mem::swap(&mut out, &mut *self.unsent_commands.borrow_mut());
+            self.commands.take_batch(&mut out).await;
         }
     }
 
-    /// Writes the commands that the replayed notices have not answered.
+    /// Writes the commands that the replayed notices have not answered, as a batch of their own.
     fn resend(&self, out: &mut Vec<u8>) {
         let mut runs = self.state.runs.borrow_mut();
-        let resent = runs.resend(out, self.state.gauge_query.last_answered());
-        log::info!(last = self.state.last_notice(), runs = runs.len(), again = resent; "worker link up");
+        let progress = LinkProgress {
+            current_batch: self.commands.current_batch(),
+            last_answered_gauge_query: self.state.gauge_query.last_answered(),
+        };
+        let counts = runs.resend(out, &progress);
+        self.commands.end_batch();
+        log::info!(last = self.state.last_notice(), runs = runs.len(), again = counts.resent,
+            unproven_replies = counts.unproven_replies; "worker link up");
     }
 
     /// Reports each due timer to the controller, with the worker's gauges if they arrive in time.
--- a/crates/hazelspur-server/src/upstream/worker/mod.rs
+++ b/crates/hazelspur-server/src/upstream/worker/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Sends commands, receives notices, and sends unanswered commands again after the connection broke.
 
+mod command_queue;
 mod gauges;
 mod link;
 mod notices;
--- a/crates/hazelspur-server/src/upstream/worker/runs.rs
+++ b/crates/hazelspur-server/src/upstream/worker/runs.rs
@@ -1,9 +1,12 @@
 //! Table of the runs that were started and have not ended, with their commands that no notice has answered
 //! yet.
 //!
-//! Invariant: after the replay of a new connection, exactly the commands that are unanswered and that the
-//! worker may not have read are sent again.
+//! Invariant: after the replay of a new connection, all unanswered starts and stops are sent again, which
+//! have no further effect on a worker that has read them. A call reply has: `give` names the run and not the
+//! call, so that a run that has read one takes the next for the reply to its next call. Therefore a reply is
+//! written to one connection at most.
 
+use super::command_queue::BatchNumber;
 use hazelspur::RequestId;
 use hazelspur_parsers::runtime;
 use std::collections::BTreeMap;
@@ -11,11 +14,31 @@
 use std::sync::Arc;
 
 /// Reply to the last dependency call of a run.
-struct CallReply {
-    body: Vec<u8>,
+pub(super) struct CallReply {
+    pub(super) body: Vec<u8>,
+    /// Batch of commands that contains the reply. Until it is taken, the worker cannot have read the reply.
+    pub(super) batch: BatchNumber,
     /// Number of the latest gauge query when the reply was recorded. The answer to a later query shows that
     /// the worker has read the reply.
-    latest_gauge_query: u64,
+    pub(super) latest_gauge_query: u64,
+}
+
+/// Progress of the link at the time of a resend.
+pub(super) struct LinkProgress {
+    /// Batch that is not taken yet.
+    pub(super) current_batch: BatchNumber,
+    /// Number of the last gauge query that was answered.
+    pub(super) last_answered_gauge_query: u64,
+}
+
+/// Numbers of runs after a resend.
+#[derive(Default)]
+pub(super) struct ResendCounts {
+    /// Number of runs with commands that were sent again.
+    pub(super) resent: usize,
+    /// Number of runs whose call reply may have been lost with a connection. Such a run either proceeds or
+    /// waits until its request is answered without it.
+    pub(super) unproven_replies: usize,
 }
 
 /// Run and its unanswered commands.
@@ -32,23 +55,29 @@
 }
 
 impl Run {
-    /// Writes the commands that the worker has not answered and may not have read.
-    fn resend(&mut self, out: &mut Vec<u8>, request: RequestId, last_answered_gauge_query: u64) {
+    /// Writes the unanswered start and stop, and a call reply that was not written before.
+    fn resend(&mut self, out: &mut Vec<u8>, request: RequestId, current_batch: BatchNumber) {
         let id = request.to_string();
         self.start_sent = true;
         if self.start_unanswered {
             runtime::write_start(out, &id, &self.class, &self.body);
         }
-        // A reply that was read must not be sent again, since the run may have requested another call since.
-        if let Some(call_reply) = &self.call_reply
-            && call_reply.latest_gauge_query >= last_answered_gauge_query
-        {
-            runtime::write_call_reply(out, &id, &call_reply.body);
+        let unwritten = self.call_reply.as_ref().filter(|reply| reply.batch >= current_batch);
+        if let Some(reply) = unwritten {
+            runtime::write_call_reply(out, &id, &reply.body);
         }
         if self.stop_requested {
             runtime::write_stop(out, &id);
         }
     }
+
+    /// Returns whether the last call reply was written, and nothing has shown that the worker has read it.
+    fn has_unproven_reply(&self, progress: &LinkProgress) -> bool {
+        self.call_reply.as_ref().is_some_and(|reply| {
+            reply.batch < progress.current_batch
+                && reply.latest_gauge_query >= progress.last_answered_gauge_query
+        })
+    }
 }
 
 /// Table of all runs that have not ended.
@@ -83,10 +112,10 @@
         }
     }
 
-    /// Records the reply to a dependency call of a run, with the number of the latest gauge query.
-    pub(super) fn record_call_reply(&mut self, request: RequestId, body: Vec<u8>, latest_gauge_query: u64) {
+    /// Records the reply to a dependency call of a run.
+    pub(super) fn record_call_reply(&mut self, request: RequestId, reply: CallReply) {
         if let Some(run) = self.runs.get_mut(&request) {
-            run.call_reply = Some(CallReply { body, latest_gauge_query });
+            run.call_reply = Some(reply);
         }
     }
 
@@ -110,14 +139,15 @@
         sent
     }
 
-    /// Writes the commands to be sent again after a replay. Returns the number of runs that they are for.
-    pub(super) fn resend(&mut self, out: &mut Vec<u8>, last_answered_gauge_query: u64) -> usize {
-        let mut resent = 0;
+    /// Writes the commands to be sent again after a replay.
+    pub(super) fn resend(&mut self, out: &mut Vec<u8>, progress: &LinkProgress) -> ResendCounts {
+        let mut counts = ResendCounts::default();
         for (request, run) in &mut self.runs {
             let length_before = out.len();
-            run.resend(out, *request, last_answered_gauge_query);
-            resent += usize::from(out.len() > length_before);
+            run.resend(out, *request, progress.current_batch);
+            counts.resent += usize::from(out.len() > length_before);
+            counts.unproven_replies += usize::from(run.has_unproven_reply(progress));
         }
-        resent
+        counts
     }
 }
--- a/crates/hazelspur-server/tests/worker_link.rs
+++ b/crates/hazelspur-server/tests/worker_link.rs
@@ -83,6 +83,91 @@
     .assert_eq(&server.trace);
 }
 
+/// Reply of the dependency that ends its connection.
+fn dependency_reply(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Guards against giving a run the reply to its first call as the reply to its second call: after a break the
+/// run may ask for the second one when the first reply is sent again.
+#[test]
+fn call_reply_that_may_have_been_read_is_not_resent() {
+    let (mut server, mut link) = ServerHarness::new("two-calls", "");
+    let log = LogLines::of(&mut server.server);
+    log.next(&["worker link up"]);
+    let mut gateway = server.connect_gateway();
+    server.start_run(&mut gateway, &mut link, &request(1, 1, "view", ""));
+    link.send(&format!("wants 1 {} 5\r\nfirst\r\n", id(1)));
+    let mut ledger = server.accept_dependency_call();
+    ledger.record_call(&mut server.trace);
+    ledger.send(&dependency_reply("one"));
+    link.record_next(&mut server.trace);
+    drop(link);
+    let mut link = server.accept_worker_link();
+    link.send("ready hot 9000\r\n");
+    link.record_next(&mut server.trace);
+    let _ = writeln!(server.trace, "{}", log.next(&["worker link up"]));
+    link.send(&format!("wants 2 {} 6\r\nsecond\r\n", id(1)));
+    let mut ledger = server.accept_dependency_call();
+    ledger.record_call(&mut server.trace);
+    ledger.send(&dependency_reply("two"));
+    link.record_next(&mut server.trace);
+    link.send(&success_notice(3, 1));
+    gateway.record_next(&mut server.trace);
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        ledger < POST /post HTTP/1.1 0000000000000001 first
+        runtime < give 0000000000000001 3 one
+        runtime < sync 1
+        info worker link up last=1 runs=1 again=0 unproven_replies=1
+        ledger < POST /post HTTP/1.1 0000000000000001 second
+        runtime < give 0000000000000001 3 two
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
+    "#]]
+    .assert_eq(&server.trace);
+}
+
+/// Guards against losing a reply that no connection has carried: the run would wait for it until its
+/// request's deadline.
+#[test]
+fn call_reply_that_was_not_written_is_sent_once_over_the_next_connection() {
+    let (mut server, mut link) = ServerHarness::new("late-reply", "");
+    let mut gateway = server.connect_gateway();
+    server.start_run(&mut gateway, &mut link, &request(1, 1, "view", ""));
+    link.send(&format!("wants 1 {} 3\r\nask\r\n", id(1)));
+    let mut ledger = server.accept_dependency_call();
+    ledger.record_call(&mut server.trace);
+    // The reply and the end of the connection arrive together.
+    server.signal("-STOP");
+    ledger.send(&dependency_reply("ok"));
+    drop(link);
+    std::thread::sleep(Duration::from_millis(30));
+    server.signal("-CONT");
+    let mut link = server.accept_worker_link();
+    link.send("ready hot 9000\r\n");
+    link.record_next(&mut server.trace);
+    link.record_next(&mut server.trace);
+    drop(link);
+    let mut link = server.accept_worker_link();
+    link.send("ready hot 9000\r\n");
+    link.record_next(&mut server.trace);
+    link.send(&success_notice(2, 1));
+    gateway.record_next(&mut server.trace);
+    server.start_run(&mut gateway, &mut link, &request(2, 2, "view", ""));
+    expect_test::expect![[r#"
+        runtime < sync 0
+        runtime < start 0000000000000001 view 5 hello
+        ledger < POST /post HTTP/1.1 0000000000000001 ask
+        runtime < sync 1
+        runtime < give 0000000000000001 2 ok
+        runtime < sync 1
+        gateway < {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQ=="}}
+        runtime < start 0000000000000002 view 5 hello
+    "#]]
+    .assert_eq(&server.trace);
+}
+
 /// Guards against ignoring the notices of a restarted worker, which numbers them from 1 again.
 #[test]
 fn restarted_worker_is_accepted_and_its_former_runs_fail() {
