Queues: a message is known by tenant, class, message-id and body

Cause: MessageCache knew a message by its message-id alone, over all tenants, request classes and queues, without comparing content. The comparison of request keys comes only after a delivery is submitted.

Why this works: the cache's key is a digest of the four parts, each with its length, so that other content is another message and a redelivery or retry copy is the same one. Related paths with the same cause: reads of queue messages were shared by message-id or user without comparing bodies, and an empty message-id was a request key of all messages without one (messages_with_an_empty_message_id_are_different_messages failed before); neither is a key any more.

--- a/crates/hazelspur-deliveries/src/message_cache.rs
+++ b/crates/hazelspur-deliveries/src/message_cache.rs
@@ -1,16 +1,17 @@
-//! Cache of recent message-ids, by which duplicate messages are detected: the delivery that processes each
-//! message, and the outcomes of finished messages.
+//! Cache of recent messages, by which duplicates are detected: the delivery that processes each message, and
+//! the outcomes of finished messages.
 //!
-//! Input: message-ids with their progress. Output: the state of a message that is delivered again. Invariant:
+//! Input: identities of messages with their progress. Output: the state of a message that is delivered again. Invariant:
 //! entries that are not in progress are bounded in number, bytes and age; the oldest is evicted first.
 
 use crate::identifiers::DeliveryId;
+use crate::message_identity::{MESSAGE_IDENTITY_BYTES, MessageIdentity};
 use crate::outcome::DeliveryOutcome;
 use hazelspur::{Duration, Timestamp};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-/// State of a message, as recorded under its message-id.
+/// State of a message, as recorded under its identity.
 #[derive(Clone, Debug)]
 pub enum MessageState {
     /// The given delivery of this message is being processed.
@@ -33,23 +34,23 @@
     pub retention: Duration,
     /// Maximum number of entries that are not in progress.
     pub max_entries: usize,
-    /// Maximum total size of the message-ids and results of finished messages, in bytes.
+    /// Maximum total size of the identities and results of finished messages, in bytes.
     pub max_bytes: usize,
 }
 
 /// Entry of a message that is not in progress, with the time at which it was added.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct AgedMessage {
     added_at: Timestamp,
-    message_id: Rc<str>,
+    message: MessageIdentity,
 }
 
-/// States of recent messages, by message-id.
+/// States of recent messages, by identity.
 #[derive(Clone, Debug)]
 pub struct MessageCache {
     limits: MessageCacheLimits,
     finished_bytes: usize,
-    messages: BTreeMap<Rc<str>, MessageState>,
+    messages: BTreeMap<MessageIdentity, MessageState>,
     /// Entries that are not in progress, oldest first.
     by_age: VecDeque<AgedMessage>,
     evicted_count: u64,
@@ -74,29 +75,29 @@
 
     /// Removes the entries past their retention, then returns the state of a message, or `None` if it is
     /// unknown.
-    pub fn lookup(&mut self, now: Timestamp, message_id: &str) -> Option<MessageState> {
+    pub fn lookup(&mut self, now: Timestamp, message: MessageIdentity) -> Option<MessageState> {
         self.remove_expired(now);
-        self.messages.get(message_id).cloned()
+        self.messages.get(&message).cloned()
     }
 
     /// Records that the given delivery processes the message.
-    pub fn begin(&mut self, message_id: &Rc<str>, id: DeliveryId) {
-        self.messages.insert(message_id.clone(), MessageState::InProgress(id));
+    pub fn begin(&mut self, message: MessageIdentity, id: DeliveryId) {
+        self.messages.insert(message, MessageState::InProgress(id));
     }
 
     /// Removes a message that is in progress with the given delivery, so that another delivery of it may run.
     /// Finished and failed messages stay.
-    pub fn release(&mut self, message_id: &str, id: DeliveryId) {
-        if matches!(self.messages.get(message_id), Some(MessageState::InProgress(owner)) if *owner == id) {
-            self.messages.remove(message_id);
+    pub fn release(&mut self, message: MessageIdentity, id: DeliveryId) {
+        if matches!(self.messages.get(&message), Some(MessageState::InProgress(owner)) if *owner == id) {
+            self.messages.remove(&message);
         }
     }
 
     /// Records the number of failed attempts of a message that is requeued: the broker redelivers it
     /// unchanged, without an attempt count.
-    pub fn record_failed_attempts(&mut self, now: Timestamp, message_id: &Rc<str>, attempts: u32) {
-        self.messages.insert(message_id.clone(), MessageState::FailedAttempts(attempts));
-        self.by_age.push_back(AgedMessage { added_at: now, message_id: message_id.clone() });
+    pub fn record_failed_attempts(&mut self, now: Timestamp, message: MessageIdentity, attempts: u32) {
+        self.messages.insert(message, MessageState::FailedAttempts(attempts));
+        self.by_age.push_back(AgedMessage { added_at: now, message });
         self.enforce_limits();
     }
 
@@ -105,16 +106,16 @@
     pub fn record_finished(
         &mut self,
         now: Timestamp,
-        message_id: &Rc<str>,
+        message: MessageIdentity,
         outcome: DeliveryOutcome,
         result: Rc<[u8]>,
     ) {
-        if matches!(self.messages.get(message_id), Some(MessageState::Finished { .. })) {
+        if matches!(self.messages.get(&message), Some(MessageState::Finished { .. })) {
             return;
         }
-        self.finished_bytes += message_id.len() + result.len();
-        self.messages.insert(message_id.clone(), MessageState::Finished { outcome, result });
-        self.by_age.push_back(AgedMessage { added_at: now, message_id: message_id.clone() });
+        self.finished_bytes += MESSAGE_IDENTITY_BYTES + result.len();
+        self.messages.insert(message, MessageState::Finished { outcome, result });
+        self.by_age.push_back(AgedMessage { added_at: now, message });
         self.enforce_limits();
     }
 
@@ -132,14 +133,14 @@
     }
 
     fn remove_oldest(&mut self) {
-        let Some(AgedMessage { message_id, .. }) = self.by_age.pop_front() else { return };
-        match self.messages.get(&message_id) {
+        let Some(AgedMessage { message, .. }) = self.by_age.pop_front() else { return };
+        match self.messages.get(&message) {
             Some(MessageState::Finished { result, .. }) => {
-                self.finished_bytes -= message_id.len() + result.len();
-                self.messages.remove(&message_id);
+                self.finished_bytes -= MESSAGE_IDENTITY_BYTES + result.len();
+                self.messages.remove(&message);
             }
             Some(MessageState::FailedAttempts(_)) => {
-                self.messages.remove(&message_id);
+                self.messages.remove(&message);
             }
             // The message was delivered again and is being processed.
             Some(MessageState::InProgress(_)) | None => {}
--- a/crates/hazelspur-deliveries/src/tracker/delivery.rs
+++ b/crates/hazelspur-deliveries/src/tracker/delivery.rs
@@ -1,6 +1,7 @@
 //! Data and state of one delivery.
 
 use crate::identifiers::{DeliveryId, DeliveryTag, QueueId};
+use crate::message_identity::MessageIdentity;
 use crate::outcome::DeliveryOutcome;
 use crate::settlement::Settlement;
 use crate::tracker::ReceivedDelivery;
@@ -73,7 +74,8 @@
     pub(super) tag: DeliveryTag,
     /// Whether the tag can still be settled: its channel is open and it has not been settled.
     pub(super) unsettled: bool,
-    pub(super) message_id: Option<Rc<str>>,
+    /// Identity of the message; `None` if no other delivery can be recognized as the same message.
+    pub(super) identity: Option<MessageIdentity>,
     pub(super) idempotency: Idempotency,
     pub(super) deadline: Option<Timestamp>,
     pub(super) wants_reply: bool,
@@ -94,12 +96,12 @@
 }
 
 impl Delivery {
-    pub(super) fn new(now: Timestamp, received: &ReceivedDelivery<'_>) -> Self {
+    pub(super) fn new(now: Timestamp, received: &ReceivedDelivery) -> Self {
         Self {
             queue: received.queue,
             tag: received.tag,
             unsettled: true,
-            message_id: received.message_id.filter(|id| !id.is_empty()).map(Rc::from),
+            identity: received.identity,
             idempotency: received.idempotency.unwrap_or(Idempotency::NonIdempotent),
             deadline: received.deadline,
             wants_reply: received.wants_reply,
--- a/crates/hazelspur-deliveries/src/tracker/publishing.rs
+++ b/crates/hazelspur-deliveries/src/tracker/publishing.rs
@@ -70,11 +70,11 @@
     fn requeue_unpublished_retry(&mut self, now: Timestamp, id: DeliveryId, delay: Duration) {
         let Some(delivery) = self.deliveries.get(&id) else { return };
         if delivery.outcome == DeliveryOutcome::Failed {
-            let Some(message_id) = &delivery.message_id else {
+            let Some(message) = delivery.identity else {
                 let exhausted = self.queues[delivery.queue.0].settlements.exhausted;
                 return self.settle_as(id, exhausted);
             };
-            self.message_cache.record_failed_attempts(now, message_id, delivery.previous_attempts + 1);
+            self.message_cache.record_failed_attempts(now, message, delivery.previous_attempts + 1);
         }
         self.schedule_requeue(now, id, delay);
     }
--- a/crates/hazelspur-deliveries/src/tracker/receipt.rs
+++ b/crates/hazelspur-deliveries/src/tracker/receipt.rs
@@ -5,19 +5,20 @@
 use super::{DeliveryAction, DeliveryTracker, EXPIRY_MARGIN};
 use crate::identifiers::{DeliveryId, DeliveryTag, QueueId};
 use crate::message_cache::MessageState;
+use crate::message_identity::MessageIdentity;
 use crate::outcome::DeliveryOutcome;
 use hazelspur::{Idempotency, Timestamp};
 use std::rc::Rc;
 
 /// Delivery as received from the broker, as far as the tracker needs it.
 #[derive(Clone, Copy, Debug)]
-pub struct ReceivedDelivery<'a> {
+pub struct ReceivedDelivery {
     /// Tag of the delivery.
     pub tag: DeliveryTag,
     /// Queue of the delivery.
     pub queue: QueueId,
-    /// Message-id, `None` or empty if the message has none.
-    pub message_id: Option<&'a str>,
+    /// Identity of the message; `None` if it has no message-id or is not a valid request.
+    pub identity: Option<MessageIdentity>,
     /// Whether the broker has delivered the message before.
     pub redelivered: bool,
     /// Idempotency of the request class, or the outcome of a message that is not a valid request.
@@ -33,18 +34,17 @@
 impl DeliveryTracker {
     /// Adds a delivery and returns its id. The caller keeps the message until the action `Release` names that
     /// id.
-    pub fn delivery_received(&mut self, now: Timestamp, received: ReceivedDelivery<'_>) -> DeliveryId {
+    pub fn delivery_received(&mut self, now: Timestamp, received: ReceivedDelivery) -> DeliveryId {
         self.last_id += 1;
         self.counters.received += 1;
         let id = DeliveryId(self.last_id);
         let delivery = Delivery::new(now, &received);
-        let message_id = delivery.message_id.clone();
         self.deliveries.insert(id, delivery);
         if let Err(outcome) = received.idempotency {
             self.finish(now, id, outcome, &[].into());
             return id;
         }
-        let known = message_id.as_deref().and_then(|message_id| self.message_cache.lookup(now, message_id));
+        let known = received.identity.and_then(|message| self.message_cache.lookup(now, message));
         match known {
             Some(MessageState::InProgress(first)) if self.end_wait_for_redelivery(first) => {
                 self.start_processing(now, id, received.redelivered);
@@ -87,8 +87,8 @@
             return self.finish(now, id, DeliveryOutcome::PossibleDuplicate, &[].into());
         }
         let deadline = delivery.deadline;
-        if let Some(message_id) = &delivery.message_id {
-            self.message_cache.begin(message_id, id);
+        if let Some(message) = delivery.identity {
+            self.message_cache.begin(message, id);
         }
         self.set_timer(id, deadline.map(|deadline| deadline.saturating_sub(EXPIRY_MARGIN)));
         self.submit_or_queue(now, id);
@@ -142,7 +142,7 @@
         let same_message = |original: &Delivery| {
             !original.unsettled
                 && original.state.is_publishing_reply()
-                && original.message_id == duplicate.message_id
+                && original.identity == duplicate.identity
         };
         let first = self.deliveries.iter().find(|(_, original)| same_message(original));
         first.map(|(first, _)| *first).filter(|first| !self.settles_before_run(*first))
--- a/crates/hazelspur-deliveries/src/tracker/settling.rs
+++ b/crates/hazelspur-deliveries/src/tracker/settling.rs
@@ -13,7 +13,7 @@
 fn settlement_of(table: &SettlementTable, delivery: &Delivery, outcome: DeliveryOutcome) -> Settlement {
     let settlement = table.settle(outcome, delivery.idempotency, delivery.previous_attempts);
     let requeues_failed = outcome == DeliveryOutcome::Failed && settlement == Settlement::RequeueLater;
-    if requeues_failed && delivery.message_id.is_none() { table.exhausted } else { settlement }
+    if requeues_failed && delivery.identity.is_none() { table.exhausted } else { settlement }
 }
 
 impl DeliveryTracker {
@@ -52,15 +52,15 @@
     /// message is requeued after a failure.
     fn update_message_cache(&mut self, now: Timestamp, id: DeliveryId) {
         let Some(delivery) = self.deliveries.get(&id) else { return };
-        let Some(message_id) = &delivery.message_id else { return };
+        let Some(message) = delivery.identity else { return };
         let failed = delivery.outcome == DeliveryOutcome::Failed;
         if delivery.prevents_rerun(delivery.outcome) {
             let result = delivery.result.clone();
-            self.message_cache.record_finished(now, message_id, delivery.outcome, result);
+            self.message_cache.record_finished(now, message, delivery.outcome, result);
         } else if failed && delivery.settlement == Settlement::RequeueLater {
-            self.message_cache.record_failed_attempts(now, message_id, delivery.previous_attempts + 1);
+            self.message_cache.record_failed_attempts(now, message, delivery.previous_attempts + 1);
         } else {
-            self.message_cache.release(message_id, id);
+            self.message_cache.release(message, id);
         }
     }
 
@@ -137,8 +137,8 @@
         let Some(mut delivery) = self.deliveries.remove(&id) else { return };
         self.unproven_acks.remove(&id);
         self.timers.cancel(id, &mut delivery);
-        if let Some(message_id) = &delivery.message_id {
-            self.message_cache.release(message_id, id);
+        if let Some(message) = delivery.identity {
+            self.message_cache.release(message, id);
         }
         for duplicate in delivery.duplicates {
             self.requeue(duplicate);
--- a/crates/hazelspur-deliveries/tests/policies/main.rs
+++ b/crates/hazelspur-deliveries/tests/policies/main.rs
@@ -2,6 +2,7 @@
 
 mod broker_selector;
 mod message_cache;
+mod message_identity;
 mod prefetch_window;
 mod settlement_table;
 
--- a/crates/hazelspur-deliveries/tests/tracker/helpers.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/helpers.rs
@@ -2,8 +2,9 @@
 
 use hazelspur::{Duration, Idempotency, Timestamp};
 use hazelspur_deliveries::{
-    ConnectionNumber, DeliveryId, DeliveryOutcome, DeliveryTag, DeliveryTracker, MessageCache,
-    MessageCacheLimits, QueueId, QueueSettings, ReceivedDelivery, SettlementTable,
+    ConnectionNumber, DeliveryId, DeliveryOutcome, DeliveryTag, DeliveryTracker, IdentifyingParts,
+    MessageCache, MessageCacheLimits, MessageIdentity, QueueId, QueueSettings, ReceivedDelivery,
+    SettlementTable,
 };
 
 /// Returns the time `ms` milliseconds after the start of the test's clock.
@@ -23,12 +24,17 @@
     DeliveryTracker::new(queues, MessageCache::new(limits))
 }
 
+/// Returns the identity of the message with this message-id; all other parts are the same for all messages.
+pub(crate) fn identity(message_id: &str) -> Option<MessageIdentity> {
+    MessageIdentity::of(&IdentifyingParts { tenant: "a", request_class: "view", message_id, body: b"hello" })
+}
+
 /// Returns a delivery of the only queue, without deadline or reply.
-pub(crate) fn received(tag: DeliveryTag, message_id: &str, idempotency: Idempotency) -> ReceivedDelivery<'_> {
+pub(crate) fn received(tag: DeliveryTag, message_id: &str, idempotency: Idempotency) -> ReceivedDelivery {
     ReceivedDelivery {
         tag,
         queue: QueueId(0),
-        message_id: Some(message_id),
+        identity: identity(message_id),
         redelivered: false,
         idempotency: Ok(idempotency),
         deadline: None,
--- a/crates/hazelspur-deliveries/tests/tracker/traces.rs
+++ b/crates/hazelspur-deliveries/tests/tracker/traces.rs
@@ -1,6 +1,6 @@
 //! Traces of the tracker's actions, each line with its time in milliseconds.
 
-use crate::helpers::{actions, at, finish, new_tracker, received, tag};
+use crate::helpers::{actions, at, finish, identity, new_tracker, received, tag};
 use hazelspur::Duration;
 use hazelspur::Idempotency::{Idempotent, IdempotentWithKey, NonIdempotent};
 use hazelspur_deliveries::{
@@ -68,7 +68,7 @@
         at(0),
         ReceivedDelivery {
             idempotency: Ok(Idempotent),
-            message_id: Some("b"),
+            identity: identity("b"),
             tag: tag(1, 2),
             ..redelivered
         },
@@ -440,7 +440,7 @@
 
 /// Returns a tracker whose message "a" was acknowledged at 1 ms and whose connection was lost at 2 ms, before
 /// the fence was answered. At 10 ms messages can be published again.
-fn tracker_with_unproven_ack(received: ReceivedDelivery<'_>) -> DeliveryTracker {
+fn tracker_with_unproven_ack(received: ReceivedDelivery) -> DeliveryTracker {
     let mut tracker = new_tracker(SettlementTable::default(), true);
     let id = tracker.delivery_received(at(0), received);
     actions(&mut tracker, 0);
@@ -457,7 +457,7 @@
 fn unproven_ack_is_answered_unless_redelivered() {
     let keyed = ReceivedDelivery { wants_reply: true, ..received(tag(1, 1), "a", IdempotentWithKey) };
     let redelivered = ReceivedDelivery { tag: tag(2, 1), redelivered: true, ..keyed };
-    let other = ReceivedDelivery { message_id: Some("b"), tag: tag(2, 2), ..keyed };
+    let other = ReceivedDelivery { identity: identity("b"), tag: tag(2, 2), ..keyed };
     let cases = [
         ("no redelivery", keyed, false, None),
         ("redelivered", keyed, false, Some(redelivered)),
--- a/crates/hazelspur-server/benches/queues.rs
+++ b/crates/hazelspur-server/benches/queues.rs
@@ -3,7 +3,6 @@
 //! and time and not part of CI. Compare results within one run only.
 
 #[path = "../tests/helpers/mod.rs"]
-#[allow(dead_code)]
 mod helpers;
 
 use hazelspur_test_doubles::now_ms;
--- a/crates/hazelspur-server/src/ingress/amqp/message.rs
+++ b/crates/hazelspur-server/src/ingress/amqp/message.rs
@@ -8,7 +8,9 @@
 use crate::request::lifecycle::MAX_BODY_LENGTH;
 use hazelspur::{Duration, RequestClass, RequestClassId, RequestId, SessionKey, TenantId, Timestamp};
 use hazelspur_amqp::{FieldValue, IncomingDelivery, Properties};
-use hazelspur_deliveries::{DeliveryOutcome, DeliveryTag, QueueId, ReceivedDelivery};
+use hazelspur_deliveries::{
+    DeliveryOutcome, DeliveryTag, IdentifyingParts, MessageIdentity, QueueId, ReceivedDelivery,
+};
 use std::rc::Rc;
 
 /// Maximum length of a message's encoded properties, in bytes. A message with longer ones is malformed.
@@ -51,6 +53,8 @@
     pub(super) class: Rc<RequestClass>,
     pub(super) tenant: TenantId,
     pub(super) session: Option<SessionKey>,
+    /// Identity of the message; `None` if it has no message-id.
+    identity: Option<MessageIdentity>,
     /// `None` for a request that is not deduplicated.
     pub(super) key: Option<DeduplicationKey>,
     /// Memory that the request takes while it is queued, in kB.
@@ -131,7 +135,7 @@
         let received = ReceivedDelivery {
             tag,
             queue,
-            message_id: properties.message_id,
+            identity: request.as_ref().ok().and_then(|request| request.identity),
             redelivered: delivery.redelivered,
             idempotency: request
                 .as_ref()
@@ -208,8 +212,15 @@
             return Err(DeliveryOutcome::Malformed);
         }
         let subject = text_header(properties, SUBJECT_HEADER)?;
-        let message_id = properties.message_id;
-        let key = DeduplicationKey::of(&class, &tenant_name, message_id, message_id.or(subject));
-        Ok(QueuedRequest { class_id, class, tenant, session: subject.map(SessionKey::of), key, size_kb })
+        let message_id = properties.message_id.filter(|message_id| !message_id.is_empty());
+        let identity = message_id.and_then(|message_id| {
+            let request_class = &class.name;
+            MessageIdentity::of(&IdentifyingParts { tenant: &tenant_name, request_class, message_id, body })
+        });
+        // Results of reads are not shared with other messages: neither a message-id nor a user names what a
+        // read is about.
+        let key = DeduplicationKey::of(&class, &tenant_name, message_id, None);
+        let session = subject.map(SessionKey::of);
+        Ok(QueuedRequest { class_id, class, tenant, session, identity, key, size_kb })
     }
 }
--- a/crates/hazelspur-server/tests/helpers/mod.rs
+++ b/crates/hazelspur-server/tests/helpers/mod.rs
@@ -1,5 +1,6 @@
 //! Testbed for queues: the built server with an operator's file, between test doubles of a broker, a worker,
 //! a dependency and a registry.
+#![allow(dead_code)] // no test file uses all of it
 
 use amq_protocol::protocol::basic::AMQPProperties;
 use amq_protocol::types::{AMQPValue, FieldTable};
@@ -53,6 +54,8 @@
     config_files: [PathBuf; 2],
     /// Keeps the address in `listen` reserved.
     _reserved: ReservedAddress,
+    /// Settings of the configuration, as JSON.
+    pub settings: String,
     /// Part of the operator's file that describes the queues.
     queues: String,
     /// Spread of the server's connection attempts to brokers, in seconds.
@@ -114,6 +117,7 @@
             listen,
             _reserved: reserved,
             config_files: [file("json"), file("star")],
+            settings: SETTINGS.into(),
             queues: queues.into(),
             reconnect_spread_s: 0.03,
             broker_addresses,
@@ -124,8 +128,8 @@
     pub(crate) fn write_files(&self, stop_ms: u64) {
         let (listen, worker, dependency) = (&self.listen, self.worker.address, self.dependency.address);
         let config = format!(
-            r#"{{"name":"n1","listen":"{listen}","runtime":"{worker}","ledger":"{dependency}","control":"{}","seed":"000000000000002a","stop_ms":{stop_ms},"settings":{SETTINGS}}}"#,
-            self.registry.address
+            r#"{{"name":"n1","listen":"{listen}","runtime":"{worker}","ledger":"{dependency}","control":"{}","seed":"000000000000002a","stop_ms":{stop_ms},"settings":{}}}"#,
+            self.registry.address, self.settings
         );
         std::fs::write(&self.config_files[0], config).expect("file is written");
         let brokers = format!("{:?}", self.broker_addresses);
