Gateways: a started request that must not run twice is refused under its id

Cause: the dispatcher knows only ids of requests in hand. When the run of a client that is gone has ended, its id is free, and a request without an idempotency key is known by nothing else.

--- a/crates/hazelspur-server/src/ingress/gateway/error.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/error.rs
@@ -73,6 +73,9 @@
     /// A request id (`req`) that a request in progress already has.
     #[error("this req is in hand")]
     RequestInProgress,
+    /// A request id (`req`) under which a request that must not run twice was started before.
+    #[error("this req was started before")]
+    RequestStartedBefore,
     /// An idempotency key (`opkey`) that belongs to a request with different content.
     #[error("this opkey is another op's")]
     IdempotencyKeyConflict,
--- a/crates/hazelspur-server/src/ingress/gateway/mod.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod responder;
 mod response_queue;
 mod server;
+mod started_requests;
 
 pub use request::{MAX_OVERDUE, MAX_TIMEOUT_FACTOR};
 pub use server::GatewayServer;
--- a/crates/hazelspur-server/src/ingress/gateway/request.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/request.rs
@@ -6,6 +6,7 @@
 use super::request_params::RequestParams;
 use super::responder::GatewayResponder;
 use super::server::GatewayServer;
+use super::started_requests::StartedRequests;
 use crate::ingress::limits::MAX_CLOCK_LEAD;
 use crate::request::deduplication::{DeduplicationKey, Lookup, Owner, ReceivedAttempt, RetryOf};
 use crate::request::lifecycle::{ReceivedRequest, RequestLifecycle};
@@ -113,9 +114,14 @@
         let dispatcher = &self.services.dispatcher;
         let DecodedRequest { class, params, times, .. } = decoded;
         let request = params.request;
+        let runs_once = StartedRequests::protects(class, params.idempotency_key.as_deref());
+        let started_requests = runs_once.then(|| self.started_requests.clone());
+        if started_requests.as_ref().is_some_and(|started| started.contains(request)) {
+            return Err(ProtocolError::RequestStartedBefore);
+        }
         let events = dispatcher.register(request).ok_or(ProtocolError::RequestInProgress)?;
         let retry_of = self.lookup_retry(connection, decoded).inspect_err(|_| dispatcher.remove(request))?;
-        let responder = GatewayResponder::new(connection.clone(), decoded.id, request);
+        let responder = GatewayResponder::new(connection.clone(), decoded.id, request, started_requests);
         let received = ReceivedRequest {
             request_class: decoded.class_id,
             tenant: params.tenant,
--- a/crates/hazelspur-server/src/ingress/gateway/responder.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/responder.rs
@@ -2,6 +2,7 @@
 //! there is one.
 
 use super::connection::GatewayConnection;
+use super::started_requests::StartedRequests;
 use crate::request::responder::ResponseSink;
 use hazelspur::{Duration, RequestId};
 use hazelspur_parsers::rpc::{self, ErrorData, RpcId};
@@ -16,13 +17,20 @@
     /// JSON-RPC id of the request.
     id: RpcId,
     request: RequestId,
+    /// Table to which the id of the request is added at its start; `None` for a request that may run twice.
+    started_requests: Option<Rc<StartedRequests>>,
 }
 
 impl GatewayResponder {
     /// Creates the responder of a request and adds the request to the open requests of its connection.
-    pub(super) fn new(connection: Rc<GatewayConnection>, id: RpcId, request: RequestId) -> Self {
+    pub(super) fn new(
+        connection: Rc<GatewayConnection>,
+        id: RpcId,
+        request: RequestId,
+        started_requests: Option<Rc<StartedRequests>>,
+    ) -> Self {
         connection.request_opened(id, request);
-        Self { connection, id, request }
+        Self { connection, id, request, started_requests }
     }
 
     fn respond(&mut self, write: impl FnOnce(RpcId, &mut Vec<u8>, Option<f64>)) {
@@ -55,10 +63,20 @@
     }
 
     fn unknown_to_worker(&mut self) {
+        if let Some(started_requests) = &self.started_requests {
+            started_requests.remove(self.request);
+        }
         self.connection.reputation.record_unknown_to_worker();
         self.failed();
     }
 
+    fn confirm_start(&mut self) -> bool {
+        if let Some(started_requests) = &self.started_requests {
+            started_requests.record(self.request);
+        }
+        true
+    }
+
     fn known_to_worker(&mut self) {
         self.connection.reputation.record_known_to_worker();
     }
--- a/crates/hazelspur-server/src/ingress/gateway/server.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/server.rs
@@ -3,6 +3,7 @@
 
 use super::connection::GatewayConnection;
 use super::eviction::EvictionReason;
+use super::started_requests::StartedRequests;
 use crate::process::descriptors::Descriptors;
 use crate::process::phases::{OpenCounts, Phase, Phases};
 use crate::read_quota::ReadQuota;
@@ -33,6 +34,7 @@
     pub(super) services: Rc<Services>,
     pub(super) catalog: Rc<RefCell<Catalog>>,
     pub(super) phases: Rc<Phases>,
+    pub(super) started_requests: Rc<StartedRequests>,
     /// `None` once no more connections are accepted.
     listener: RefCell<Option<TcpListener>>,
     pub(super) budget: Descriptors,
@@ -72,6 +74,7 @@
             services,
             catalog,
             phases,
+            started_requests: Rc::default(),
             listener: RefCell::new(Some(listener)),
             budget,
             connections: RefCell::default(),
