Gateways: requests of a client that refused an answer are stopped at once

Cause: after the end of the input the task watched only its writes. The end of the input does not show that a client is gone, since one that has finished writing is answered; the reset with which a closed one refuses its first answer does, but it was noticed only by the next write.

Why this works: reset_by_peer waits for an error of the socket beside reads, writes and the ends of requests. What waits never starts, what runs is stopped. Reads use readable and try_read_buf, since two waits share the read half; they keep their share of the task's budget.

--- a/crates/hazelspur-server/src/ingress/gateway/connection_task.rs
+++ b/crates/hazelspur-server/src/ingress/gateway/connection_task.rs
@@ -12,11 +12,12 @@
 use hazelspur::{Duration, RequestId};
 use hazelspur_parsers::Buffer;
 use socket2::SockRef;
-use std::io::Read;
+use std::io::{self, ErrorKind, Read};
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::task::coop::consume_budget;
 
 /// Number of queued output bytes at or above which a connection is not read.
 const MAX_QUEUED_BYTES: usize = 64 * 1024;
@@ -78,7 +79,7 @@
         let _ = stream.set_nodelay(true);
         let (mut reader, mut writer) = stream.split();
         let mut input = Buffer::default();
-        let end = self.serve_requests(&connection, &mut reader, &mut writer, &mut input).await;
+        let end = self.serve_requests(&connection, &reader, &mut writer, &mut input).await;
         if end == ReadEnd::Broken {
             return;
         }
@@ -101,7 +102,7 @@
     async fn serve_requests(
         &self,
         connection: &Rc<GatewayConnection>,
-        reader: &mut ReadHalf<'_>,
+        reader: &ReadHalf<'_>,
         writer: &mut WriteHalf<'_>,
         input: &mut Buffer,
     ) -> ReadEnd {
@@ -110,6 +111,7 @@
         let end = tokio::select! {
             end = self.read_requests(reader, connection, input) => end,
             () = &mut writing => ReadEnd::Broken,
+            () = reset_by_peer(reader) => ReadEnd::Broken,
             () = connection.close_requested.notified() => ReadEnd::CloseRequested,
         };
         if end == ReadEnd::Broken {
@@ -119,6 +121,7 @@
         for _ in 0..MAX_FINAL_READS {
             tokio::select! {
                 () = &mut writing => return ReadEnd::Broken,
+                () = reset_by_peer(reader) => return ReadEnd::Broken,
                 () = connection.drained(FINAL_WRITE_TIMEOUT) => {}
             }
             if end == ReadEnd::PeerFinished || !self.final_read(reader, connection, input) {
@@ -131,14 +134,14 @@
     /// Reads and submits requests until the peer is finished, a read fails or the client is blocked.
     async fn read_requests(
         &self,
-        reader: &mut ReadHalf<'_>,
+        reader: &ReadHalf<'_>,
         connection: &Rc<GatewayConnection>,
         input: &mut Buffer,
     ) -> ReadEnd {
         let clock = &self.services.dispatcher.clock;
         let quota = ReadQuota::default();
         loop {
-            let count = match reader.read_buf(input.spare_capacity()).await {
+            let count = match read_some(reader, input).await {
                 Ok(0) => return ReadEnd::PeerFinished,
                 Ok(count) => count,
                 Err(_) => return ReadEnd::Broken,
@@ -177,6 +180,26 @@
     }
 }
 
+/// Reads the next bytes and returns their number, zero at the end of the input.
+async fn read_some(reader: &ReadHalf<'_>, input: &mut Buffer) -> io::Result<usize> {
+    loop {
+        // Endless input must not keep the other tasks from being polled.
+        consume_budget().await;
+        reader.readable().await?;
+        match reader.try_read_buf(input.spare_capacity()) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            result => return result,
+        }
+    }
+}
+
+/// Completes once the peer has reset the connection, also while input is unread: its requests are no longer
+/// awaited.
+async fn reset_by_peer(reader: &ReadHalf<'_>) {
+    // An error of the call itself also means that the connection is unusable.
+    let _ = reader.ready(Interest::ERROR).await;
+}
+
 /// Reads and discards input until the peer closes, a read fails or the limit is reached.
 async fn discard_input(reader: &mut ReadHalf<'_>, input: &mut Buffer) {
     let mut bytes_left = MAX_DISCARDED_BYTES;
