--- a/crates/hazelspur-server/tests/helpers/mod.rs
+++ b/crates/hazelspur-server/tests/helpers/mod.rs
@@ -56,6 +56,8 @@
     _reserved: ReservedAddress,
     /// Settings of the configuration, as JSON.
     pub settings: String,
+    /// Limits of the process in the configuration, as JSON.
+    pub limits: String,
     /// Part of the operator's file that describes the queues.
     queues: String,
     /// Spread of the server's connection attempts to brokers, in seconds.
@@ -118,6 +120,7 @@
             _reserved: reserved,
             config_files: [file("json"), file("star")],
             settings: SETTINGS.into(),
+            limits: "{}".into(),
             queues: queues.into(),
             reconnect_spread_s: 0.03,
             broker_addresses,
@@ -128,8 +131,8 @@
     pub(crate) fn write_files(&self, stop_ms: u64) {
         let (listen, worker, dependency) = (&self.listen, self.worker.address, self.dependency.address);
         let config = format!(
-            r#"{{"name":"n1","listen":"{listen}","runtime":"{worker}","ledger":"{dependency}","control":"{}","seed":"000000000000002a","stop_ms":{stop_ms},"settings":{}}}"#,
-            self.registry.address, self.settings
+            r#"{{"name":"n1","listen":"{listen}","runtime":"{worker}","ledger":"{dependency}","control":"{}","seed":"000000000000002a","stop_ms":{stop_ms},"limits":{},"settings":{}}}"#,
+            self.registry.address, self.limits, self.settings
         );
         std::fs::write(&self.config_files[0], config).expect("file is written");
         let brokers = format!("{:?}", self.broker_addresses);
